Build the whole path, thin: caller, entry, worker, platform stand-in

Cause: the repository was empty; nothing served a request. Change: npm workspaces by concern (core, settings, platform, peer, routing, admission, fleet, jobs, entry, cli, testing) with one direction of imports that a test checks; XO with a verb rule for function names; the proto of the inner protocol with committed code; stand-ins of the platform and of workers; an entry that forwards a request with a verdict on failure. Conclusion: the path runs; routing is random and nothing is claimed yet.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,8 @@
+const config = {
+	files: ['packages/*/dist/tests/**/*.test.js'],
+	timeout: '3m',
+	workerThreads: false,
+	concurrency: 4,
+};
+
+export default config;
--- /dev/null
+++ b/packages/cli/src/entries.ts
@@ -0,0 +1,31 @@
+/**
+ * `tamarackwind entry`: runs the entry daemon until it is told to stop.
+ */
+import process from 'node:process';
+import {IssuesError} from '@tamarackwind/core';
+import {Entry, loadEntryConfig} from '@tamarackwind/entry';
+import {type CommandModule} from 'yargs';
+import {exitCodes} from './exits.js';
+
+export const entryCommand: CommandModule<Record<string, unknown>, {config: string}> = {
+	command: 'entry',
+	describe: 'Run the entry daemon',
+	builder: yargs => yargs
+		.option('config', {type: 'string', demandOption: true, describe: 'Daemon settings, JSON with comments'})
+		.example('$0 entry --config /etc/tamarackwind/entry.jsonc', 'Run with the settings of this VM'),
+	async handler({config}) {
+		try {
+			const entry = await Entry.create(await loadEntryConfig(config));
+			process.once('SIGTERM', () => {
+				void entry.close();
+			});
+		} catch (error) {
+			if (!(error instanceof IssuesError)) {
+				throw error;
+			}
+
+			process.stderr.write(`${error.message}\n`);
+			process.exitCode = exitCodes.badInput;
+		}
+	},
+};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+export * from './entries.js';
+export * from './exits.js';
--- /dev/null
+++ b/packages/core/src/clocks.ts
@@ -0,0 +1,118 @@
+/**
+ * Clocks: the only source of time for every decision.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+
+/** A source of time. */
+export abstract class Clock {
+	/** Milliseconds since an arbitrary start; never goes back. */
+	abstract readMonotonic(): number;
+
+	/** Milliseconds since the Unix epoch; may jump. */
+	abstract readWall(): number;
+
+	/** Resolves after `ms` milliseconds, or early when `signal` aborts. */
+	abstract sleep(ms: number, signal?: AbortSignal): Promise<void>;
+}
+
+/** The clock of the operating system. */
+export class SystemClock extends Clock {
+	static create(): SystemClock {
+		return new SystemClock();
+	}
+
+	override readMonotonic(): number {
+		return performance.now();
+	}
+
+	override readWall(): number {
+		return Date.now();
+	}
+
+	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		try {
+			await delay(ms, undefined, {signal});
+		} catch (error) {
+			if (!signal?.aborted) {
+				throw error;
+			}
+		}
+	}
+}
+
+type Sleeper = {readonly wakeAt: number; readonly wake: () => void};
+
+/** A clock that moves only when it is told to, for tests and simulated time. */
+export class ManualClock extends Clock {
+	static create(startMs = 0): ManualClock {
+		return new ManualClock(startMs);
+	}
+
+	#now: number;
+	#wallOffset = 0;
+	readonly #sleepers = new Set<Sleeper>();
+
+	private constructor(startMs: number) {
+		super();
+		this.#now = startMs;
+	}
+
+	override readMonotonic(): number {
+		return this.#now;
+	}
+
+	override readWall(): number {
+		return this.#now + this.#wallOffset;
+	}
+
+	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		if (signal?.aborted) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const sleeper: Sleeper = {wakeAt: this.#now + ms, wake: resolve};
+			this.#sleepers.add(sleeper);
+			signal?.addEventListener('abort', () => {
+				this.#sleepers.delete(sleeper);
+				resolve();
+			}, {once: true});
+		});
+	}
+
+	/** Shifts the wall clock by `ms` milliseconds and leaves the monotonic clock alone. */
+	jumpWall(ms: number): void {
+		this.#wallOffset += ms;
+	}
+
+	/** Moves time on by `ms` milliseconds and wakes the sleepers in order. */
+	async advance(ms: number): Promise<void> {
+		const end = this.#now + ms;
+		await flushTasks();
+		for (let next = this.#findNext(end); next !== undefined; next = this.#findNext(end)) {
+			this.#now = Math.max(this.#now, next.wakeAt);
+			this.#sleepers.delete(next);
+			next.wake();
+			await flushTasks();
+		}
+
+		this.#now = end;
+	}
+
+	#findNext(end: number): Sleeper | undefined {
+		let first: Sleeper | undefined;
+		for (const sleeper of this.#sleepers) {
+			if (sleeper.wakeAt <= end && (first === undefined || sleeper.wakeAt < first.wakeAt)) {
+				first = sleeper;
+			}
+		}
+
+		return first;
+	}
+}
+
+async function flushTasks(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
--- /dev/null
+++ b/packages/entry/src/configs.ts
@@ -0,0 +1,55 @@
+/**
+ * Settings of one entry daemon.
+ */
+import {readFile} from 'node:fs/promises';
+import {parseJsonc} from '@tamarackwind/settings';
+import {z} from 'zod';
+
+const portSchema = z.number().int().min(0).max(65_535);
+
+const listenerSchema = z.strictObject({
+	/** IP number to listen on. */
+	host: z.string(),
+	/** Port to listen on; 0 picks a free one. */
+	port: portSchema,
+	tls: z.strictObject({
+		certFile: z.string(),
+		keyFile: z.string(),
+		/** Authority whose certificates the other side must show. */
+		caFile: z.string().optional(),
+	}).optional(),
+});
+
+export const entryConfigSchema = z.strictObject({
+	entryId: z.string(),
+	deployment: z.string(),
+	region: z.string(),
+	zone: z.string(),
+	caller: listenerSchema,
+	operator: listenerSchema,
+	peer: listenerSchema,
+	metrics: listenerSchema,
+	platform: z.strictObject({
+		url: z.url(),
+		/** File that holds the bearer token for the platform. */
+		tokenFile: z.string().optional(),
+		timeoutMs: z.number().int().positive().optional(),
+	}),
+	log: z.strictObject({format: z.enum(['plain', 'json'])}).default({format: 'json'}),
+	/** Time between SIGTERM and the end of new connections, for the balancer to notice. */
+	balancerDelayMs: z.number().int().nonnegative().default(2000),
+	/** Longest time that a graceful shutdown waits for requests in flight. */
+	shutdownTimeoutMs: z.number().int().positive().default(600_000),
+});
+
+/** Settings of one entry daemon, with defaults filled in. */
+export type EntryConfig = z.infer<typeof entryConfigSchema>;
+
+/**
+ * Reads the daemon's settings file.
+ *
+ * @throws {IssuesError} with the file, line and path of each fault.
+ */
+export async function loadEntryConfig(file: string): Promise<EntryConfig> {
+	return parseJsonc(entryConfigSchema, await readFile(file, 'utf8'), file);
+}
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,1 @@
+export type {WorkClass} from '@tamarackwind/settings';
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,1 @@
+export * from './gen/tamarackwind/peer/v1/peer.js';
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,4 @@
+export * from './defaults.js';
+export * from './files.js';
+export * from './resolutions.js';
+export * from './schemas.js';
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,3 @@
+export * from './platforms.js';
+export * from './processes.js';
+export * from './workers.js';
--- /dev/null
+++ b/packages/testing/src/platforms.ts
@@ -0,0 +1,149 @@
+/**
+ * Stand-in of the platform: table service, object store, list of VMs, with switches for faults.
+ */
+import {type Server} from 'node:http';
+import {serve} from '@hono/node-server';
+import {VerdictError} from '@tamarackwind/core';
+import {
+	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
+} from '@tamarackwind/platform';
+import {Hono, type Context} from 'hono';
+
+export type PlatformStandInOptions = {
+	readonly port?: number;
+	/** Time by which the list of VMs lags behind. */
+	readonly listLagMs?: number;
+};
+
+/** Switches of the stand-in's parts. */
+export type PlatformFaults = {readonly tables?: Faults; readonly objects?: Faults; readonly vms?: Faults};
+
+type Listing = {readonly since: number; readonly generation: number; readonly vms: readonly VmRecord[]};
+
+/** The platform on one loopback port. */
+export class PlatformStandIn {
+	static async create(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
+		const standIn = new PlatformStandIn(options);
+		await standIn.#listen(options.port ?? 0);
+		return standIn;
+	}
+
+	readonly tables = MemoryTableService.create();
+	readonly objects = MemoryObjectStore.create();
+	readonly vmFaults = FaultSwitch.create();
+	readonly #vms = new Map<string, VmRecord>();
+	readonly #listLagMs: number;
+	#listings: Listing[] = [{since: 0, generation: 0, vms: []}];
+	#server: Server | undefined;
+	#port = 0;
+
+	private constructor({listLagMs}: PlatformStandInOptions) {
+		this.#listLagMs = listLagMs ?? 0;
+	}
+
+	get url(): string {
+		return `http://127.0.0.1:${this.#port}`;
+	}
+
+	/** Adds or replaces VMs in the list. */
+	putVms(vms: readonly VmRecord[]): void {
+		for (const vm of vms) {
+			this.#vms.set(vm.vmId, vm);
+		}
+
+		this.#recordListing();
+	}
+
+	removeVm(vmId: string): void {
+		this.#vms.delete(vmId);
+		this.#recordListing();
+	}
+
+	setFaults({tables, objects, vms}: PlatformFaults): void {
+		this.tables.faults.setFaults(tables ?? {});
+		this.objects.faults.setFaults(objects ?? {});
+		this.vmFaults.setFaults(vms ?? {});
+	}
+
+	async close(): Promise<void> {
+		await new Promise(resolve => {
+			this.#server?.close(resolve);
+			this.#server?.closeAllConnections();
+		});
+	}
+
+	#recordListing(): void {
+		const generation = (this.#listings.at(-1)?.generation ?? 0) + 1;
+		this.#listings = [...this.#listings.slice(-200), {since: Date.now(), generation, vms: [...this.#vms.values()]}];
+	}
+
+	#readListing(): Listing | undefined {
+		const until = Date.now() - this.#listLagMs;
+		return this.#listings.findLast(listing => listing.since <= until);
+	}
+
+	async #listen(port: number): Promise<void> {
+		const app = this.#createApp();
+		await new Promise<void>(resolve => {
+			this.#server = serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
+				this.#port = info.port;
+				resolve();
+			}) as Server;
+		});
+	}
+
+	#createApp(): Hono {
+		const app = new Hono();
+		app.onError((error, ctx) => answerError(error, ctx));
+		app.post('/tables/read', async ctx => {
+			const {keys} = await ctx.req.json<{keys: RowKey[]}>();
+			const rows = await this.tables.getRows(keys);
+			return ctx.json({rows: rows.map(row => row ?? null)});
+		});
+		app.post('/tables/scan', async ctx => {
+			const {table, ...options} = await ctx.req.json<ScanOptions & {table: string}>();
+			return ctx.json({rows: await this.tables.scanRows(table, options)});
+		});
+		app.post('/tables/commit', async ctx => ctx.json(await this.tables.commit(await ctx.req.json<Transaction>())));
+		app.put('/objects/:name', async ctx => {
+			const bytes = new Uint8Array(await ctx.req.arrayBuffer());
+			const isStored = await this.objects.putObject(ctx.req.param('name'), bytes, {ifAbsent: ctx.req.query('if-absent') === '1'});
+			return ctx.body(null, isStored ? 204 : 412);
+		});
+		app.get('/objects/:name', async ctx => {
+			const bytes = await this.objects.getObject(ctx.req.param('name'));
+			return bytes === undefined ? ctx.notFound() : ctx.body(new Uint8Array(bytes));
+		});
+		app.delete('/objects/:name', async ctx => {
+			await this.objects.deleteObject(ctx.req.param('name'));
+			return ctx.body(null, 204);
+		});
+		app.get('/objects', async ctx => ctx.json({names: await this.objects.listObjects(ctx.req.query('prefix') ?? '')}));
+		app.get('/vms', async ctx => {
+			await this.vmFaults.applyBefore();
+			const listing = this.#readListing();
+			return ctx.json({generation: listing?.generation ?? 0, vms: listing?.vms ?? []});
+		});
+		app.post('/stand-in/vms', async ctx => {
+			this.putVms(await ctx.req.json<VmRecord[]>());
+			return ctx.body(null, 204);
+		});
+		app.post('/stand-in/faults', async ctx => {
+			this.setFaults(await ctx.req.json<PlatformFaults>());
+			return ctx.body(null, 204);
+		});
+		return app;
+	}
+}
+
+function answerError(error: Error, ctx: Context): Response {
+	if (error instanceof VerdictError && error.verdict === 'not-run') {
+		return ctx.json({error: error.message}, 503);
+	}
+
+	if (error instanceof VerdictError) {
+		return ctx.json({error: error.message}, 500);
+	}
+
+	return ctx.json({error: error.message}, 400);
+}
--- /dev/null
+++ b/packages/testing/src/processes.ts
@@ -0,0 +1,90 @@
+/**
+ * Starts product processes for tests, and ends them by their ids.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtemp, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+
+const mainFile = fileURLToPath(import.meta.resolve('tamarackwind/main'));
+
+/** One entry in a process of its own. */
+export class EntryProcess {
+	/** Starts an entry and waits until it tells its ports. */
+	static async create(config: Record<string, unknown>): Promise<EntryProcess> {
+		const folder = await mkdtemp(path.join(tmpdir(), 'tamarackwind-'));
+		const file = path.join(folder, 'entry.jsonc');
+		await writeFile(file, JSON.stringify(config));
+		const child = spawn(process.execPath, [mainFile, 'entry', '--config', file], {stdio: ['ignore', 'ignore', 'pipe']});
+		const entry = new EntryProcess(child);
+		await entry.#waitForPorts();
+		return entry;
+	}
+
+	readonly lines: string[] = [];
+	ports: Readonly<Record<string, number>> = {};
+	readonly #child: ChildProcess;
+	readonly #exit: Promise<number | undefined>;
+
+	private constructor(child: ChildProcess) {
+		this.#child = child;
+		this.#exit = new Promise(resolve => {
+			child.once('exit', code => {
+				resolve(code ?? undefined);
+			});
+		});
+	}
+
+	get pid(): number {
+		return this.#child.pid!;
+	}
+
+	kill(signal: NodeJS.Signals): void {
+		this.#child.kill(signal);
+	}
+
+	/** Resolves to the exit code, or `undefined` after a signal. */
+	async waitForExit(): Promise<number | undefined> {
+		return this.#exit;
+	}
+
+	async close(): Promise<void> {
+		this.kill('SIGKILL');
+		await this.#exit;
+	}
+
+	async #waitForPorts(): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			let rest = '';
+			this.#child.stderr!.setEncoding('utf8').on('data', (text: string) => {
+				const lines = (rest + text).split('\n');
+				rest = lines.pop()!;
+				this.lines.push(...lines);
+				const started = lines.find(line => line.includes('"entry started"'));
+				if (started !== undefined) {
+					this.ports = JSON.parse(started) as Record<string, number>;
+					resolve();
+				}
+			});
+			this.#child.once('exit', () => {
+				reject(new Error(`entry ended before it started: ${this.lines.join('\n')}`));
+			});
+		});
+	}
+}
+
+/** Waits until a condition holds, up to a bound. */
+export async function waitUntil(condition: () => boolean | Promise<boolean>, timeoutMs = 20_000): Promise<void> {
+	const end = Date.now() + timeoutMs;
+	while (!(await condition())) {
+		if (Date.now() > end) {
+			throw new Error(`condition did not hold within ${timeoutMs} ms`);
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
--- /dev/null
+++ b/packages/testing/tests/imports.test.ts
@@ -0,0 +1,28 @@
+import {readFile, readdir} from 'node:fs/promises';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import test from 'ava';
+
+const packagesFolder = fileURLToPath(new URL('../../..', import.meta.url));
+
+/** Packages in the one direction of imports: each may import only those before it. */
+const order = ['core', 'settings', 'platform', 'peer', 'routing', 'admission', 'fleet', 'jobs', 'entry', 'cli', 'testing'];
+
+async function listImports(name: string): Promise<string[]> {
+	const folder = path.join(packagesFolder, name);
+	const files = await readdir(path.join(folder, 'src'), {recursive: true});
+	const texts = await Promise.all(files.filter(file => file.endsWith('.ts')).map(async file => readFile(path.join(folder, 'src', file), 'utf8')));
+	return texts.flatMap(text => [...text.matchAll(/from '(?<source>@tamarackwind\/\w+|tamarackwind)'/gv)].map(found => found.groups!.source!));
+}
+
+for (const [index, name] of order.entries()) {
+	test(`package ${name} imports only packages before it`, async t => {
+		const allowed = new Set(order.slice(0, index).map(x => x === 'cli' ? 'tamarackwind' : `@tamarackwind/${x}`));
+		const imports = await listImports(name);
+		t.deepEqual(imports.filter(source => !allowed.has(source)), []);
+	});
+}
+
+test('every package stands in the order of imports', async t => {
+	t.deepEqual((await readdir(packagesFolder)).toSorted(), order.toSorted());
+});
