Give the parts of an entry their seams

Cause: the data path, the schedulers, the fleet, the settings and the jobs are to grow side by side without meeting in one file.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,2 @@
-export type {WorkClass} from '@tamarackwind/settings';
+export * from './naive-schedulers.js';
+export * from './schedulers.js';
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -1,24 +1,19 @@
 /**
  * The entry daemon: opens the ports, and closes them again.
  */
-import {type Server} from 'node:http';
-import {type AddressInfo} from 'node:net';
-import {serve} from '@hono/node-server';
-import {
-	Log, SystemClock, SystemRandom,
-} from '@tamarackwind/core';
-import {HttpTableService, HttpVmList, PlatformConnection} from '@tamarackwind/platform';
-import {Hono} from 'hono';
-import {Registry, collectDefaultMetrics} from 'prom-client';
+import {NaiveScheduler} from '@tamarackwind/admission';
 import {createCallerApp} from './callers.js';
 import {type EntryConfig} from './configs.js';
+import {createEntryContext, type EntryContext} from './contexts.js';
+import {Listener} from './listeners.js';
+import {createMetricsApp} from './metrics.js';
+import {createOperatorApp} from './operators.js';
 import {Upstreams} from './upstreams.js';
-import {View} from './views.js';
-
-type FetchApp = Parameters<typeof serve>[0]['fetch'];
 
 /** Ports that an entry listens on. */
-export type EntryPorts = {readonly caller: number; readonly metrics: number};
+export type EntryPorts = {readonly caller: number; readonly operator: number; readonly metrics: number};
+
+type Listeners = {readonly caller: Listener; readonly operator: Listener; readonly metrics: Listener};
 
 /**
  * One running entry.
@@ -29,70 +24,42 @@
  */
 export class Entry {
 	static async create(config: EntryConfig): Promise<Entry> {
-		const log = Log.create({format: config.log.format, fields: {entry: config.entryId}});
-		const clock = SystemClock.create();
-		const connection = PlatformConnection.create({url: config.platform.url, timeoutMs: config.platform.timeoutMs});
-		const view = View.create({
-			clock, log, tables: HttpTableService.create(connection), vmList: HttpVmList.create(connection), deployment: config.deployment,
-		});
-		const upstreams = Upstreams.create(64);
-		const callerApp = createCallerApp({random: SystemRandom.create(), upstreams, view});
-		const callerServer = await listenOn(callerApp.fetch, config.caller);
-		const metricsServer = await listenOn(createMetricsApp(view).fetch, config.metrics);
-		log.info('entry started', {...readPorts(callerServer, metricsServer)});
-		return new Entry([callerServer, metricsServer], async () => {
-			await view.close();
+		const ctx = createEntryContext(config);
+		const upstreams = Upstreams.create();
+		const scheduler = NaiveScheduler.create({random: ctx.random, listWorkers: pool => ctx.fleet.listWorkers(pool)});
+		const listeners = {
+			caller: await Listener.create(createCallerApp({ctx, upstreams, scheduler}), config.caller),
+			operator: await Listener.create(createOperatorApp(ctx), config.operator),
+			metrics: await Listener.create(createMetricsApp(ctx), config.metrics),
+		};
+		const entry = new Entry(ctx, listeners, async () => {
+			await scheduler.close();
 			await upstreams.close();
-			await connection.close();
-			log.info('entry stopped');
 		});
+		ctx.log.info('entry started', entry.ports);
+		return entry;
 	}
 
-	readonly #servers: readonly [Server, Server];
+	readonly #ctx: EntryContext;
+	readonly #listeners: Listeners;
 	readonly #closeParts: () => Promise<void>;
 
-	private constructor(servers: readonly [Server, Server], closeParts: () => Promise<void>) {
-		this.#servers = servers;
+	private constructor(ctx: EntryContext, listeners: Listeners, closeParts: () => Promise<void>) {
+		this.#ctx = ctx;
+		this.#listeners = listeners;
 		this.#closeParts = closeParts;
 	}
 
 	get ports(): EntryPorts {
-		return readPorts(...this.#servers);
+		const {caller, operator, metrics} = this.#listeners;
+		return {caller: caller.port, operator: operator.port, metrics: metrics.port};
 	}
 
-	/** Stops taking connections, waits for requests in flight and releases everything. */
+	/** Takes no new connections, waits for requests in flight and releases everything. */
 	async close(): Promise<void> {
-		await Promise.all(this.#servers.map(async server => closeServer(server)));
+		await Promise.all(Object.values(this.#listeners).map(async (listener: Listener) => listener.close()));
 		await this.#closeParts();
+		await this.#ctx.close();
+		this.#ctx.log.info('entry stopped');
 	}
 }
-
-async function listenOn(fetch: FetchApp, {host, port}: {readonly host: string; readonly port: number}): Promise<Server> {
-	return new Promise((resolve, reject) => {
-		const server = serve({fetch, hostname: host, port}, () => {
-			resolve(server);
-		}) as Server;
-		server.once('error', reject);
-	});
-}
-
-async function closeServer(server: Server): Promise<void> {
-	await new Promise(resolve => {
-		server.close(resolve);
-		server.closeIdleConnections();
-	});
-}
-
-function readPorts(caller: Server, metrics: Server): EntryPorts {
-	return {caller: (caller.address() as AddressInfo).port, metrics: (metrics.address() as AddressInfo).port};
-}
-
-function createMetricsApp(view: View): Hono {
-	const registry = new Registry();
-	collectDefaultMetrics({register: registry});
-	const app = new Hono();
-	app.get('/metrics', async ctx => ctx.text(await registry.metrics(), 200, {'content-type': registry.contentType}));
-	app.get('/healthz', ctx => ctx.text('ok'));
-	app.get('/readyz', ctx => view.settings === undefined ? ctx.text('settings were not read yet', 503) : ctx.text('ok'));
-	return app;
-}
--- /dev/null
+++ b/packages/entry/src/metrics.ts
@@ -0,0 +1,16 @@
+/**
+ * The metrics port: counters for monitoring, and health for the balancer.
+ */
+import {Hono} from 'hono';
+import {collectDefaultMetrics} from 'prom-client';
+import {type EntryContext} from './contexts.js';
+
+/** Builds the app of the metrics port. */
+export function createMetricsApp({registry, settings}: EntryContext): Hono {
+	collectDefaultMetrics({register: registry});
+	const app = new Hono();
+	app.get('/metrics', async c => c.text(await registry.metrics(), 200, {'content-type': registry.contentType}));
+	app.get('/healthz', c => c.text('ok'));
+	app.get('/readyz', c => settings.current === undefined ? c.text('settings were not read yet', 503) : c.text('ok'));
+	return app;
+}
--- a/packages/entry/src/upstreams.ts
+++ b/packages/entry/src/upstreams.ts
@@ -8,26 +8,21 @@
 
 /** Opens and closes the connections to workers. */
 export class Upstreams {
-	static create(connectionsPerVm: number): Upstreams {
-		return new Upstreams(connectionsPerVm);
+	static create(): Upstreams {
+		return new Upstreams();
 	}
 
-	readonly #connectionsPerVm: number;
 	readonly #pools = new Map<string, Pool>();
 
-	private constructor(connectionsPerVm: number) {
-		this.#connectionsPerVm = connectionsPerVm;
-	}
-
-	/** Gives the connections to a worker, opened on first use. */
-	getPool(vm: VmRecord): Pool {
+	/** Gives the connections to a worker, at most `connections` of them, opened on first use. */
+	getPool(vm: VmRecord, connections: number): Pool {
 		const origin = `http://${vm.address}:${vm.port}`;
 		const known = this.#pools.get(origin);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const pool = new Pool(origin, {connections: this.#connectionsPerVm, pipelining: 1, connect: {timeout: connectTimeoutMs}});
+		const pool = new Pool(origin, {connections, pipelining: 1, connect: {timeout: connectTimeoutMs}});
 		this.#pools.set(origin, pool);
 		return pool;
 	}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,1 +1,1 @@
-export type {WorkClass} from '@tamarackwind/settings';
+export * from './views.js';
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,4 @@
+export * from './clusters.js';
 export * from './platforms.js';
 export * from './processes.js';
 export * from './workers.js';
--- a/packages/testing/src/processes.ts
+++ b/packages/testing/src/processes.ts
@@ -7,9 +7,28 @@
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
 
 const mainFile = fileURLToPath(import.meta.resolve('tamarackwind/main'));
 
+const loopback = {host: '127.0.0.1', port: 0};
+
+/** Daemon settings of an entry on free loopback ports. */
+export function createLoopbackConfig(entryId: string, platformUrl: string): Record<string, unknown> {
+	return {
+		entryId,
+		deployment: 'fixture',
+		region: 'region-1',
+		zone: 'zone-1',
+		caller: loopback,
+		operator: loopback,
+		peer: loopback,
+		metrics: loopback,
+		platform: {url: platformUrl},
+		balancerDelayMs: 50,
+	};
+}
+
 /** One entry in a process of its own. */
 export class EntryProcess {
 	/** Starts an entry and waits until it tells its ports. */
@@ -37,6 +56,18 @@
 		});
 	}
 
+	/** URL of one of the entry's ports, such as `caller`. */
+	getUrl(port: string): string {
+		return `http://127.0.0.1:${this.ports[port]}`;
+	}
+
+	/** Tells whether the balancer may send callers here. */
+	async isReady(): Promise<boolean> {
+		const {statusCode, body} = await request(`${this.getUrl('metrics')}/readyz`);
+		await body.dump();
+		return statusCode === 200;
+	}
+
 	get pid(): number {
 		return this.#child.pid!;
 	}
--- a/xo.config.js
+++ b/xo.config.js
@@ -19,6 +19,8 @@
 			'n/prefer-global/buffer': 'off',
 			'no-await-in-loop': 'off',
 			'no-bitwise': 'off',
+			// Contradicts itself on empty bodies.
+			'@stylistic/curly-newline': 'off',
 			'@stylistic/max-len': 'off',
 			'max-params': ['warn', 5],
 			'capitalized-comments': 'off',
