Carry a caller's request whole: fields, identity, verdicts, claims, graceful stop

Cause: the thin path knew neither deadlines, classes, callers nor keys, and took a cut chunked answer on a closing connection for a whole one.

--- a/packages/cli/src/entries.ts
+++ b/packages/cli/src/entries.ts
@@ -16,9 +16,7 @@
 	async handler({config}) {
 		try {
 			const entry = await Entry.create(await loadEntryConfig(config));
-			process.once('SIGTERM', () => {
-				void entry.close();
-			});
+			closeOnSignal(entry);
 		} catch (error) {
 			if (!(error instanceof IssuesError)) {
 				throw error;
@@ -29,3 +27,25 @@
 		}
 	},
 };
+
+/** Stops the entry gracefully at the first signal, and cuts what is in flight at the second. */
+function closeOnSignal(entry: Entry): void {
+	const controller = new AbortController();
+	let isClosing = false;
+	const close = async (): Promise<void> => {
+		if (isClosing) {
+			controller.abort();
+			return;
+		}
+
+		isClosing = true;
+		const {cutRequests} = await entry.close({signal: controller.signal});
+		process.exitCode = cutRequests === 0 ? exitCodes.ok : exitCodes.failed;
+	};
+
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void close();
+		});
+	}
+}
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -4,91 +4,181 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
-import {type Scheduler} from '@tamarackwind/admission';
-import {VerdictError, type CallerId, type ServiceName} from '@tamarackwind/core';
-import {type ResolvedService} from '@tamarackwind/settings';
+import {VerdictError, readErrorMessage, type Log} from '@tamarackwind/core';
 import {Hono} from 'hono';
-import {type EntryContext} from './contexts.js';
-import {dispatchRequest} from './dispatches.js';
-import {headerNames, selectEndToEndHeaders} from './headers.js';
-import {sendProblem} from './problems.js';
-import {type Upstreams} from './upstreams.js';
-
-export type CallerAppOptions = {
-	readonly ctx: EntryContext;
-	readonly upstreams: Upstreams;
-	readonly scheduler: Scheduler;
+import {AnswerWriter} from './answers.js';
+import {forwardRequest, type ForwardOptions} from './attempts.js';
+import {RequestBody} from './bodies.js';
+import {maxKeptBytes} from './claims.js';
+import {selectRequestHeaders} from './headers.js';
+import {Identities} from './identities.js';
+import {runKeyedRequest, type KeyedParts, type RefusedAttempt} from './keyed-requests.js';
+import {isPassingProblem, sendProblem, toProblem} from './problems.js';
+import {parseRequest, type CallerRequest} from './requests.js';
+import {type SettingsView} from './settings-views.js';
+
+export type CallerPortOptions = KeyedParts & {
+	readonly log: Log;
+	readonly settings: SettingsView;
 };
 
-/** Builds the app of the caller port. */
-export function createCallerApp(options: CallerAppOptions): Hono<{Bindings: HttpBindings}> {
-	const app = new Hono<{Bindings: HttpBindings}>();
-	app.all('/:service/*', async c => {
-		await handleRequest(options, c.req.param('service') as ServiceName, c.env);
-		return RESPONSE_ALREADY_SENT;
-	});
-	return app;
-}
+/** Handles the requests of callers. */
+export class CallerPort {
+	static create(options: CallerPortOptions): CallerPort {
+		return new CallerPort(options);
+	}
 
-async function handleRequest(options: CallerAppOptions, name: ServiceName, {incoming, outgoing}: HttpBindings): Promise<void> {
-	const response = outgoing;
-	const service = options.ctx.settings.current?.services.get(name);
-	if (service === undefined) {
-		sendProblem(response, {
-			status: 404, code: 'unknown_service', title: 'Unknown service', detail: `service "${name}" does not exist`, verdict: 'not-run',
+	readonly app: Hono<{Bindings: HttpBindings}>;
+	readonly #options: CallerPortOptions;
+	readonly #identities = Identities.create();
+	readonly #inFlight = new Set<Promise<void>>();
+	#isClosing = false;
+
+	private constructor(options: CallerPortOptions) {
+		this.#options = options;
+		this.app = new Hono<{Bindings: HttpBindings}>();
+		this.app.all('*', async c => {
+			const {incoming, outgoing} = c.env;
+			const handled = this.#handle(incoming, outgoing);
+			this.#inFlight.add(handled);
+			await handled;
+			this.#inFlight.delete(handled);
+			return RESPONSE_ALREADY_SENT;
 		});
-		return;
 	}
 
-	try {
-		await forwardRequest(options, service, incoming, response);
-	} catch (error) {
-		refuseRequest(response, error);
+	/** Requests that have not ended. */
+	get inFlight(): number {
+		return this.#inFlight.size;
 	}
-}
 
-async function forwardRequest({ctx, upstreams, scheduler}: CallerAppOptions, service: ResolvedService, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-	const pool = ctx.settings.current!.pools.get(service.pool)!;
-	const signal = AbortSignal.timeout(service.deadlineMs);
-	const grant = await scheduler.acquireSlot({
-		pool,
-		service,
-		caller: {id: 'anonymous' as CallerId, tokenHashes: [], weight: 1},
-		workClass: service.defaultClass,
-		startBy: ctx.clock.readMonotonic() + service.deadlineMs,
-		attempts: 0,
-		triedVms: new Set(),
-		signal,
-	});
-	const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined;
-	try {
-		await dispatchRequest({
-			upstream: upstreams.getPool(grant.vm, pool.connectionsPerVm),
-			method: incoming.method ?? 'GET',
-			path: (incoming.url ?? '/').slice(service.name.length + 1),
-			headers: {...selectEndToEndHeaders(incoming.headers), [headerNames.requestId]: ctx.random.createToken()},
-			body: hasBody ? incoming : undefined,
-			signal,
-			response,
+	/** Whether the entry is about to stop. */
+	get isClosing(): boolean {
+		return this.#isClosing;
+	}
+
+	/** Asks callers, from now on, to end their connections after each answer. */
+	drain(): void {
+		this.#isClosing = true;
+	}
+
+	/** Resolves once no request is in flight. */
+	async waitForIdle(): Promise<void> {
+		while (this.#inFlight.size > 0) {
+			await Promise.all(this.#inFlight);
+		}
+	}
+
+	/** Handles one request to its end; never throws. */
+	async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {clock, metrics} = this.#options;
+		const startedAt = clock.readMonotonic();
+		const ended = waitForEnd(response);
+		metrics.observeStart();
+		let request: CallerRequest | undefined;
+		let refused: RefusedAttempt | undefined;
+		try {
+			request = this.#parse(incoming);
+			refused = await this.#run(request, incoming, response, startedAt);
+		} catch (error) {
+			refused = {error, receipt: undefined};
+		}
+
+		const end = refused === undefined ? {verdict: 'ran' as const, code: formatStatusClass(response.statusCode)} : this.#refuse(response, refused, request);
+		await ended;
+		metrics.observeEnd({
+			...end, service: request?.service.name ?? 'none', workClass: request?.workClass ?? 'none', seconds: (clock.readMonotonic() - startedAt) / 1000,
 		});
-		grant.release('answered');
-	} catch (error) {
-		grant.release('failed');
-		throw error;
 	}
-}
 
-function refuseRequest(response: ServerResponse, error: unknown): void {
-	if (response.headersSent) {
-		response.destroy();
-		return;
+	#parse(incoming: IncomingMessage): CallerRequest {
+		const {current} = this.#options.settings;
+		if (current === undefined) {
+			throw new VerdictError('the entry has not read its settings yet', {verdict: 'not-run', code: 'settings_missing'});
+		}
+
+		return parseRequest(incoming, current, this.#identities);
+	}
+
+	async #run(request: CallerRequest, incoming: IncomingMessage, response: ServerResponse, startedAt: number): Promise<RefusedAttempt | undefined> {
+		const deadlineAt = startedAt + request.deadlineMs;
+		const signal = createGoneSignal(response);
+		const body = await this.#readBody(request, incoming, deadlineAt);
+		const isKeyed = !request.isIdempotent && request.requestKey !== undefined;
+		const isClosing = (): boolean => this.#isClosing;
+		const answer = AnswerWriter.create({response, maxKeptBytes: isKeyed ? maxKeptBytes : 0, isClosing});
+		const forward: ForwardOptions = {
+			request, headers: selectRequestHeaders(incoming.headers), body, answer, deadlineAt, signal, isDetached: false,
+		};
+		if (isKeyed) {
+			return runKeyedRequest(this.#options, {
+				...forward, requestKey: request.requestKey, response, isClosing,
+			});
+		}
+
+		await forwardRequest(this.#options, forward);
+		return undefined;
 	}
 
-	if (!(error instanceof VerdictError)) {
-		throw error;
+	/** Reads the beginning of the body; a caller that is slower than its deadline is refused. */
+	async #readBody(request: CallerRequest, incoming: IncomingMessage, deadlineAt: number): Promise<RequestBody> {
+		const {clock} = this.#options;
+		let isLate = false;
+		const timer = setTimeout(() => {
+			isLate = true;
+			incoming.emit('error', new Error('the body did not arrive before the deadline'));
+		}, deadlineAt - clock.readMonotonic());
+		try {
+			return await RequestBody.create(incoming, request.service.maxBodyBytes);
+		} catch (error) {
+			throw isLate ? new VerdictError('the body did not arrive before the deadline', {verdict: 'not-run', code: 'request_timeout'}) : error;
+		} finally {
+			clearTimeout(timer);
+		}
 	}
 
-	sendProblem(response, {
-		status: error.code === 'deadline_exceeded' ? 504 : 503, code: error.code, title: 'Request failed', detail: error.message, verdict: error.verdict,
+	/** Tells the caller of a failure; an answer whose head is out already was cut. */
+	#refuse(response: ServerResponse, {error, receipt}: RefusedAttempt, request: CallerRequest | undefined): Pick<ReturnType<typeof toProblem>, 'verdict' | 'code'> {
+		const {scheduler, log} = this.#options;
+		const problem = toProblem(error);
+		if (problem.code === 'internal') {
+			log.error('request failed within the entry', {error: readErrorMessage(error)});
+		}
+
+		if (response.headersSent || response.destroyed) {
+			response.destroy();
+			return problem;
+		}
+
+		const retryAfterSeconds = request !== undefined && isPassingProblem(problem.code) ? scheduler.suggestRetryAfter(request.pool, request.caller.id) : undefined;
+		if (this.#isClosing || problem.status === 413 || problem.status === 408) {
+			response.setHeader('connection', 'close');
+		}
+
+		sendProblem(response, {...problem, retryAfterSeconds, receipt});
+		return problem;
+	}
+}
+
+function formatStatusClass(status: number): string {
+	return `${Math.floor(status / 100)}xx`;
+}
+
+/** Resolves once the last byte of the answer was handed to the connection, or the connection has closed. */
+async function waitForEnd(response: ServerResponse): Promise<void> {
+	await new Promise<void>(resolve => {
+		response.once('finish', resolve);
+		response.once('close', resolve);
+	});
+}
+
+/** Creates a signal that aborts when the caller hangs up before its answer has ended. */
+function createGoneSignal(response: ServerResponse): AbortSignal {
+	const controller = new AbortController();
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			controller.abort();
+		}
 	});
+	return controller.signal;
 }
--- /dev/null
+++ b/packages/entry/src/claim-cleaners.ts
@@ -0,0 +1,87 @@
+/**
+ * Clean-up of claims whose retention has passed, in small pages by every entry.
+ */
+import {
+	Loop, type Clock, type RandomSource,
+} from '@tamarackwind/core';
+import {type ObjectStore, type Row, type TableService} from '@tamarackwind/platform';
+import {Counter, type Registry} from 'prom-client';
+import {claimTable, type ClaimRow} from './claims.js';
+
+export type ClaimCleanerOptions = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly tables: TableService;
+	readonly objects: ObjectStore;
+	readonly registry: Registry;
+	/** Time between two pages, in milliseconds. */
+	readonly intervalMs?: number;
+};
+
+const defaultIntervalMs = 10_000;
+const pageSize = 100;
+/** Time for which a row outlives its retention, so that entries whose clocks differ do not delete it early, in milliseconds. */
+const clockMarginMs = 300_000;
+
+/** Deletes expired claims; each entry walks the table from a random place of its own. */
+export class ClaimCleaner {
+	static create(options: ClaimCleanerOptions): ClaimCleaner {
+		return new ClaimCleaner(options);
+	}
+
+	readonly #options: ClaimCleanerOptions;
+	readonly #loop: Loop;
+	readonly #deleted: Counter;
+	readonly #failed: Counter;
+	#after: string;
+
+	private constructor(options: ClaimCleanerOptions) {
+		const {clock, random, registry} = options;
+		const registers = [registry];
+		this.#options = options;
+		this.#after = random.createToken();
+		this.#deleted = new Counter({name: 'tamarackwind_claims_deleted_total', help: 'Claims deleted after their retention', registers});
+		this.#failed = new Counter({name: 'tamarackwind_claim_cleanups_failed_total', help: 'Pages of the clean-up of claims that failed', registers});
+		this.#loop = Loop.create({
+			clock,
+			intervalMs: options.intervalMs ?? defaultIntervalMs,
+			run: async () => this.deletePage(),
+			onError: () => {
+				this.#failed.inc();
+			},
+		});
+	}
+
+	/** Deletes the expired claims of the next page; rows that were written since they were read stay. */
+	async deletePage(): Promise<void> {
+		const rows = await this.#options.tables.scanRows(claimTable, {after: this.#after, limit: pageSize});
+		this.#after = rows.length < pageSize ? '' : rows.at(-1)!.key;
+		const now = this.#options.clock.readWall();
+		const expired = rows.filter(({value}) => (value as ClaimRow).expiresAt + clockMarginMs < now);
+		if (expired.length > 0) {
+			await this.#deleteRows(expired);
+		}
+	}
+
+	async close(): Promise<void> {
+		await this.#loop.close();
+	}
+
+	async #deleteRows(rows: readonly Row[]): Promise<void> {
+		const outcome = await this.#options.tables.commit({
+			checks: rows.map(({table, key, version}) => ({table, key, version})),
+			writes: rows.map(({table, key}) => ({table, key})),
+		});
+		if (outcome.status !== 'committed') {
+			return;
+		}
+
+		this.#deleted.inc(rows.length);
+		for (const {value} of rows) {
+			const {objectName} = (value as ClaimRow).answer ?? {};
+			if (objectName !== undefined) {
+				await this.#options.objects.deleteObject(objectName);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/claims.ts
@@ -0,0 +1,397 @@
+/**
+ * Claims: rows that make a keyed non-idempotent request run at most once over all entries.
+ */
+import {hash} from 'node:crypto';
+import {
+	VerdictError, type Clock, type EntryId, type RandomSource,
+} from '@tamarackwind/core';
+import {
+	absentVersion, type ObjectStore, type Row, type RowKey, type TableService,
+} from '@tamarackwind/platform';
+import {type StoredAnswer} from './answers.js';
+import {RowBatcher} from './batches.js';
+import {type HeaderFields} from './headers.js';
+
+/** Table of the claims. */
+export const claimTable = 'claims';
+
+/** Largest answer body that is kept within the claim's row, in bytes; larger ones go to the object store. */
+export const maxInlineBytes = 8 * 1024;
+/** Largest answer body that is kept, in bytes. */
+export const maxKeptBytes = 4 * 1024 * 1024;
+
+const minPollMs = 50;
+const maxPollMs = 500;
+const maxLateRetryMs = 5000;
+/** Longest time for which the end of a claim is written again and again, in milliseconds. */
+const lateWriteTimeoutMs = 3_600_000;
+/** Most bytes of answers that wait to be written; beyond them answers are not kept. */
+const maxLateBytes = 16 * 1024 * 1024;
+
+/** Identifies a keyed request. */
+export type ClaimSubject = {
+	/** Hash of caller, service and request key. */
+	readonly claimKey: string;
+	/** Hash of method and path. */
+	readonly headHash: string;
+	/** Hash of the body; `undefined` while the body was not read to its end. */
+	readonly bodyHash: string | undefined;
+};
+
+/** The answer as a claim's row keeps it. */
+export type KeptAnswer = {
+	readonly status: number;
+	readonly headers: HeaderFields;
+	/** Body in base64; in the object store when it is left out. */
+	readonly body?: string;
+	readonly objectName?: string;
+};
+
+/** Value of a claim's row. */
+export type ClaimRow = {
+	/** `open`: may have been dispatched. `released`: surely not run. */
+	readonly state: 'open' | 'finished' | 'released';
+	/** Token of the claim, by which its owner knows its own write. */
+	readonly token: string;
+	readonly entryId: EntryId;
+	readonly headHash: string;
+	readonly bodyHash?: string;
+	/** Attempt that claimed, when the caller counts them. */
+	readonly attempt?: number;
+	/** Time after which the row may be deleted, in milliseconds since the Unix epoch. */
+	readonly expiresAt: number;
+	/** Left out when the answer was not kept. */
+	readonly answer?: KeptAnswer;
+};
+
+/** The right to run one keyed request. */
+export type Claim = {
+	readonly key: RowKey;
+	readonly version: number;
+	readonly value: ClaimRow;
+};
+
+export type ClaimRequest = ClaimSubject & {
+	readonly retentionMs: number;
+	readonly attempt: number | undefined;
+	/** Attempt that was proven not to have run. */
+	readonly provenAttempt: number | undefined;
+	/** Whether a key without a row may be claimed. */
+	readonly mayInsert: boolean;
+	/** Monotonic time up to which the table service may be unavailable, in milliseconds. */
+	readonly availableBy: number;
+	/** Monotonic time up to which another claim is waited for, in milliseconds. */
+	readonly finishBy: number;
+	/** Aborts when the caller has gone. */
+	readonly signal: AbortSignal;
+};
+
+/**
+ * Outcome of a claim.
+ *
+ * - `claimed`: the request may run, here alone.
+ * - `finished`: it ran; the answer is given again, unless it was not kept.
+ * - `open`: another attempt may have run and did not end in time.
+ * - `absent`: no earlier run is known, and the request may not take the claim.
+ * - `mismatched`: the key was used for another request.
+ * - `unavailable`: the table service did not answer in time. `claim` is of this attempt: it may be run where the
+ *   service allows it, or released; when `isUncertain`, its row may have been written.
+ */
+export type ClaimOutcome
+	= | {readonly status: 'claimed'; readonly claim: Claim}
+		| {readonly status: 'finished'; readonly row: ClaimRow}
+		| {readonly status: 'open' | 'absent' | 'mismatched'}
+		| {readonly status: 'unavailable'; readonly claim: Claim; readonly isUncertain: boolean};
+
+export type ClaimStoreOptions = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly tables: TableService;
+	readonly objects: ObjectStore;
+	readonly entryId: EntryId;
+	readonly batcher?: RowBatcher;
+	/** Called when a run turns out to have been claimed by another. */
+	readonly onDoubled?: () => void;
+};
+
+/** Hashes parts to the key of a claim or the hash of a request; the parts can't run into each other. */
+export function hashParts(...parts: readonly string[]): string {
+	return hash('sha256', JSON.stringify(parts), 'hex');
+}
+
+/** Takes, ends and reads claims. */
+export class ClaimStore {
+	static create(options: ClaimStoreOptions): ClaimStore {
+		return new ClaimStore(options);
+	}
+
+	readonly #options: ClaimStoreOptions;
+	readonly #batcher: RowBatcher;
+	readonly #lateWrites = new Set<Promise<void>>();
+	readonly #closing = new AbortController();
+	#lateBytes = 0;
+
+	private constructor(options: ClaimStoreOptions) {
+		this.#options = options;
+		this.#batcher = options.batcher ?? RowBatcher.create(options);
+	}
+
+	/** Claims whose end was not written yet. */
+	get lateWrites(): number {
+		return this.#lateWrites.size;
+	}
+
+	/** Claims a keyed request, or waits for the attempt that holds the claim. */
+	async claim(request: ClaimRequest): Promise<ClaimOutcome> {
+		const value = this.#createRow(request);
+		let version: number | undefined = request.mayInsert ? absentVersion : undefined;
+		let isUncertain = false;
+		for (let pollMs = minPollMs; ; pollMs = Math.min(pollMs * 2, maxPollMs)) {
+			const step = await this.#takeStep(request, value, version);
+			if (step.status === 'written') {
+				return {status: 'claimed', claim: step.claim};
+			}
+
+			if (step.status === 'unavailable') {
+				isUncertain ||= step.isUncertain;
+				if (this.#hasPassed(request.availableBy) || request.signal.aborted) {
+					return {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
+				}
+			} else {
+				const decision = resolveClaim(step.row, request, value.token);
+				if (typeof decision === 'object') {
+					return decision;
+				}
+
+				version = decision;
+			}
+
+			if (version === undefined && (this.#hasPassed(request.finishBy) || request.signal.aborted)) {
+				return {status: 'open'};
+			}
+
+			if (version === undefined || step.status === 'unavailable') {
+				await this.#options.clock.sleep(pollMs, request.signal);
+			}
+		}
+	}
+
+	/** Records that the request ran, with its answer when it could be kept. Goes on in the background until it is written. */
+	finish(claim: Claim, bodyHash: string | undefined, answer: StoredAnswer | undefined): void {
+		const bytes = answer?.body.length ?? 0;
+		const kept = bytes > 0 && this.#lateBytes + bytes > maxLateBytes ? undefined : answer;
+		this.#writeLate(claim, kept?.body.length ?? 0, async () => ({
+			...claim.value, bodyHash, state: 'finished', answer: kept === undefined ? undefined : await this.#storeAnswer(claim, kept),
+		}));
+	}
+
+	/** Records that the request surely did not run. Goes on in the background until it is written. */
+	release(claim: Claim): void {
+		this.#writeLate(claim, 0, async () => ({...claim.value, state: 'released'}));
+	}
+
+	/**
+	 * Reads the answer of a finished claim.
+	 *
+	 * @throws {VerdictError} `may-have-run`, with code `answer_not_kept` or `claims_unavailable`.
+	 */
+	async readAnswer({answer}: ClaimRow): Promise<StoredAnswer> {
+		const body = answer?.body === undefined ? await this.#readObject(answer?.objectName) : Buffer.from(answer.body, 'base64');
+		if (answer === undefined || body === undefined) {
+			throw new VerdictError('the request ran; its answer was not kept', {verdict: 'may-have-run', code: 'answer_not_kept'});
+		}
+
+		return {status: answer.status, headers: answer.headers, body};
+	}
+
+	/** Waits up to `timeoutMs` for the ends of claims to be written, then gives up. */
+	async close(timeoutMs = 0): Promise<void> {
+		const {clock} = this.#options;
+		await Promise.race([Promise.all(this.#lateWrites), clock.sleep(timeoutMs, this.#closing.signal)]);
+		this.#closing.abort();
+		await Promise.all(this.#lateWrites);
+	}
+
+	#hasPassed(monotonic: number): boolean {
+		return this.#options.clock.readMonotonic() >= monotonic;
+	}
+
+	/** Tries to write the claim at `version`, or reads its row when `version` is `undefined`. */
+	async #takeStep(request: ClaimRequest, value: ClaimRow, version: number | undefined): Promise<ClaimStep> {
+		const key = createRowKey(request.claimKey);
+		const step = version === undefined ? this.#readStep(key) : this.#writeStep(key, value, version);
+		return Promise.race([step, this.#waitForTimeout(request, version !== undefined)]);
+	}
+
+	async #waitForTimeout({availableBy, signal}: ClaimRequest, isUncertain: boolean): Promise<ClaimStep> {
+		const {clock} = this.#options;
+		await clock.sleep(Math.max(0, availableBy - clock.readMonotonic()), signal);
+		return {status: 'unavailable', isUncertain};
+	}
+
+	async #writeStep(key: RowKey, value: ClaimRow, version: number): Promise<ClaimStep> {
+		let isUncertain = false;
+		try {
+			const outcome = await this.#batcher.submit({...key, version, value});
+			if (outcome.status === 'committed') {
+				return {status: 'written', claim: {key, version: outcome.version, value}};
+			}
+		} catch (error) {
+			// The answer may have been lost after the write took effect; the row tells.
+			isUncertain = !(error instanceof VerdictError && error.verdict === 'not-run');
+		}
+
+		const step = await this.#readStep(key);
+		if (step.status === 'unavailable') {
+			return {status: 'unavailable', isUncertain};
+		}
+
+		const row = step.status === 'read' ? step.row : undefined;
+		return row !== undefined && readClaimRow(row).token === value.token ? {status: 'written', claim: {key, version: row.version, value}} : step;
+	}
+
+	async #readStep(key: RowKey): Promise<ClaimStep> {
+		try {
+			return {status: 'read', row: await this.#options.tables.getRow(key)};
+		} catch {
+			return {status: 'unavailable', isUncertain: false};
+		}
+	}
+
+	#createRow(request: ClaimRequest): ClaimRow {
+		const {clock, random, entryId} = this.#options;
+		return {
+			state: 'open',
+			token: random.createToken(),
+			entryId,
+			headHash: request.headHash,
+			bodyHash: request.bodyHash,
+			attempt: request.attempt,
+			expiresAt: clock.readWall() + request.retentionMs,
+		};
+	}
+
+	#writeLate(claim: Claim, bytes: number, createValue: () => Promise<ClaimRow>): void {
+		this.#lateBytes += bytes;
+		const write = this.#writeEnd(claim, createValue);
+		this.#lateWrites.add(write);
+		void write.then(() => {
+			this.#lateBytes -= bytes;
+			this.#lateWrites.delete(write);
+		});
+	}
+
+	/** Writes the end of a claim until it is written, it belongs to another, or time is up. */
+	async #writeEnd(claim: Claim, createValue: () => Promise<ClaimRow>): Promise<void> {
+		const {clock} = this.#options;
+		const giveUpAt = clock.readMonotonic() + lateWriteTimeoutMs;
+		let {version} = claim;
+		for (let pauseMs = minPollMs; clock.readMonotonic() < giveUpAt; pauseMs = Math.min(pauseMs * 2, maxLateRetryMs)) {
+			const next = await this.#tryWriteEnd(claim, createValue, version);
+			if (next === 'done' || this.#closing.signal.aborted) {
+				return;
+			}
+
+			version = next ?? version;
+			await clock.sleep(pauseMs, this.#closing.signal);
+		}
+	}
+
+	/** Gives `done`, or the version at which to try again when it is known. */
+	async #tryWriteEnd(claim: Claim, createValue: () => Promise<ClaimRow>, version: number): Promise<number | 'done' | undefined> {
+		try {
+			const value = await createValue();
+			const outcome = await this.#batcher.submit({...claim.key, version, value});
+			return outcome.status === 'committed' ? 'done' : await this.#findEndVersion(claim);
+		} catch {
+			return undefined;
+		}
+	}
+
+	async #findEndVersion(claim: Claim): Promise<number | 'done'> {
+		const row = await this.#options.tables.getRow(claim.key);
+		if (row === undefined) {
+			// The row was deleted after its retention, or it was never written.
+			return claim.version === absentVersion ? absentVersion : 'done';
+		}
+
+		const {token, state} = readClaimRow(row);
+		if (token === claim.value.token) {
+			return state === 'open' ? row.version : 'done';
+		}
+
+		if (claim.version === absentVersion && isSuperseded(readClaimRow(row), claim.value)) {
+			return row.version;
+		}
+
+		this.#options.onDoubled?.();
+		return 'done';
+	}
+
+	async #storeAnswer({key, value}: Claim, {status, headers, body}: StoredAnswer): Promise<KeptAnswer> {
+		if (body.length <= maxInlineBytes) {
+			return {status, headers, body: Buffer.from(body).toString('base64')};
+		}
+
+		const objectName = `claims/${key.key}/${value.token}`;
+		await this.#options.objects.putObject(objectName, body);
+		return {status, headers, objectName};
+	}
+
+	async #readObject(name: string | undefined): Promise<Uint8Array | undefined> {
+		try {
+			return name === undefined ? undefined : await this.#options.objects.getObject(name);
+		} catch (error) {
+			throw new VerdictError('the request ran; its answer can\'t be read now', {verdict: 'may-have-run', code: 'claims_unavailable', cause: error});
+		}
+	}
+}
+
+type ClaimStep
+	= | {readonly status: 'written'; readonly claim: Claim}
+		| {readonly status: 'read'; readonly row: Row | undefined}
+		| {readonly status: 'unavailable'; readonly isUncertain: boolean};
+
+function createRowKey(claimKey: string): RowKey {
+	return {table: claimTable, key: claimKey};
+}
+
+function readClaimRow(row: Row): ClaimRow {
+	return row.value as ClaimRow;
+}
+
+/** Decides on a row that was read: an outcome, the version at which to claim, or `undefined` to wait. */
+function resolveClaim(row: Row | undefined, request: ClaimRequest, token: string): ClaimOutcome | number | undefined {
+	if (row === undefined) {
+		return request.mayInsert ? absentVersion : {status: 'absent'};
+	}
+
+	const claim = readClaimRow(row);
+	if (claim.headHash !== request.headHash || isOtherBody(claim.bodyHash, request.bodyHash)) {
+		return {status: 'mismatched'};
+	}
+
+	if (claim.token === token) {
+		return {status: 'claimed', claim: {key: createRowKey(request.claimKey), version: row.version, value: claim}};
+	}
+
+	if (claim.state === 'finished') {
+		return {status: 'finished', row: claim};
+	}
+
+	const isProven = claim.attempt !== undefined && claim.attempt <= (request.provenAttempt ?? 0);
+	if (claim.state === 'released' || isProven) {
+		return request.mayInsert ? row.version : {status: 'absent'};
+	}
+
+	return undefined;
+}
+
+/** Tells whether `row` is of an earlier attempt that was proven not to have run before `value` was. */
+function isSuperseded(row: ClaimRow, value: ClaimRow): boolean {
+	return row.state === 'released' || (row.state === 'open' && row.attempt !== undefined && row.attempt < (value.attempt ?? 0));
+}
+
+function isOtherBody(known: string | undefined, found: string | undefined): boolean {
+	return known !== undefined && found !== undefined && known !== found;
+}
--- a/packages/entry/src/configs.ts
+++ b/packages/entry/src/configs.ts
@@ -35,6 +35,8 @@
 		tokenFile: z.string().optional(),
 		timeoutMs: z.number().int().positive().optional(),
 	}),
+	/** File with the key, shared by all entries, that signs receipts; services with claims "first-attempt-unclaimed" need it. */
+	receiptKeyFile: z.string().optional(),
 	log: z.strictObject({format: z.enum(['plain', 'json'])}).default({format: 'json'}),
 	/** Time between SIGTERM and the end of new connections, for the balancer to notice. */
 	balancerDelayMs: z.number().int().nonnegative().default(2000),
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -1,20 +1,51 @@
 /**
  * The entry daemon: opens the ports, and closes them again.
  */
-import {NaiveScheduler} from '@tamarackwind/admission';
-import {createCallerApp} from './callers.js';
+import {NaiveScheduler, type Scheduler} from '@tamarackwind/admission';
+import {type EntryId} from '@tamarackwind/core';
+import {CallerPort} from './callers.js';
+import {ClaimCleaner} from './claim-cleaners.js';
+import {ClaimStore} from './claims.js';
 import {type EntryConfig} from './configs.js';
 import {createEntryContext, type EntryContext} from './contexts.js';
 import {Listener} from './listeners.js';
 import {createMetricsApp} from './metrics.js';
 import {createOperatorApp} from './operators.js';
+import {ReceiptSigner, loadReceiptKey} from './receipts.js';
+import {addRefusals} from './refusals.js';
+import {RequestMetrics} from './request-metrics.js';
 import {Upstreams} from './upstreams.js';
 
 /** Ports that an entry listens on. */
 export type EntryPorts = {readonly caller: number; readonly operator: number; readonly metrics: number};
 
+export type CloseOptions = {
+	/** Aborts the wait for requests in flight, which are then cut. */
+	readonly signal?: AbortSignal;
+};
+
+/** How an entry stopped. */
+export type CloseReport = {
+	/** Requests in flight that were cut. */
+	readonly cutRequests: number;
+};
+
 type Listeners = {readonly caller: Listener; readonly operator: Listener; readonly metrics: Listener};
 
+type DataPath = {
+	readonly port: CallerPort;
+	readonly claims: ClaimStore;
+	readonly metrics: RequestMetrics;
+	readonly scheduler: Scheduler;
+	readonly upstreams: Upstreams;
+	readonly cleaner: ClaimCleaner;
+};
+
+/** Time between two looks for connections that have become idle, in milliseconds. */
+const idleCheckMs = 50;
+/** Longest wait for the ends of claims to be written, in milliseconds. */
+const claimFlushMs = 5000;
+
 /**
  * One running entry.
  *
@@ -24,30 +55,27 @@
  */
 export class Entry {
 	static async create(config: EntryConfig): Promise<Entry> {
+		const receiptKey = config.receiptKeyFile === undefined ? undefined : await loadReceiptKey(config.receiptKeyFile);
 		const ctx = createEntryContext(config);
-		const upstreams = Upstreams.create();
-		const scheduler = NaiveScheduler.create({random: ctx.random, listWorkers: pool => ctx.fleet.listWorkers(pool)});
-		const listeners = {
-			caller: await Listener.create(createCallerApp({ctx, upstreams, scheduler}), config.caller),
+		const path = createDataPath(ctx, receiptKey);
+		const entry = new Entry(ctx, path, {
+			caller: await Listener.create(path.port.app, config.caller),
 			operator: await Listener.create(createOperatorApp(ctx), config.operator),
-			metrics: await Listener.create(createMetricsApp(ctx), config.metrics),
-		};
-		const entry = new Entry(ctx, listeners, async () => {
-			await scheduler.close();
-			await upstreams.close();
+			metrics: await Listener.create(createMetricsApp(ctx, () => path.port.isClosing), config.metrics),
 		});
+		addRefusals(entry.#listeners.caller.server);
 		ctx.log.info('entry started', entry.ports);
 		return entry;
 	}
 
 	readonly #ctx: EntryContext;
+	readonly #path: DataPath;
 	readonly #listeners: Listeners;
-	readonly #closeParts: () => Promise<void>;
 
-	private constructor(ctx: EntryContext, listeners: Listeners, closeParts: () => Promise<void>) {
+	private constructor(ctx: EntryContext, path: DataPath, listeners: Listeners) {
 		this.#ctx = ctx;
+		this.#path = path;
 		this.#listeners = listeners;
-		this.#closeParts = closeParts;
 	}
 
 	get ports(): EntryPorts {
@@ -55,11 +83,75 @@
 		return {caller: caller.port, operator: operator.port, metrics: metrics.port};
 	}
 
-	/** Takes no new connections, waits for requests in flight and releases everything. */
-	async close(): Promise<void> {
-		await Promise.all(Object.values(this.#listeners).map(async (listener: Listener) => listener.close()));
-		await this.#closeParts();
+	/**
+	 * Fails the readiness check, takes no new connections once the balancer has had time to notice, waits for requests in
+	 * flight and releases everything.
+	 */
+	async close({signal}: CloseOptions = {}): Promise<CloseReport> {
+		const {config, clock, log} = this.#ctx;
+		log.info('entry stopping', {inFlight: this.#path.port.inFlight});
+		this.#path.port.drain();
+		await clock.sleep(config.balancerDelayMs, signal);
+		const cutRequests = await this.#drainCallers(signal);
+		await this.#path.claims.close(claimFlushMs);
+		await this.#path.cleaner.close();
+		await this.#path.scheduler.close();
+		await this.#path.upstreams.close();
+		await Promise.all([this.#listeners.operator.close(), this.#listeners.metrics.close()]);
 		await this.#ctx.close();
-		this.#ctx.log.info('entry stopped');
+		log.info('entry stopped', {cutRequests});
+		return {cutRequests};
+	}
+
+	/** Closes the caller port; gives the number of requests that had to be cut. */
+	async #drainCallers(signal: AbortSignal | undefined): Promise<number> {
+		const {config, clock} = this.#ctx;
+		const {port, metrics} = this.#path;
+		const {server} = this.#listeners.caller;
+		const closed = this.#listeners.caller.close();
+		const deadline = clock.readMonotonic() + config.shutdownTimeoutMs;
+		while (port.inFlight > 0 && clock.readMonotonic() < deadline && signal?.aborted !== true) {
+			await clock.sleep(idleCheckMs, signal);
+			server.closeIdleConnections();
+		}
+
+		const cutRequests = port.inFlight;
+		metrics.observeCut(cutRequests);
+		if (cutRequests > 0) {
+			await this.#path.upstreams.close();
+		}
+
+		// What is left are idle connections, and half-sent requests that were never accepted.
+		server.closeAllConnections();
+		await closed;
+		return cutRequests;
 	}
 }
+
+function createDataPath(ctx: EntryContext, receiptKey: Uint8Array | undefined): DataPath {
+	const {config, clock, random, platform, registry, fleet} = ctx;
+	const {tables, objects} = platform;
+	const metrics = RequestMetrics.create(registry);
+	const upstreams = Upstreams.create(clock);
+	const scheduler = NaiveScheduler.create({random, listWorkers: pool => fleet.listWorkers(pool)});
+	const claims = ClaimStore.create({
+		clock,
+		random,
+		tables,
+		objects,
+		entryId: config.entryId as EntryId,
+		onDoubled() {
+			metrics.observeDoubled();
+		},
+	});
+	const cleaner = ClaimCleaner.create({
+		clock, random, tables, objects, registry,
+	});
+	const receipts = receiptKey === undefined ? undefined : ReceiptSigner.create(receiptKey, clock);
+	const port = CallerPort.create({
+		clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings,
+	});
+	return {
+		port, claims, metrics, scheduler, upstreams, cleaner,
+	};
+}
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -5,12 +5,18 @@
 import {collectDefaultMetrics} from 'prom-client';
 import {type EntryContext} from './contexts.js';
 
-/** Builds the app of the metrics port. */
-export function createMetricsApp({registry, settings}: EntryContext): Hono {
+/** Builds the app of the metrics port; `isDraining` tells whether the entry is about to stop. */
+export function createMetricsApp({registry, settings}: EntryContext, isDraining: () => boolean): Hono {
 	collectDefaultMetrics({register: registry});
 	const app = new Hono();
 	app.get('/metrics', async c => c.text(await registry.metrics(), 200, {'content-type': registry.contentType}));
 	app.get('/healthz', c => c.text('ok'));
-	app.get('/readyz', c => settings.current === undefined ? c.text('settings were not read yet', 503) : c.text('ok'));
+	app.get('/readyz', c => {
+		if (isDraining()) {
+			return c.text('entry is stopping', 503);
+		}
+
+		return settings.current === undefined ? c.text('settings were not read yet', 503) : c.text('ok');
+	});
 	return app;
 }
--- a/packages/entry/src/problems.ts
+++ b/packages/entry/src/problems.ts
@@ -2,7 +2,7 @@
  * Failures as callers see them: RFC 9457 problem bodies with a verdict.
  */
 import {type ServerResponse} from 'node:http';
-import {type Verdict} from '@tamarackwind/core';
+import {VerdictError, readErrorMessage, type Verdict} from '@tamarackwind/core';
 import {headerNames} from './headers.js';
 
 /** A failure that is told to a caller. */
@@ -15,17 +15,89 @@
 	readonly verdict: Verdict;
 	/** Seconds after which the caller may try again. */
 	readonly retryAfterSeconds?: number;
+	/** Proof for a later attempt that this one was not run. */
+	readonly receipt?: string;
 };
 
+type ProblemKind = {readonly status: number; readonly title: string};
+
+const internalKind: ProblemKind = {status: 500, title: 'Internal error'};
+
+const problemKinds = new Map<string, ProblemKind>([
+	['invalid_target', {status: 400, title: 'Invalid request target'}],
+	['invalid_class', {status: 400, title: 'Invalid class of work'}],
+	['invalid_deadline', {status: 400, title: 'Invalid deadline'}],
+	['invalid_idempotent', {status: 400, title: 'Invalid idempotent marker'}],
+	['invalid_key', {status: 400, title: 'Invalid request key'}],
+	['invalid_attempt', {status: 400, title: 'Invalid attempt number'}],
+	['malformed_request', {status: 400, title: 'Malformed request'}],
+	['unauthenticated', {status: 401, title: 'Unauthenticated'}],
+	['forbidden', {status: 403, title: 'Forbidden'}],
+	['unknown_service', {status: 404, title: 'Unknown service'}],
+	['request_timeout', {status: 408, title: 'Request not received in time'}],
+	['claim_open', {status: 409, title: 'Request key in use'}],
+	['claim_unknown', {status: 409, title: 'Earlier attempt may have run'}],
+	['answer_not_kept', {status: 409, title: 'Answer not kept'}],
+	['body_too_large', {status: 413, title: 'Body too large'}],
+	['key_reused', {status: 422, title: 'Request key reused'}],
+	['headers_too_large', {status: 431, title: 'Header fields too large'}],
+	['bad_answer', {status: 502, title: 'Unusable answer of the upstream'}],
+	['upstream_failed', {status: 502, title: 'Upstream failed'}],
+	['deadline_exceeded', {status: 504, title: 'Deadline exceeded'}],
+	['start_deadline', {status: 503, title: 'No slot before the deadline'}],
+	['queue_full', {status: 503, title: 'Too much work'}],
+	['no_worker', {status: 503, title: 'No worker'}],
+	['retry_budget', {status: 503, title: 'Retry budget spent'}],
+	['caller_gone', {status: 499, title: 'Caller gone'}],
+	['connect_failed', {status: 503, title: 'Upstream unreachable'}],
+	['connections_busy', {status: 503, title: 'Connections busy'}],
+	['view_stale', {status: 503, title: 'Entry out of date'}],
+	['settings_missing', {status: 503, title: 'Entry not ready'}],
+	['claims_unavailable', {status: 503, title: 'Table service unavailable'}],
+	['receipt_key_missing', {status: 503, title: 'Entry not set up for this service'}],
+]);
+
+/** Codes of failures that pass with time, so that the caller is told when to try again. */
+const passingCodes = new Set(['start_deadline', 'queue_full', 'no_worker', 'retry_budget', 'connect_failed', 'connections_busy', 'view_stale', 'settings_missing', 'claims_unavailable']);
+
+/** Tells whether a failure with `code` passes with time. */
+export function isPassingProblem(code: string): boolean {
+	return passingCodes.has(code);
+}
+
+/**
+ * Converts anything that was thrown to the problem that the caller is told. What is not a `VerdictError` may have run.
+ *
+ * @example
+ * toProblem(new VerdictError('pool "north" has no live worker', {verdict: 'not-run', code: 'no_worker'})).status; // 503
+ */
+export function toProblem(error: unknown): Problem {
+	const code = error instanceof VerdictError ? error.code : 'internal';
+	const verdict = error instanceof VerdictError ? error.verdict : 'may-have-run';
+	const detail = error instanceof VerdictError ? readErrorMessage(error) : 'the entry failed; see its log';
+	return {
+		...(problemKinds.get(code) ?? internalKind), code, detail, verdict,
+	};
+}
+
+/** Renders the body of a problem. */
+export function renderProblem({status, code, title, detail, verdict}: Problem): string {
+	return JSON.stringify({
+		type: 'about:blank', status, title, code, detail, verdict,
+	});
+}
+
 /** Sends a problem as the whole answer. */
 export function sendProblem(response: ServerResponse, problem: Problem): void {
-	const {status, retryAfterSeconds, ...rest} = problem;
-	const body = JSON.stringify({type: 'about:blank', status, ...rest});
+	const body = renderProblem(problem);
+	const {status, verdict, retryAfterSeconds, receipt} = problem;
 	response.writeHead(status, {
 		'content-type': 'application/problem+json',
 		'content-length': Buffer.byteLength(body),
-		[headerNames.verdict]: problem.verdict,
+		[headerNames.verdict]: verdict,
+		...(status === 401 ? {'www-authenticate': 'Bearer'} : {}),
 		...(retryAfterSeconds === undefined ? {} : {'retry-after': String(retryAfterSeconds)}),
+		...(receipt === undefined ? {} : {[headerNames.receipt]: receipt}),
 	});
 	response.end(body);
 }
--- a/packages/entry/src/upstreams.ts
+++ b/packages/entry/src/upstreams.ts
@@ -1,34 +1,203 @@
 /**
- * Connections to upstream workers, one undici pool for each.
+ * Connections to upstream workers. Each is an undici client of its own, so that the end of an answer can be told from
+ * the end of its connection.
  */
+import {type Socket} from 'node:net';
+import {VerdictError, type Clock} from '@tamarackwind/core';
 import {type VmRecord} from '@tamarackwind/platform';
-import {Pool} from 'undici';
+import {Client, buildConnector} from 'undici';
 
 const connectTimeoutMs = 1000;
+/** Idle connections are closed after this time, in milliseconds; below the 5 s after which many servers close theirs. */
+const keepAliveTimeoutMs = 4000;
+/** Longest wait for a connection while as many as allowed are busy, in milliseconds. */
+const busyTimeoutMs = 1000;
 
-/** Opens and closes the connections to workers. */
-export class Upstreams {
-	static create(): Upstreams {
-		return new Upstreams();
+type ConnectionEvents = {readonly clock: Clock; readonly onDisconnect: (connection: UpstreamConnection) => void};
+
+/** One connection to a worker, which carries one request at a time. */
+export class UpstreamConnection {
+	static create(origin: string, events: ConnectionEvents): UpstreamConnection {
+		return new UpstreamConnection(origin, events);
+	}
+
+	readonly client: Client;
+	/** Monotonic time of the end of the last request, in milliseconds. */
+	idleSince = 0;
+	#socket: Socket | undefined;
+
+	private constructor(origin: string, {onDisconnect}: ConnectionEvents) {
+		const connect = buildConnector({timeout: connectTimeoutMs});
+		this.client = new Client(origin, {
+			pipelining: 1,
+			keepAliveTimeout: keepAliveTimeoutMs,
+			keepAliveMaxTimeout: keepAliveTimeoutMs,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			connect: (options, callback) => {
+				connect(options, (...args) => {
+					this.#socket = args[1] ?? undefined;
+					callback(...args);
+				});
+			},
+		});
+		this.client.on('disconnect', () => {
+			onDisconnect(this);
+		});
+	}
+
+	/** Whether the other side has ended or reset the connection, or it was destroyed here. */
+	get isEnded(): boolean {
+		const socket = this.#socket;
+		return socket === undefined || socket.readableEnded || socket.destroyed || socket.errored !== null;
+	}
+
+	/** Closes the connection with whatever runs on it. */
+	close(): void {
+		void this.client.destroy();
+	}
+}
+
+type Waiter = {readonly wake: () => void};
+
+/** The connections to one worker. */
+class UpstreamPool {
+	readonly #origin: string;
+	readonly #clock: Clock;
+	readonly #idle: UpstreamConnection[] = [];
+	readonly #busy = new Set<UpstreamConnection>();
+	readonly #waiters: Waiter[] = [];
+
+	constructor(origin: string, clock: Clock) {
+		this.#origin = origin;
+		this.#clock = clock;
+	}
+
+	get isEmpty(): boolean {
+		return this.#idle.length === 0 && this.#busy.size === 0 && this.#waiters.length === 0;
+	}
+
+	/** Takes an idle connection, the last used first, or opens one. */
+	async acquire(limit: number, maxIdleMs: number): Promise<UpstreamConnection> {
+		if (this.#busy.size >= limit) {
+			await this.#waitForRelease();
+		}
+
+		const connection = this.#takeIdle(maxIdleMs) ?? UpstreamConnection.create(this.#origin, {
+			clock: this.#clock,
+			onDisconnect: ended => {
+				this.#removeIdle(ended);
+			},
+		});
+		this.#busy.add(connection);
+		return connection;
+	}
+
+	release(connection: UpstreamConnection, isReusable: boolean): void {
+		this.#busy.delete(connection);
+		if (isReusable && !connection.isEnded) {
+			connection.idleSince = this.#clock.readMonotonic();
+			this.#idle.push(connection);
+		} else {
+			connection.close();
+		}
+
+		this.#waiters.shift()?.wake();
 	}
 
-	readonly #pools = new Map<string, Pool>();
+	close(): void {
+		for (const connection of [...this.#idle, ...this.#busy]) {
+			connection.close();
+		}
+	}
+
+	#takeIdle(maxIdleMs: number): UpstreamConnection | undefined {
+		const connection = this.#idle.at(-1);
+		if (connection === undefined || this.#clock.readMonotonic() - connection.idleSince > maxIdleMs) {
+			return undefined;
+		}
+
+		return this.#idle.pop();
+	}
 
-	/** Gives the connections to a worker, at most `connections` of them, opened on first use. */
-	getPool(vm: VmRecord, connections: number): Pool {
-		const origin = `http://${vm.address}:${vm.port}`;
-		const known = this.#pools.get(origin);
-		if (known !== undefined) {
-			return known;
+	#removeIdle(connection: UpstreamConnection): void {
+		const index = this.#idle.indexOf(connection);
+		if (index !== -1) {
+			this.#idle.splice(index, 1);
+			connection.close();
 		}
+	}
+
+	async #waitForRelease(): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			const waiter = {
+				wake() {
+					clearTimeout(timer);
+					resolve();
+				},
+			};
+			const timer = setTimeout(() => {
+				this.#waiters.splice(this.#waiters.indexOf(waiter), 1);
+				const error: Error = new VerdictError(`all connections to ${this.#origin} stayed busy for ${busyTimeoutMs} ms`, {verdict: 'not-run', code: 'connections_busy'});
+				reject(error);
+			}, busyTimeoutMs);
+			this.#waiters.push(waiter);
+		});
+	}
+}
+
+export type AcquireOptions = {
+	/** Most connections to the worker from this entry. */
+	readonly limit: number;
+	/** Longest time for which the connection may have been idle, in milliseconds. */
+	readonly maxIdleMs: number;
+};
+
+/** Opens, keeps and closes the connections to workers. */
+export class Upstreams {
+	static create(clock: Clock): Upstreams {
+		return new Upstreams(clock);
+	}
+
+	readonly #clock: Clock;
+	readonly #pools = new Map<string, UpstreamPool>();
 
-		const pool = new Pool(origin, {connections, pipelining: 1, connect: {timeout: connectTimeoutMs}});
+	private constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/**
+	 * Takes a connection to a worker for one request; it is opened when the request is dispatched.
+	 *
+	 * @throws {VerdictError} `not-run`, with code `connections_busy`.
+	 */
+	async acquireConnection(vm: VmRecord, {limit, maxIdleMs}: AcquireOptions): Promise<UpstreamConnection> {
+		const origin = formatOrigin(vm);
+		const pool = this.#pools.get(origin) ?? new UpstreamPool(origin, this.#clock);
 		this.#pools.set(origin, pool);
-		return pool;
+		return pool.acquire(limit, maxIdleMs);
+	}
+
+	/** Gives a connection back; it is closed unless `isReusable`. */
+	releaseConnection(vm: VmRecord, connection: UpstreamConnection, isReusable: boolean): void {
+		this.#pools.get(formatOrigin(vm))?.release(connection, isReusable);
+		for (const [origin, pool] of this.#pools) {
+			if (pool.isEmpty) {
+				this.#pools.delete(origin);
+			}
+		}
 	}
 
+	/** Closes all connections with whatever runs on them. */
 	async close(): Promise<void> {
-		await Promise.all([...this.#pools.values()].map(async pool => pool.destroy()));
+		for (const pool of this.#pools.values()) {
+			pool.close();
+		}
+
 		this.#pools.clear();
 	}
 }
+
+function formatOrigin({address, port}: VmRecord): string {
+	return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
+}
