--- /dev/null
+++ b/packages/testing/src/worker-processes.ts
@@ -0,0 +1,40 @@
+/**
+ * Starts processes that host workers.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+import {type HostedPorts} from './worker-hosts.js';
+
+const mainFile = fileURLToPath(new URL('worker-host-main.js', import.meta.url));
+
+/** A process with several workers, as on one rack. */
+export class WorkerProcess {
+	/** Starts the process and waits until its workers listen. */
+	static async create(vmIds: readonly string[]): Promise<WorkerProcess> {
+		const child = spawn(process.execPath, [mainFile, ...vmIds], {stdio: ['ignore', 'pipe', 'inherit']});
+		const [line] = await once(createInterface(child.stdout), 'line') as [string];
+		return new WorkerProcess(child, JSON.parse(line) as HostedPorts);
+	}
+
+	readonly ports: HostedPorts;
+	readonly #child: ChildProcess;
+	readonly #exit: Promise<unknown>;
+
+	private constructor(child: ChildProcess, ports: HostedPorts) {
+		this.#child = child;
+		this.ports = ports;
+		this.#exit = once(child, 'exit');
+	}
+
+	kill(signal: NodeJS.Signals): void {
+		this.#child.kill(signal);
+	}
+
+	async close(): Promise<void> {
+		this.kill('SIGTERM');
+		await this.#exit;
+	}
+}
