Tell a claim that another holds as open, also when its row can't be read again

Cause: after the kill of an entry its open claims were told not-run to every second re-send: the deadline for the table service and the one for the other attempt fall together, and the first was looked at first. Callers then sent again for 15 s. Ruled out: the balancer, the connections, the load. Conclusion: not-run is told of a keyed request only while no claim is known.

--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -146,6 +146,7 @@
 		const value = this.#createRow(request);
 		let version: number | undefined = request.mayInsert ? absentVersion : undefined;
 		let isUncertain = false;
+		let isHeldElsewhere = false;
 		for (let pollMs = minPollMs; ; pollMs = Math.min(pollMs * 2, maxPollMs)) {
 			const step = await this.#takeStep(request, value, version);
 			if (step.status === 'written') {
@@ -155,7 +156,7 @@
 			if (step.status === 'unavailable') {
 				isUncertain ||= step.isUncertain;
 				if (this.#hasPassed(request.availableBy) || request.signal.aborted) {
-					return {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
+					return isHeldElsewhere ? {status: 'open'} : {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
 				}
 			} else {
 				const decision = resolveClaim(step.row, request, value.token);
@@ -164,6 +165,7 @@
 				}
 
 				version = decision;
+				isHeldElsewhere = version === undefined;
 			}
 
 			if (version === undefined && (this.#hasPassed(request.finishBy) || request.signal.aborted)) {
@@ -220,12 +222,17 @@
 	async #takeStep(request: ClaimRequest, value: ClaimRow, version: number | undefined): Promise<ClaimStep> {
 		const key = createRowKey(request.claimKey);
 		const step = version === undefined ? this.#readStep(key) : this.#writeStep(key, value, version);
-		return Promise.race([step, this.#waitForTimeout(request, version !== undefined)]);
+		const race = new AbortController();
+		try {
+			return await Promise.race([step, this.#waitForTimeout(request, version !== undefined, race.signal)]);
+		} finally {
+			race.abort();
+		}
 	}
 
-	async #waitForTimeout({availableBy, signal}: ClaimRequest, isUncertain: boolean): Promise<ClaimStep> {
+	async #waitForTimeout({availableBy, signal}: ClaimRequest, isUncertain: boolean, isOver: AbortSignal): Promise<ClaimStep> {
 		const {clock} = this.#options;
-		await clock.sleep(Math.max(0, availableBy - clock.readMonotonic()), signal);
+		await clock.sleep(Math.max(0, availableBy - clock.readMonotonic()), AbortSignal.any([signal, isOver]));
 		return {status: 'unavailable', isUncertain};
 	}
 
--- a/packages/testing/src/demos.ts
+++ b/packages/testing/src/demos.ts
@@ -80,6 +80,7 @@
 		await this.#runEvents(durationMs);
 		load.abort();
 		await Promise.all(sessions);
+		this.#print('sessions ended');
 		await balancer.close();
 		await Promise.all(callers.map(async ({caller}) => caller.close()));
 		this.#print('load ended');
