Check every way in which an answer goes wrong, and the whole caller interface

Cause: nothing tried cut, crossed, doubled or unframed answers, nor the fields of the caller interface. Change: raw-answers.ts writes such answers past the stand-in's server, http-calls.ts tells a cut answer from a whole one, histories.ts compares the callers' log with the workers'.

--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -3,7 +3,7 @@
  */
 import {type DispatchOutcome, type Scheduler, type SlotGrant} from '@tamarackwind/admission';
 import {
-	VerdictError, isRetryable, type Clock, type RandomSource, type VmId,
+	VerdictError, isRetryable, readErrorMessage, type Clock, type RandomSource, type VmId,
 } from '@tamarackwind/core';
 import {type ViewLease} from '@tamarackwind/peer';
 import {type AnswerWriter} from './answers.js';
@@ -27,6 +27,8 @@
 	readonly scheduler: Scheduler;
 	readonly upstreams: Upstreams;
 	readonly metrics: RequestMetrics;
+	/** Counts the entries that share the connections to the workers, this one included. */
+	readonly countEntries: () => number;
 };
 
 /** A request on its way to the upstreams. */
@@ -77,12 +79,12 @@
 
 /** Gives the error to tell; a request that may have run in an earlier attempt is never told `not-run`. */
 function mergeErrors(earlier: VerdictError | undefined, error: unknown): VerdictError {
-	const later = error instanceof VerdictError ? error : new VerdictError('the dispatch failed', {code: 'internal', cause: error});
+	const later = error instanceof VerdictError ? error : new VerdictError(`the dispatch failed: ${readErrorMessage(error)}`, {code: 'internal'});
 	if (earlier === undefined || earlier.verdict === 'not-run' || later.verdict !== 'not-run') {
 		return later;
 	}
 
-	return new VerdictError(`${earlier.message}; then ${later.message}`, {verdict: earlier.verdict, code: later.code, cause: later});
+	return new VerdictError(`${earlier.message}; then ${later.message}`, {verdict: earlier.verdict, code: later.code});
 }
 
 async function runAttempt(parts: AttemptParts, options: ForwardOptions, attempts: number, triedVms: Set<VmId>): Promise<void> {
@@ -131,7 +133,7 @@
 	const {upstreams} = parts;
 	const {request, body} = options;
 	const connection = await upstreams.acquireConnection(vm, {
-		limit: request.pool.connectionsPerVm,
+		limit: computeConnectionLimit(request.pool.connectionsPerVm, parts.countEntries()),
 		maxIdleMs: request.isIdempotent ? Number.POSITIVE_INFINITY : maxFreshIdleMs,
 	});
 	let isReusable = false;
@@ -145,6 +147,11 @@
 	}
 }
 
+/** Computes the connections to one VM that one entry may hold; one more entry may join before the others know of it. */
+function computeConnectionLimit(connectionsPerVm: number, entries: number): number {
+	return Math.max(1, Math.floor(connectionsPerVm / (entries + 1)));
+}
+
 async function sendOnConnection(parts: AttemptParts, options: ForwardOptions, connection: UpstreamConnection, vmId: VmId): Promise<void> {
 	const {clock, random, lease, scheduler} = parts;
 	const {request, headers, body, answer, deadlineAt, signal, isDetached} = options;
--- a/packages/entry/src/bodies.ts
+++ b/packages/entry/src/bodies.ts
@@ -118,8 +118,8 @@
 	async #readNext(rest: AsyncIterator<Uint8Array>): Promise<IteratorResult<Uint8Array, undefined>> {
 		try {
 			return await rest.next();
-		} catch (error) {
-			this.#error = new VerdictError('the caller hung up within the body', {verdict: 'may-have-run', code: 'caller_gone', cause: error});
+		} catch {
+			this.#error = new VerdictError('the caller hung up within the body', {verdict: 'may-have-run', code: 'caller_gone'});
 			throw this.#error;
 		}
 	}
@@ -148,8 +148,8 @@
 async function readFirst(source: AsyncIterator<Uint8Array>): Promise<IteratorResult<Uint8Array, undefined>> {
 	try {
 		return await source.next();
-	} catch (error) {
-		throw new VerdictError('the caller hung up within the body', {verdict: 'not-run', code: 'caller_gone', cause: error});
+	} catch {
+		throw new VerdictError('the caller hung up within the body', {verdict: 'not-run', code: 'caller_gone'});
 	}
 }
 
--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -341,8 +341,8 @@
 	async #readObject(name: string | undefined): Promise<Uint8Array | undefined> {
 		try {
 			return name === undefined ? undefined : await this.#options.objects.getObject(name);
-		} catch (error) {
-			throw new VerdictError('the request ran; its answer can\'t be read now', {verdict: 'may-have-run', code: 'claims_unavailable', cause: error});
+		} catch {
+			throw new VerdictError('the request ran; its answer can\'t be read now', {verdict: 'may-have-run', code: 'claims_unavailable'});
 		}
 	}
 }
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -148,8 +148,9 @@
 		clock, random, tables, objects, registry,
 	});
 	const receipts = receiptKey === undefined ? undefined : ReceiptSigner.create(receiptKey, clock);
+	const countEntries = (): number => Math.max(1, fleet.listEntries().length);
 	const port = CallerPort.create({
-		clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings,
+		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings,
 	});
 	return {
 		port, claims, metrics, scheduler, upstreams, cleaner,
--- a/packages/entry/src/dispatches.ts
+++ b/packages/entry/src/dispatches.ts
@@ -136,7 +136,7 @@
 			return;
 		}
 
-		if (this.#isCut()) {
+		if (this.#expectedBytes !== undefined && this.#receivedBytes !== this.#expectedBytes) {
 			this.#abort('upstream_failed', 'the answer was cut');
 			return;
 		}
@@ -147,7 +147,9 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-		this.#abort(this.#isSent ? 'upstream_failed' : 'connect_failed', `upstream failed: ${readErrorMessage(error)}`, error);
+		if (!this.#isSettled) {
+			this.#abort(this.#isSent ? 'upstream_failed' : 'connect_failed', `upstream failed: ${readErrorMessage(error)}`);
+		}
 	}
 
 	readonly #onAbort = (): void => {
@@ -180,13 +182,6 @@
 		return undefined;
 	}
 
-	/** A chunked answer whose connection ends before the last chunk may look ended. */
-	#isCut(): boolean {
-		return this.#expectedBytes === undefined
-			? this.#options.connection.isEnded
-			: this.#receivedBytes !== this.#expectedBytes;
-	}
-
 	#onIdle(): void {
 		const {answer, idleTimeoutMs, signal} = this.#options;
 		if (!this.#isWaitingForCaller) {
@@ -200,9 +195,9 @@
 		}
 	}
 
-	#abort(code: string, message: string, cause?: unknown): void {
+	#abort(code: string, message: string): void {
 		const verdict: Verdict = this.#isSent ? 'may-have-run' : 'not-run';
-		this.#close(new VerdictError(message, {verdict, code, cause}));
+		this.#close(new VerdictError(message, {verdict, code}));
 	}
 
 	#close(error: VerdictError): void {
@@ -218,7 +213,7 @@
 		if (this.#controller === undefined) {
 			this.#options.connection.close();
 		} else {
-			this.#controller.abort(error);
+			this.#controller.abort(new Error(error.message));
 		}
 
 		this.#reject(error);
--- a/packages/entry/src/upstreams.ts
+++ b/packages/entry/src/upstreams.ts
@@ -1,11 +1,10 @@
 /**
- * Connections to upstream workers. Each is an undici client of its own, so that the end of an answer can be told from
- * the end of its connection.
+ * Connections to upstream workers. Each is an undici client of its own, so that non-idempotent work can have a fresh one
+ * and a request can be given up while its connection opens.
  */
-import {type Socket} from 'node:net';
 import {VerdictError, type Clock} from '@tamarackwind/core';
 import {type VmRecord} from '@tamarackwind/platform';
-import {Client, buildConnector} from 'undici';
+import {Client} from 'undici';
 
 const connectTimeoutMs = 1000;
 /** Idle connections are closed after this time, in milliseconds; below the 5 s after which many servers close theirs. */
@@ -13,45 +12,32 @@
 /** Longest wait for a connection while as many as allowed are busy, in milliseconds. */
 const busyTimeoutMs = 1000;
 
-type ConnectionEvents = {readonly clock: Clock; readonly onDisconnect: (connection: UpstreamConnection) => void};
+type DisconnectListener = (connection: UpstreamConnection) => void;
 
 /** One connection to a worker, which carries one request at a time. */
 export class UpstreamConnection {
-	static create(origin: string, events: ConnectionEvents): UpstreamConnection {
-		return new UpstreamConnection(origin, events);
+	static create(origin: string, onDisconnect: DisconnectListener): UpstreamConnection {
+		return new UpstreamConnection(origin, onDisconnect);
 	}
 
 	readonly client: Client;
 	/** Monotonic time of the end of the last request, in milliseconds. */
 	idleSince = 0;
-	#socket: Socket | undefined;
 
-	private constructor(origin: string, {onDisconnect}: ConnectionEvents) {
-		const connect = buildConnector({timeout: connectTimeoutMs});
+	private constructor(origin: string, onDisconnect: DisconnectListener) {
 		this.client = new Client(origin, {
 			pipelining: 1,
 			keepAliveTimeout: keepAliveTimeoutMs,
 			keepAliveMaxTimeout: keepAliveTimeoutMs,
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connect: (options, callback) => {
-				connect(options, (...args) => {
-					this.#socket = args[1] ?? undefined;
-					callback(...args);
-				});
-			},
+			connect: {timeout: connectTimeoutMs},
 		});
 		this.client.on('disconnect', () => {
 			onDisconnect(this);
 		});
 	}
 
-	/** Whether the other side has ended or reset the connection, or it was destroyed here. */
-	get isEnded(): boolean {
-		const socket = this.#socket;
-		return socket === undefined || socket.readableEnded || socket.destroyed || socket.errored !== null;
-	}
-
 	/** Closes the connection with whatever runs on it. */
 	close(): void {
 		void this.client.destroy();
@@ -83,19 +69,25 @@
 			await this.#waitForRelease();
 		}
 
-		const connection = this.#takeIdle(maxIdleMs) ?? UpstreamConnection.create(this.#origin, {
-			clock: this.#clock,
-			onDisconnect: ended => {
-				this.#removeIdle(ended);
-			},
-		});
+		const connection = this.#takeIdle(maxIdleMs) ?? this.#open(limit);
 		this.#busy.add(connection);
 		return connection;
 	}
 
+	/** Opens a connection; idle ones make room for it. */
+	#open(limit: number): UpstreamConnection {
+		while (this.#idle.length > 0 && this.#idle.length + this.#busy.size >= limit) {
+			this.#idle.shift()!.close();
+		}
+
+		return UpstreamConnection.create(this.#origin, ended => {
+			this.#removeIdle(ended);
+		});
+	}
+
 	release(connection: UpstreamConnection, isReusable: boolean): void {
 		this.#busy.delete(connection);
-		if (isReusable && !connection.isEnded) {
+		if (isReusable) {
 			connection.idleSince = this.#clock.readMonotonic();
 			this.#idle.push(connection);
 		} else {
@@ -147,7 +139,7 @@
 }
 
 export type AcquireOptions = {
-	/** Most connections to the worker from this entry. */
+	/** Most connections to the worker from this entry, idle ones included. */
 	readonly limit: number;
 	/** Longest time for which the connection may have been idle, in milliseconds. */
 	readonly maxIdleMs: number;
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -12,3 +12,6 @@
 export * from './demos.js';
 export * from './worker-hosts.js';
 export * from './worker-processes.js';
+export * from './histories.js';
+export * from './http-calls.js';
+export * from './raw-answers.js';
--- a/packages/testing/src/workers.ts
+++ b/packages/testing/src/workers.ts
@@ -5,12 +5,18 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type RandomSource} from '@tamarackwind/core';
+import {attemptTagHeader} from './histories.js';
+import {rawAnswers, type RawAnswerName} from './raw-answers.js';
 
 /** One run of a request on a worker. */
 export type WorkerRun = {
 	readonly vmId: string;
 	readonly requestKey: string | undefined;
 	readonly requestId: string | undefined;
+	/** Tag of the caller's attempt. */
+	readonly attemptTag?: string | undefined;
 	readonly path: string;
 	/** Milliseconds since the Unix epoch. */
 	readonly startedAt: number;
@@ -19,9 +25,23 @@
 
 export type WorkerStandInOptions = {readonly vmId: string; readonly port?: number};
 
+/** Faults that hit requests at random, whatever their path. */
+export type WorkerFaults = {
+	readonly random: RandomSource;
+	/** Part of the requests that a fault hits. */
+	readonly rate: number;
+	/** Raw answers to choose from. */
+	readonly answers: readonly RawAnswerName[];
+	/** Longest delay before an answer, in milliseconds. */
+	readonly maxDelayMs?: number;
+};
+
 /**
  * A worker on one loopback port. Its paths: `/echo` answers the request's body, `/bytes/N` answers N bytes,
- * `/sleep/MS` answers after MS milliseconds, `/history` lists the runs so far.
+ * `/sleep/MS` answers the body after MS milliseconds, `/stream/N/MS` answers N lines with a pause before each,
+ * `/status/N` answers with that status, `/headers` answers the request's head as JSON, `/early` answers after
+ * informational answers, `/leaving` answers that the worker leaves, `/raw/NAME` answers as in `rawAnswers`,
+ * `/history` lists the runs so far.
  */
 export class WorkerStandIn {
 	static async create(options: WorkerStandInOptions): Promise<WorkerStandIn> {
@@ -33,8 +53,11 @@
 	}
 
 	readonly runs: WorkerRun[] = [];
+	/** Faults in force. */
+	faults: WorkerFaults | undefined;
 	readonly #vmId: string;
 	readonly #server: Server;
+	#lastId = 'none';
 
 	private constructor(vmId: string) {
 		this.#vmId = vmId;
@@ -63,16 +86,31 @@
 
 		const run = this.#beginRun(request);
 		const body = await readBody(request);
-		if (kind === 'sleep') {
-			await new Promise(resolve => {
-				setTimeout(resolve, Number(argument));
+		const otherId = this.#lastId;
+		this.#lastId = run.requestId ?? 'none';
+		const rawName = kind === 'raw' ? argument as RawAnswerName : await this.#pickFault();
+		run.finishedAt = Date.now();
+		if (rawName !== undefined) {
+			await rawAnswers[rawName]({
+				response, socket: request.socket, requestId: run.requestId ?? '', body, otherId,
 			});
+			return;
 		}
 
-		run.finishedAt = Date.now();
 		response.setHeader('x-vm', this.#vmId);
 		response.setHeader('tamarackwind-request-id', run.requestId ?? '');
-		response.end(kind === 'bytes' ? Buffer.alloc(Number(argument), 'x') : body);
+		await writeAnswer(request, response, body);
+	}
+
+	async #pickFault(): Promise<RawAnswerName | undefined> {
+		if (this.faults === undefined) {
+			return undefined;
+		}
+
+		const {random, rate, answers, maxDelayMs} = this.faults;
+		const name = random.readFraction() < rate ? random.pickItem(answers) : undefined;
+		await delay(random.readFraction() * (maxDelayMs ?? 0));
+		return name;
 	}
 
 	#beginRun(request: IncomingMessage): WorkerRun {
@@ -80,6 +118,7 @@
 			vmId: this.#vmId,
 			requestKey: request.headers['idempotency-key'] as string | undefined,
 			requestId: request.headers['tamarackwind-request-id'] as string | undefined,
+			attemptTag: request.headers[attemptTagHeader] as string | undefined,
 			path: request.url ?? '/',
 			startedAt: Date.now(),
 		};
@@ -88,6 +127,62 @@
 	}
 }
 
+async function writeAnswer(request: IncomingMessage, response: ServerResponse, body: Uint8Array): Promise<void> {
+	const [, kind = 'echo', first, second] = (request.url ?? '/').split('?')[0]!.split('/');
+	switch (kind) {
+		case 'bytes': {
+			response.setHeader('content-length', Number(first));
+			response.end(Buffer.alloc(Number(first), 'x'));
+			return;
+		}
+
+		case 'sleep': {
+			await delay(Number(first));
+			response.end(body);
+			return;
+		}
+
+		case 'stream': {
+			for (let line = 1; line <= Number(first); line++) {
+				await delay(Number(second));
+				response.write(`line ${line}\n`);
+			}
+
+			response.end();
+			return;
+		}
+
+		case 'status': {
+			response.writeHead(Number(first)).end();
+			return;
+		}
+
+		case 'headers': {
+			response.setHeader('connection', 'x-per-hop');
+			response.setHeader('x-per-hop', '1');
+			response.end(JSON.stringify({method: request.method, url: request.url, headers: request.headers}));
+			return;
+		}
+
+		case 'early': {
+			response.writeProcessing();
+			response.writeEarlyHints({link: '</style.css>; rel=preload'});
+			response.end(body);
+			return;
+		}
+
+		case 'leaving': {
+			response.setHeader('tamarackwind-leaving', 'true');
+			response.end(body);
+			return;
+		}
+
+		default: {
+			response.end(body);
+		}
+	}
+}
+
 async function readBody(request: IncomingMessage): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	for await (const chunk of request) {
