Join the entries by gRPC streams

Cause: entries knew nothing of each other, so slots, evidence and versions had no way between them.

Heartbeats are acknowledged, so that the receiver knows how fresh the sender's versions are by its own clock. The test harness lists entries and can put a relay on each link.

--- a/packages/entry/src/configs.ts
+++ b/packages/entry/src/configs.ts
@@ -35,6 +35,8 @@
 		tokenFile: z.string().optional(),
 		timeoutMs: z.number().int().positive().optional(),
 	}),
+	/** Entries to connect to until the platform's list was read. */
+	peers: z.array(z.strictObject({entryId: z.string(), address: z.string(), port: portSchema})).default([]),
 	log: z.strictObject({format: z.enum(['plain', 'json'])}).default({format: 'json'}),
 	/** Time between SIGTERM and the end of new connections, for the balancer to notice. */
 	balancerDelayMs: z.number().int().nonnegative().default(2000),
--- a/packages/entry/src/contexts.ts
+++ b/packages/entry/src/contexts.ts
@@ -2,16 +2,19 @@
  * What the parts of an entry share.
  */
 import {
-	Log, SystemClock, SystemRandom, type Clock, type RandomSource,
+	Log, SystemClock, SystemRandom, type Clock, type EntryId, type IncarnationId, type RandomSource,
 } from '@tamarackwind/core';
 import {FleetView} from '@tamarackwind/fleet';
-import {SoleEntryLease, ViewVersions, type ViewLease} from '@tamarackwind/peer';
+import {
+	SoleEntryLease, ViewVersions, type GrpcPeerBus, type ViewLease,
+} from '@tamarackwind/peer';
 import {
 	HttpObjectStore, HttpTableService, HttpTaskControl, HttpVmControl, HttpVmList, PlatformConnection,
 	type ObjectStore, type TableService, type TaskControl, type VmControl, type VmList,
 } from '@tamarackwind/platform';
 import {Registry} from 'prom-client';
 import {type EntryConfig} from './configs.js';
+import {createPeerBus} from './peers.js';
 import {SettingsView} from './settings-views.js';
 
 /** Clients of the platform's services. */
@@ -35,12 +38,15 @@
 	readonly settings: SettingsView;
 	readonly fleet: FleetView;
 	readonly lease: ViewLease;
+	readonly bus: GrpcPeerBus;
 	/** Closes the parts in order. */
 	readonly close: () => Promise<void>;
 };
 
+const incarnationLength = 12;
+
 /** Creates the parts of an entry. */
-export function createEntryContext(config: EntryConfig): EntryContext {
+export async function createEntryContext(config: EntryConfig): Promise<EntryContext> {
 	const clock = SystemClock.create();
 	const log = Log.create({format: config.log.format, fields: {entry: config.entryId}});
 	const connection = PlatformConnection.create({url: config.platform.url, timeoutMs: config.platform.timeoutMs});
@@ -58,18 +64,33 @@
 	const fleet = FleetView.create({
 		clock, tables: platform.tables, vmList: platform.vmList, versions,
 	});
+	const random = SystemRandom.create();
+	const registry = new Registry();
+	const bus = await createPeerBus({
+		config,
+		self: {entryId: config.entryId as EntryId, incarnation: random.createToken().slice(0, incarnationLength) as IncarnationId},
+		clock,
+		random,
+		log,
+		registry,
+		versions,
+		settings,
+		fleet,
+	});
 	return {
 		config,
 		clock,
-		random: SystemRandom.create(),
+		random,
 		log,
-		registry: new Registry(),
+		registry,
 		platform,
 		versions,
 		settings,
 		fleet,
 		lease: SoleEntryLease.create(),
+		bus,
 		async close() {
+			await bus.close();
 			await settings.close();
 			await fleet.close();
 			await connection.close();
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -11,7 +11,7 @@
 import {Upstreams} from './upstreams.js';
 
 /** Ports that an entry listens on. */
-export type EntryPorts = {readonly caller: number; readonly operator: number; readonly metrics: number};
+export type EntryPorts = {readonly caller: number; readonly operator: number; readonly peer: number; readonly metrics: number};
 
 type Listeners = {readonly caller: Listener; readonly operator: Listener; readonly metrics: Listener};
 
@@ -24,7 +24,7 @@
  */
 export class Entry {
 	static async create(config: EntryConfig): Promise<Entry> {
-		const ctx = createEntryContext(config);
+		const ctx = await createEntryContext(config);
 		const upstreams = Upstreams.create();
 		const scheduler = NaiveScheduler.create({random: ctx.random, listWorkers: pool => ctx.fleet.listWorkers(pool)});
 		const listeners = {
@@ -52,7 +52,9 @@
 
 	get ports(): EntryPorts {
 		const {caller, operator, metrics} = this.#listeners;
-		return {caller: caller.port, operator: operator.port, metrics: metrics.port};
+		return {
+			caller: caller.port, operator: operator.port, peer: this.#ctx.bus.port, metrics: metrics.port,
+		};
 	}
 
 	/** Takes no new connections, waits for requests in flight and releases everything. */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,6 +7,7 @@
 export * from './listeners.js';
 export * from './metrics.js';
 export * from './operators.js';
+export * from './peers.js';
 export * from './problems.js';
 export * from './settings-views.js';
 export * from './upstreams.js';
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -2,7 +2,7 @@
  * The metrics port: counters for monitoring, and health for the balancer.
  */
 import {Hono} from 'hono';
-import {collectDefaultMetrics} from 'prom-client';
+import {collectDefaultMetrics, Counter, type Registry} from 'prom-client';
 import {type EntryContext} from './contexts.js';
 
 /** Builds the app of the metrics port. */
@@ -14,3 +14,16 @@
 	app.get('/readyz', c => settings.current === undefined ? c.text('settings were not read yet', 503) : c.text('ok'));
 	return app;
 }
+
+/** Registers a counter that is read when it is collected. */
+export function registerCounter(registry: Registry, name: string, help: string, readTotal: () => number): void {
+	registry.registerMetric(new Counter({
+		name,
+		help,
+		registers: [],
+		collect() {
+			this.reset();
+			this.inc(readTotal());
+		},
+	}));
+}
--- /dev/null
+++ b/packages/entry/src/peers.ts
@@ -0,0 +1,72 @@
+/**
+ * The entry's part in the group of entries: its peer port, and what its heartbeats tell.
+ */
+import {ChannelCredentials, ServerCredentials} from '@grpc/grpc-js';
+import {
+	type Clock, type EntryId, type IncarnationId, type Log, type RandomSource,
+} from '@tamarackwind/core';
+import {type FleetView} from '@tamarackwind/fleet';
+import {GrpcPeerBus, type PeerAddress, type ViewVersions} from '@tamarackwind/peer';
+import {Gauge, type Registry} from 'prom-client';
+import {type EntryConfig} from './configs.js';
+import {registerCounter} from './metrics.js';
+import {type SettingsView} from './settings-views.js';
+
+export type PeerBusOptions = {
+	readonly config: EntryConfig;
+	readonly self: {readonly entryId: EntryId; readonly incarnation: IncarnationId};
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: Log;
+	readonly registry: Registry;
+	readonly versions: ViewVersions;
+	readonly settings: SettingsView;
+	readonly fleet: FleetView;
+};
+
+/** Opens the peer port and connects to the other entries. */
+export async function createPeerBus(options: PeerBusOptions): Promise<GrpcPeerBus> {
+	const {config, versions, registry} = options;
+	const bus = await GrpcPeerBus.create({
+		...options,
+		host: config.peer.host,
+		port: config.peer.port,
+		serverCredentials: ServerCredentials.createInsecure(),
+		createChannelCredentials: () => ChannelCredentials.createInsecure(),
+		listAddresses: () => listAddresses(options),
+		readState: () => ({
+			settingsVersion: versions.getVersion('settings'),
+			fleetVersion: versions.getVersion('fleet'),
+			membersVersion: versions.getVersion('members'),
+			isStopping: false,
+			isAnchored: true,
+		}),
+		answerFetch: () => ({
+			version: 0, treeJson: '', contentHash: '', membersVersion: 0, membersJson: '',
+		}),
+	});
+	versions.subscribe(() => {
+		bus.sendHeartbeats();
+	});
+	registerMetrics(bus, registry);
+	return bus;
+}
+
+function listAddresses({config, fleet}: PeerBusOptions): PeerAddress[] {
+	const listed = fleet.listEntries().flatMap(({vmId, address, peerPort}) => peerPort === undefined ? [] : [{entryId: vmId as EntryId, address, port: peerPort}]);
+	return listed.length > 0 ? listed : config.peers.map(peer => ({...peer, entryId: peer.entryId as EntryId}));
+}
+
+function registerMetrics(bus: GrpcPeerBus, registry: Registry): void {
+	registerCounter(registry, 'tamarackwind_peer_sent_bytes_total', 'Bytes sent to other entries, framing of HTTP/2 included', () => bus.traffic.bytesSent);
+	registerCounter(registry, 'tamarackwind_peer_received_bytes_total', 'Bytes received from other entries, framing of HTTP/2 included', () => bus.traffic.bytesReceived);
+	registerCounter(registry, 'tamarackwind_peer_connects_total', 'Streams opened to other entries', () => bus.traffic.reconnects);
+	registry.registerMetric(new Gauge({
+		name: 'tamarackwind_peers_live',
+		help: 'Other entries heard within the membership timeout',
+		registers: [],
+		collect() {
+			this.set(bus.listPeers().length);
+		},
+	}));
+}
--- a/packages/peer/src/buses.ts
+++ b/packages/peer/src/buses.ts
@@ -20,6 +20,8 @@
 	readonly incarnation: IncarnationId;
 	/** Monotonic time at which the entry was last heard, in milliseconds. */
 	readonly heardAt: number;
+	/** Monotonic time at which this entry sent the newest heartbeat that the other one had received when it sent its last one. */
+	readonly acknowledgedAt?: number;
 };
 
 export type PeerHandler<Kind extends PeerKind> = (from: PeerInfo, body: PeerBodyOf<Kind>) => void;
--- a/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
+++ b/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
@@ -55,6 +55,9 @@
   settingsVersion: number;
   fleetVersion: number;
   isStopping: boolean;
+  membersVersion: number;
+  /** Whether the sender's versions were confirmed by the platform or by a majority since it started. */
+  isAnchored: boolean;
 }
 
 /** VMs that the sender knows to be leaving. */
@@ -142,6 +145,9 @@
   /** The tree as JSON; empty when known_version is current. */
   treeJson: string;
   contentHash: string;
+  membersVersion: number;
+  /** The members as JSON. */
+  membersJson: string;
 }
 
 function createBasePeerMessage(): PeerMessage {
@@ -502,7 +508,15 @@
 };
 
 function createBaseHeartbeat(): Heartbeat {
-  return { sequence: 0, acknowledgedSequence: 0, settingsVersion: 0, fleetVersion: 0, isStopping: false };
+  return {
+    sequence: 0,
+    acknowledgedSequence: 0,
+    settingsVersion: 0,
+    fleetVersion: 0,
+    isStopping: false,
+    membersVersion: 0,
+    isAnchored: false,
+  };
 }
 
 export const Heartbeat: MessageFns<Heartbeat> = {
@@ -522,6 +536,12 @@
     if (message.isStopping !== false) {
       writer.uint32(40).bool(message.isStopping);
     }
+    if (message.membersVersion !== 0) {
+      writer.uint32(48).uint64(message.membersVersion);
+    }
+    if (message.isAnchored !== false) {
+      writer.uint32(56).bool(message.isAnchored);
+    }
     return writer;
   },
 
@@ -578,6 +598,22 @@
             message.isStopping = reader.bool();
             continue;
           }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.membersVersion = longToNumber(reader.uint64());
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.isAnchored = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -613,6 +649,16 @@
         : isSet(object.is_stopping)
         ? globalThis.Boolean(object.is_stopping)
         : false,
+      membersVersion: isSet(object.membersVersion)
+        ? globalThis.Number(object.membersVersion)
+        : isSet(object.members_version)
+        ? globalThis.Number(object.members_version)
+        : 0,
+      isAnchored: isSet(object.isAnchored)
+        ? globalThis.Boolean(object.isAnchored)
+        : isSet(object.is_anchored)
+        ? globalThis.Boolean(object.is_anchored)
+        : false,
     };
   },
 
@@ -633,6 +679,12 @@
     if (message.isStopping !== false) {
       obj.isStopping = message.isStopping;
     }
+    if (message.membersVersion !== 0) {
+      obj.membersVersion = Math.round(message.membersVersion);
+    }
+    if (message.isAnchored !== false) {
+      obj.isAnchored = message.isAnchored;
+    }
     return obj;
   },
 
@@ -646,6 +698,8 @@
     message.settingsVersion = object.settingsVersion ?? 0;
     message.fleetVersion = object.fleetVersion ?? 0;
     message.isStopping = object.isStopping ?? false;
+    message.membersVersion = object.membersVersion ?? 0;
+    message.isAnchored = object.isAnchored ?? false;
     return message;
   },
 };
@@ -1895,7 +1949,7 @@
 };
 
 function createBaseFetchSettingsReply(): FetchSettingsReply {
-  return { version: 0, treeJson: "", contentHash: "" };
+  return { version: 0, treeJson: "", contentHash: "", membersVersion: 0, membersJson: "" };
 }
 
 export const FetchSettingsReply: MessageFns<FetchSettingsReply> = {
@@ -1909,6 +1963,12 @@
     if (message.contentHash !== "") {
       writer.uint32(26).string(message.contentHash);
     }
+    if (message.membersVersion !== 0) {
+      writer.uint32(32).uint64(message.membersVersion);
+    }
+    if (message.membersJson !== "") {
+      writer.uint32(42).string(message.membersJson);
+    }
     return writer;
   },
 
@@ -1949,6 +2009,22 @@
             message.contentHash = reader.string();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.membersVersion = longToNumber(reader.uint64());
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.membersJson = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1974,6 +2050,16 @@
         : isSet(object.content_hash)
         ? globalThis.String(object.content_hash)
         : "",
+      membersVersion: isSet(object.membersVersion)
+        ? globalThis.Number(object.membersVersion)
+        : isSet(object.members_version)
+        ? globalThis.Number(object.members_version)
+        : 0,
+      membersJson: isSet(object.membersJson)
+        ? globalThis.String(object.membersJson)
+        : isSet(object.members_json)
+        ? globalThis.String(object.members_json)
+        : "",
     };
   },
 
@@ -1988,6 +2074,12 @@
     if (message.contentHash !== "") {
       obj.contentHash = message.contentHash;
     }
+    if (message.membersVersion !== 0) {
+      obj.membersVersion = Math.round(message.membersVersion);
+    }
+    if (message.membersJson !== "") {
+      obj.membersJson = message.membersJson;
+    }
     return obj;
   },
 
@@ -1999,6 +2091,8 @@
     message.version = object.version ?? 0;
     message.treeJson = object.treeJson ?? "";
     message.contentHash = object.contentHash ?? "";
+    message.membersVersion = object.membersVersion ?? 0;
+    message.membersJson = object.membersJson ?? "";
     return message;
   },
 };
@@ -2016,7 +2110,7 @@
     responseSerialize: (value: PeerMessage): Buffer => Buffer.from(PeerMessage.encode(value).finish()),
     responseDeserialize: (value: Buffer): PeerMessage => PeerMessage.decode(value),
   },
-  /** Reads the settings tree that the peer works by. */
+  /** Reads the settings tree and the members that the peer works by. */
   fetchSettings: {
     path: "/tamarackwind.peer.v1.PeerService/FetchSettings" as const,
     requestStream: false as const,
@@ -2031,7 +2125,7 @@
 export interface PeerServiceServer extends UntypedServiceImplementation {
   /** Carries deltas both ways; each side sends a Hello first. */
   exchange: handleBidiStreamingCall<PeerMessage, PeerMessage>;
-  /** Reads the settings tree that the peer works by. */
+  /** Reads the settings tree and the members that the peer works by. */
   fetchSettings: handleUnaryCall<FetchSettingsRequest, FetchSettingsReply>;
 }
 
@@ -2040,7 +2134,7 @@
   exchange(): ClientDuplexStream<PeerMessage, PeerMessage>;
   exchange(options: Partial<CallOptions>): ClientDuplexStream<PeerMessage, PeerMessage>;
   exchange(metadata: Metadata, options?: Partial<CallOptions>): ClientDuplexStream<PeerMessage, PeerMessage>;
-  /** Reads the settings tree that the peer works by. */
+  /** Reads the settings tree and the members that the peer works by. */
   fetchSettings(
     request: FetchSettingsRequest,
     callback: (error: ServiceError | null, response: FetchSettingsReply) => void,
--- a/packages/peer/src/leases.ts
+++ b/packages/peer/src/leases.ts
@@ -3,7 +3,7 @@
  */
 
 /** Parts of an entry's view that have versions. */
-export type ViewPart = 'settings' | 'fleet';
+export type ViewPart = 'settings' | 'fleet' | 'members';
 
 /** The right of an entry to dispatch by its present view. */
 export abstract class ViewLease {
@@ -17,7 +17,7 @@
 		return new ViewVersions();
 	}
 
-	readonly #versions: Record<ViewPart, number> = {settings: 0, fleet: 0};
+	readonly #versions: Record<ViewPart, number> = {settings: 0, fleet: 0, members: 0};
 	readonly #listeners: Array<(part: ViewPart, version: number) => void> = [];
 
 	getVersion(part: ViewPart): number {
--- a/packages/testing/src/clusters.ts
+++ b/packages/testing/src/clusters.ts
@@ -5,6 +5,7 @@
 import {type SettingsTree} from '@tamarackwind/settings';
 import {PlatformStandIn, type PlatformStandInOptions} from './platforms.js';
 import {EntryProcess, createLoopbackConfig, waitUntil} from './processes.js';
+import {RelayMesh} from './relays.js';
 import {WorkerStandIn} from './workers.js';
 
 export type ClusterOptions = {
@@ -15,6 +16,8 @@
 	readonly platform?: PlatformStandInOptions;
 	/** Daemon settings laid over the usual ones. */
 	readonly entryConfig?: Record<string, unknown>;
+	/** Puts a relay on each link between two entries and from an entry to the platform, so that it can be cut. */
+	readonly hasRelays?: boolean;
 };
 
 /** VMs of one rack. */
@@ -41,6 +44,25 @@
 	};
 }
 
+/** Describes an entry as the platform lists it. */
+export function createEntryRecord(entryId: string, entry: EntryProcess, incarnation = '1'): VmRecord {
+	return {
+		vmId: entryId,
+		kind: 'entry',
+		incarnation,
+		address: '127.0.0.1',
+		port: entry.ports.caller!,
+		peerPort: entry.ports.peer,
+		region: 'region-1',
+		zone: 'zone-1',
+		rack: 'rack-entries',
+		state: 'live',
+		cores: 2,
+		memoryMb: 4096,
+		accelerators: 0,
+	};
+}
+
 /**
  * A deployment on loopback.
  *
@@ -59,25 +81,44 @@
 	readonly platform: PlatformStandIn;
 	readonly workers: WorkerStandIn[] = [];
 	readonly entries: EntryProcess[] = [];
+	/** Links that can be cut, with `hasRelays`. */
+	readonly relays: RelayMesh | undefined;
 	readonly #options: ClusterOptions;
+	#entryCount = 0;
 
 	private constructor(platform: PlatformStandIn, options: ClusterOptions) {
 		this.platform = platform;
+		this.relays = options.hasRelays ? RelayMesh.create(platform) : undefined;
 		this.#options = options;
 	}
 
 	/** Starts one more entry and waits until it is ready. */
 	async addEntry(): Promise<EntryProcess> {
-		const entryId = `entry-${this.entries.length + 1}`;
-		const entry = await EntryProcess.create({...createLoopbackConfig(entryId, this.platform.url), ...this.#options.entryConfig});
-		this.entries.push(entry);
+		const index = this.#entryCount++;
+		const entry = await this.#startEntry(`entry-${index + 1}`, index);
 		await waitUntil(async () => entry.isReady());
 		return entry;
 	}
 
+	/** Starts an entry anew under its id, after its process has ended; it need not be ready. */
+	async restartEntry(index: number, config: Record<string, unknown> = {}): Promise<EntryProcess> {
+		await this.entries[index]!.close();
+		return this.#startEntry(`entry-${index + 1}`, index, config);
+	}
+
+	async #startEntry(entryId: string, index: number, config: Record<string, unknown> = {}): Promise<EntryProcess> {
+		const platformUrl = await this.relays?.openPlatformLink(entryId) ?? this.platform.url;
+		const starting = EntryProcess.create({...createLoopbackConfig(entryId, platformUrl), ...this.#options.entryConfig, ...config});
+		const entry = await starting;
+		this.entries[index] = entry;
+		this.platform.putVms([createEntryRecord(entryId, entry, String(entry.pid))]);
+		return entry;
+	}
+
 	async close(): Promise<void> {
 		await Promise.all(this.entries.map(async entry => entry.close()));
 		await Promise.all(this.workers.map(async worker => worker.close()));
+		await this.relays?.close();
 		await this.platform.close();
 	}
 
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -2,7 +2,8 @@
  * Stand-in of the platform: table service, object store, list of VMs, with switches for faults.
  */
 import {type Server} from 'node:http';
-import {serve} from '@hono/node-server';
+import {type AddressInfo} from 'node:net';
+import {serve, type HttpBindings} from '@hono/node-server';
 import {VerdictError} from '@tamarackwind/core';
 import {
 	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
@@ -18,13 +19,16 @@
 /** Switches of the stand-in's parts. */
 export type PlatformFaults = {readonly tables?: Faults; readonly objects?: Faults; readonly vms?: Faults};
 
+/** Changes the list of VMs for those who ask on one port. */
+export type MapVms = (vms: readonly VmRecord[]) => readonly VmRecord[];
+
 type Listing = {readonly since: number; readonly generation: number; readonly vms: readonly VmRecord[]};
 
 /** The platform on one loopback port. */
 export class PlatformStandIn {
 	static async create(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
 		const standIn = new PlatformStandIn(options);
-		await standIn.#listen(options.port ?? 0);
+		standIn.#port = await standIn.#listen(options.port ?? 0);
 		return standIn;
 	}
 
@@ -34,7 +38,8 @@
 	readonly #vms = new Map<string, VmRecord>();
 	readonly #listLagMs: number;
 	#listings: Listing[] = [{since: 0, generation: 0, vms: []}];
-	#server: Server | undefined;
+	readonly #servers: Server[] = [];
+	readonly #mapsByPort = new Map<number, MapVms>();
 	#port = 0;
 
 	private constructor({listLagMs}: PlatformStandInOptions) {
@@ -65,11 +70,18 @@
 		this.vmFaults.setFaults(vms ?? {});
 	}
 
+	/** Opens one more port, on which the list of VMs is changed by `mapVms`. */
+	async openPort(mapVms: MapVms): Promise<number> {
+		const port = await this.#listen(0);
+		this.#mapsByPort.set(port, mapVms);
+		return port;
+	}
+
 	async close(): Promise<void> {
-		await new Promise(resolve => {
-			this.#server?.close(resolve);
-			this.#server?.closeAllConnections();
-		});
+		await Promise.all(this.#servers.map(async server => new Promise(resolve => {
+			server.close(resolve);
+			server.closeAllConnections();
+		})));
 	}
 
 	#recordListing(): void {
@@ -82,18 +94,17 @@
 		return this.#listings.findLast(listing => listing.since <= until);
 	}
 
-	async #listen(port: number): Promise<void> {
+	async #listen(port: number): Promise<number> {
 		const app = this.#createApp();
-		await new Promise<void>(resolve => {
-			this.#server = serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
-				this.#port = info.port;
-				resolve();
-			}) as Server;
+		return new Promise<number>(resolve => {
+			this.#servers.push(serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
+				resolve((info).port);
+			}) as Server);
 		});
 	}
 
-	#createApp(): Hono {
-		const app = new Hono();
+	#createApp(): Hono<{Bindings: HttpBindings}> {
+		const app = new Hono<{Bindings: HttpBindings}>();
 		app.onError((error, ctx) => answerError(error, ctx));
 		app.post('/tables/read', async ctx => {
 			const {keys} = await ctx.req.json<{keys: RowKey[]}>();
@@ -122,7 +133,9 @@
 		app.get('/vms', async ctx => {
 			await this.vmFaults.applyBefore();
 			const listing = this.#readListing();
-			return ctx.json({generation: listing?.generation ?? 0, vms: listing?.vms ?? []});
+			const vms = listing?.vms ?? [];
+			const mapVms = this.#mapsByPort.get(ctx.env.incoming.socket.localPort ?? 0);
+			return ctx.json({generation: listing?.generation ?? 0, vms: mapVms?.(vms) ?? vms});
 		});
 		app.post('/stand-in/vms', async ctx => {
 			this.putVms(await ctx.req.json<VmRecord[]>());
