--- a/packages/admission/src/schedulers.ts
+++ b/packages/admission/src/schedulers.ts
@@ -19,6 +19,8 @@
 	readonly attempts: number;
 	/** Workers that the request has met already. */
 	readonly triedVms: ReadonlySet<VmId>;
+	/** Whether the request may run again; such requests probe workers that are set aside. */
+	readonly isIdempotent?: boolean;
 	/** Aborts when the caller has gone. */
 	readonly signal: AbortSignal;
 };
--- a/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
+++ b/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
@@ -35,8 +35,6 @@
     | { $case: "healthEvidence"; healthEvidence: HealthEvidence }
     | { $case: "slotDemand"; slotDemand: SlotDemand }
     | { $case: "slotLoan"; slotLoan: SlotLoan }
-    | { $case: "slotReturn"; slotReturn: SlotReturn }
-    | { $case: "usageReport"; usageReport: UsageReport }
     | { $case: "vmAssignments"; vmAssignments: VmAssignments }
     | undefined;
 }
@@ -65,6 +63,8 @@
 export interface LeavingVm {
   vmId: string;
   incarnation: string;
+  /** Pool that the VM leaves. */
+  pool: string;
 }
 
 /** Outcomes of dispatches since the last report. */
@@ -75,49 +75,82 @@
 export interface VmOutcomes {
   vmId: string;
   incarnation: string;
+  callers: CallerOutcomes[];
+}
+
+/** Outcomes of one caller's requests on a VM. */
+export interface CallerOutcomes {
+  caller: string;
   successes: number;
   failures: number;
-  /** Distinct requests among the failures. */
-  distinctFailures: number;
 }
 
-/** Slots that the sender could use now, by pool. */
+/** What the sender asks of the home entry of each pool; also renews the slots that it holds. */
 export interface SlotDemand {
   pools: PoolDemand[];
 }
 
 export interface PoolDemand {
   pool: string;
-  queued: number;
-  inFlight: number;
+  /** Flows whose queues changed since the last message, or all when is_complete. */
+  flows: FlowDemand[];
+  /** Slots that the sender holds; set only when is_complete. */
+  held: HeldSlot[];
+  returned: ReturnedSlot[];
+  /** Whether flows and held replace everything known of the sender. */
+  isComplete: boolean;
+  sequence: number;
+  /** Highest sequence of a SlotLoan received from the home entry. */
+  loanSequence: number;
 }
 
-/** Slots of one VM that its home entry lends until the term ends. */
-export interface SlotLoan {
-  vms: VmSlots[];
-  termMs: number;
+/** Requests of one caller and class that wait at the sender. */
+export interface FlowDemand {
+  /** Number by which the sender knows the flow. */
+  flow: number;
+  caller: string;
+  workClass: string;
+  queued: number;
+  /** Time for which the first of them has waited. */
+  waitedMs: number;
+  /** VMs on which the requests failed already. */
+  triedVms: string[];
+  /** Whether one of them may probe a VM that is set aside. */
+  isIdempotent: boolean;
+  /** Share of the caller against others of the class. */
+  weight: number;
 }
 
-export interface VmSlots {
+export interface HeldSlot {
+  slotId: number;
   vmId: string;
-  slots: number;
+  caller: string;
+  workClass: string;
+  heldMs: number;
 }
 
-/** Borrowed slots given back before the term ends. */
-export interface SlotReturn {
-  vms: VmSlots[];
+export interface ReturnedSlot {
+  slotId: number;
+  usedMs: number;
 }
 
-/** Slot time used since the last report, by caller and class. */
-export interface UsageReport {
-  callers: CallerUsage[];
+/** Slots of one pool that its home entry lends. */
+export interface SlotLoan {
+  /** Time from the acknowledged demand within which a lent slot must be taken up. */
+  termMs: number;
+  pool: string;
+  slots: LentSlot[];
+  sequence: number;
+  /** Highest sequence of a PoolDemand received from the borrower. */
+  demandSequence: number;
 }
 
-export interface CallerUsage {
-  pool: string;
-  caller: string;
-  workClass: string;
-  slotSeconds: number;
+export interface LentSlot {
+  slotId: number;
+  vmId: string;
+  flow: number;
+  /** Whether the slot is for an idempotent request that probes a VM set aside. */
+  isProbe: boolean;
 }
 
 /** Changes of the pool and state of VMs, in the order of fleet versions. */
@@ -169,12 +202,6 @@
       case "slotLoan":
         SlotLoan.encode(message.body.slotLoan, writer.uint32(50).fork()).join();
         break;
-      case "slotReturn":
-        SlotReturn.encode(message.body.slotReturn, writer.uint32(58).fork()).join();
-        break;
-      case "usageReport":
-        UsageReport.encode(message.body.usageReport, writer.uint32(66).fork()).join();
-        break;
       case "vmAssignments":
         VmAssignments.encode(message.body.vmAssignments, writer.uint32(74).fork()).join();
         break;
@@ -243,22 +270,6 @@
             message.body = { $case: "slotLoan", slotLoan: SlotLoan.decode(reader, reader.uint32()) };
             continue;
           }
-          case 7: {
-            if (tag !== 58) {
-              break;
-            }
-
-            message.body = { $case: "slotReturn", slotReturn: SlotReturn.decode(reader, reader.uint32()) };
-            continue;
-          }
-          case 8: {
-            if (tag !== 66) {
-              break;
-            }
-
-            message.body = { $case: "usageReport", usageReport: UsageReport.decode(reader, reader.uint32()) };
-            continue;
-          }
           case 9: {
             if (tag !== 74) {
               break;
@@ -301,14 +312,6 @@
         ? { $case: "slotLoan", slotLoan: SlotLoan.fromJSON(object.slotLoan) }
         : isSet(object.slot_loan)
         ? { $case: "slotLoan", slotLoan: SlotLoan.fromJSON(object.slot_loan) }
-        : isSet(object.slotReturn)
-        ? { $case: "slotReturn", slotReturn: SlotReturn.fromJSON(object.slotReturn) }
-        : isSet(object.slot_return)
-        ? { $case: "slotReturn", slotReturn: SlotReturn.fromJSON(object.slot_return) }
-        : isSet(object.usageReport)
-        ? { $case: "usageReport", usageReport: UsageReport.fromJSON(object.usageReport) }
-        : isSet(object.usage_report)
-        ? { $case: "usageReport", usageReport: UsageReport.fromJSON(object.usage_report) }
         : isSet(object.vmAssignments)
         ? { $case: "vmAssignments", vmAssignments: VmAssignments.fromJSON(object.vmAssignments) }
         : isSet(object.vm_assignments)
@@ -331,10 +334,6 @@
       obj.slotDemand = SlotDemand.toJSON(message.body.slotDemand);
     } else if (message.body?.$case === "slotLoan") {
       obj.slotLoan = SlotLoan.toJSON(message.body.slotLoan);
-    } else if (message.body?.$case === "slotReturn") {
-      obj.slotReturn = SlotReturn.toJSON(message.body.slotReturn);
-    } else if (message.body?.$case === "usageReport") {
-      obj.usageReport = UsageReport.toJSON(message.body.usageReport);
     } else if (message.body?.$case === "vmAssignments") {
       obj.vmAssignments = VmAssignments.toJSON(message.body.vmAssignments);
     }
@@ -386,18 +385,6 @@
         }
         break;
       }
-      case "slotReturn": {
-        if (object.body?.slotReturn !== undefined && object.body?.slotReturn !== null) {
-          message.body = { $case: "slotReturn", slotReturn: SlotReturn.fromPartial(object.body.slotReturn) };
-        }
-        break;
-      }
-      case "usageReport": {
-        if (object.body?.usageReport !== undefined && object.body?.usageReport !== null) {
-          message.body = { $case: "usageReport", usageReport: UsageReport.fromPartial(object.body.usageReport) };
-        }
-        break;
-      }
       case "vmAssignments": {
         if (object.body?.vmAssignments !== undefined && object.body?.vmAssignments !== null) {
           message.body = {
@@ -718,7 +705,7 @@
 };
 
 function createBaseLeavingVm(): LeavingVm {
-  return { vmId: "", incarnation: "" };
+  return { vmId: "", incarnation: "", pool: "" };
 }
 
 export const LeavingVm: MessageFns<LeavingVm> = {
@@ -729,6 +716,9 @@
     if (message.incarnation !== "") {
       writer.uint32(18).string(message.incarnation);
     }
+    if (message.pool !== "") {
+      writer.uint32(26).string(message.pool);
+    }
     return writer;
   },
 
@@ -761,6 +751,14 @@
             message.incarnation = reader.string();
             continue;
           }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.pool = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -781,6 +779,7 @@
         ? globalThis.String(object.vm_id)
         : "",
       incarnation: isSet(object.incarnation) ? globalThis.String(object.incarnation) : "",
+      pool: isSet(object.pool) ? globalThis.String(object.pool) : "",
     };
   },
 
@@ -792,6 +791,9 @@
     if (message.incarnation !== "") {
       obj.incarnation = message.incarnation;
     }
+    if (message.pool !== "") {
+      obj.pool = message.pool;
+    }
     return obj;
   },
 
@@ -802,6 +804,7 @@
     const message = createBaseLeavingVm();
     message.vmId = object.vmId ?? "";
     message.incarnation = object.incarnation ?? "";
+    message.pool = object.pool ?? "";
     return message;
   },
 };
@@ -874,7 +877,7 @@
 };
 
 function createBaseVmOutcomes(): VmOutcomes {
-  return { vmId: "", incarnation: "", successes: 0, failures: 0, distinctFailures: 0 };
+  return { vmId: "", incarnation: "", callers: [] };
 }
 
 export const VmOutcomes: MessageFns<VmOutcomes> = {
@@ -885,14 +888,8 @@
     if (message.incarnation !== "") {
       writer.uint32(18).string(message.incarnation);
     }
-    if (message.successes !== 0) {
-      writer.uint32(24).uint32(message.successes);
-    }
-    if (message.failures !== 0) {
-      writer.uint32(32).uint32(message.failures);
-    }
-    if (message.distinctFailures !== 0) {
-      writer.uint32(40).uint32(message.distinctFailures);
+    for (const v of message.callers) {
+      CallerOutcomes.encode(v!, writer.uint32(50).fork()).join();
     }
     return writer;
   },
@@ -926,28 +923,12 @@
             message.incarnation = reader.string();
             continue;
           }
-          case 3: {
-            if (tag !== 24) {
-              break;
-            }
-
-            message.successes = reader.uint32();
-            continue;
-          }
-          case 4: {
-            if (tag !== 32) {
-              break;
-            }
-
-            message.failures = reader.uint32();
-            continue;
-          }
-          case 5: {
-            if (tag !== 40) {
+          case 6: {
+            if (tag !== 50) {
               break;
             }
 
-            message.distinctFailures = reader.uint32();
+            message.callers.push(CallerOutcomes.decode(reader, reader.uint32()));
             continue;
           }
         }
@@ -970,13 +951,9 @@
         ? globalThis.String(object.vm_id)
         : "",
       incarnation: isSet(object.incarnation) ? globalThis.String(object.incarnation) : "",
-      successes: isSet(object.successes) ? globalThis.Number(object.successes) : 0,
-      failures: isSet(object.failures) ? globalThis.Number(object.failures) : 0,
-      distinctFailures: isSet(object.distinctFailures)
-        ? globalThis.Number(object.distinctFailures)
-        : isSet(object.distinct_failures)
-        ? globalThis.Number(object.distinct_failures)
-        : 0,
+      callers: globalThis.Array.isArray(object?.callers)
+        ? object.callers.map((e: any) => CallerOutcomes.fromJSON(e))
+        : [],
     };
   },
 
@@ -988,14 +965,8 @@
     if (message.incarnation !== "") {
       obj.incarnation = message.incarnation;
     }
-    if (message.successes !== 0) {
-      obj.successes = Math.round(message.successes);
-    }
-    if (message.failures !== 0) {
-      obj.failures = Math.round(message.failures);
-    }
-    if (message.distinctFailures !== 0) {
-      obj.distinctFailures = Math.round(message.distinctFailures);
+    if (message.callers?.length) {
+      obj.callers = message.callers.map((e) => CallerOutcomes.toJSON(e));
     }
     return obj;
   },
@@ -1007,9 +978,108 @@
     const message = createBaseVmOutcomes();
     message.vmId = object.vmId ?? "";
     message.incarnation = object.incarnation ?? "";
+    message.callers = object.callers?.map((e) => CallerOutcomes.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseCallerOutcomes(): CallerOutcomes {
+  return { caller: "", successes: 0, failures: 0 };
+}
+
+export const CallerOutcomes: MessageFns<CallerOutcomes> = {
+  encode(message: CallerOutcomes, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.caller !== "") {
+      writer.uint32(10).string(message.caller);
+    }
+    if (message.successes !== 0) {
+      writer.uint32(16).uint32(message.successes);
+    }
+    if (message.failures !== 0) {
+      writer.uint32(24).uint32(message.failures);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): CallerOutcomes {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseCallerOutcomes();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.caller = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.successes = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.failures = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): CallerOutcomes {
+    return {
+      caller: isSet(object.caller) ? globalThis.String(object.caller) : "",
+      successes: isSet(object.successes) ? globalThis.Number(object.successes) : 0,
+      failures: isSet(object.failures) ? globalThis.Number(object.failures) : 0,
+    };
+  },
+
+  toJSON(message: CallerOutcomes): unknown {
+    const obj: any = {};
+    if (message.caller !== "") {
+      obj.caller = message.caller;
+    }
+    if (message.successes !== 0) {
+      obj.successes = Math.round(message.successes);
+    }
+    if (message.failures !== 0) {
+      obj.failures = Math.round(message.failures);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<CallerOutcomes>, I>>(base?: I): CallerOutcomes {
+    return CallerOutcomes.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<CallerOutcomes>, I>>(object: I): CallerOutcomes {
+    const message = createBaseCallerOutcomes();
+    message.caller = object.caller ?? "";
     message.successes = object.successes ?? 0;
     message.failures = object.failures ?? 0;
-    message.distinctFailures = object.distinctFailures ?? 0;
     return message;
   },
 };
@@ -1084,7 +1154,7 @@
 };
 
 function createBasePoolDemand(): PoolDemand {
-  return { pool: "", queued: 0, inFlight: 0 };
+  return { pool: "", flows: [], held: [], returned: [], isComplete: false, sequence: 0, loanSequence: 0 };
 }
 
 export const PoolDemand: MessageFns<PoolDemand> = {
@@ -1092,11 +1162,23 @@
     if (message.pool !== "") {
       writer.uint32(10).string(message.pool);
     }
-    if (message.queued !== 0) {
-      writer.uint32(16).uint32(message.queued);
+    for (const v of message.flows) {
+      FlowDemand.encode(v!, writer.uint32(34).fork()).join();
     }
-    if (message.inFlight !== 0) {
-      writer.uint32(24).uint32(message.inFlight);
+    for (const v of message.held) {
+      HeldSlot.encode(v!, writer.uint32(42).fork()).join();
+    }
+    for (const v of message.returned) {
+      ReturnedSlot.encode(v!, writer.uint32(50).fork()).join();
+    }
+    if (message.isComplete !== false) {
+      writer.uint32(56).bool(message.isComplete);
+    }
+    if (message.sequence !== 0) {
+      writer.uint32(64).uint64(message.sequence);
+    }
+    if (message.loanSequence !== 0) {
+      writer.uint32(72).uint64(message.loanSequence);
     }
     return writer;
   },
@@ -1122,20 +1204,52 @@
             message.pool = reader.string();
             continue;
           }
-          case 2: {
-            if (tag !== 16) {
+          case 4: {
+            if (tag !== 34) {
               break;
             }
 
-            message.queued = reader.uint32();
+            message.flows.push(FlowDemand.decode(reader, reader.uint32()));
             continue;
           }
-          case 3: {
-            if (tag !== 24) {
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.held.push(HeldSlot.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.returned.push(ReturnedSlot.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.isComplete = reader.bool();
+            continue;
+          }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.sequence = longToNumber(reader.uint64());
+            continue;
+          }
+          case 9: {
+            if (tag !== 72) {
               break;
             }
 
-            message.inFlight = reader.uint32();
+            message.loanSequence = longToNumber(reader.uint64());
             continue;
           }
         }
@@ -1153,11 +1267,21 @@
   fromJSON(object: any): PoolDemand {
     return {
       pool: isSet(object.pool) ? globalThis.String(object.pool) : "",
-      queued: isSet(object.queued) ? globalThis.Number(object.queued) : 0,
-      inFlight: isSet(object.inFlight)
-        ? globalThis.Number(object.inFlight)
-        : isSet(object.in_flight)
-        ? globalThis.Number(object.in_flight)
+      flows: globalThis.Array.isArray(object?.flows) ? object.flows.map((e: any) => FlowDemand.fromJSON(e)) : [],
+      held: globalThis.Array.isArray(object?.held) ? object.held.map((e: any) => HeldSlot.fromJSON(e)) : [],
+      returned: globalThis.Array.isArray(object?.returned)
+        ? object.returned.map((e: any) => ReturnedSlot.fromJSON(e))
+        : [],
+      isComplete: isSet(object.isComplete)
+        ? globalThis.Boolean(object.isComplete)
+        : isSet(object.is_complete)
+        ? globalThis.Boolean(object.is_complete)
+        : false,
+      sequence: isSet(object.sequence) ? globalThis.Number(object.sequence) : 0,
+      loanSequence: isSet(object.loanSequence)
+        ? globalThis.Number(object.loanSequence)
+        : isSet(object.loan_sequence)
+        ? globalThis.Number(object.loan_sequence)
         : 0,
     };
   },
@@ -1167,11 +1291,23 @@
     if (message.pool !== "") {
       obj.pool = message.pool;
     }
-    if (message.queued !== 0) {
-      obj.queued = Math.round(message.queued);
+    if (message.flows?.length) {
+      obj.flows = message.flows.map((e) => FlowDemand.toJSON(e));
+    }
+    if (message.held?.length) {
+      obj.held = message.held.map((e) => HeldSlot.toJSON(e));
+    }
+    if (message.returned?.length) {
+      obj.returned = message.returned.map((e) => ReturnedSlot.toJSON(e));
+    }
+    if (message.isComplete !== false) {
+      obj.isComplete = message.isComplete;
     }
-    if (message.inFlight !== 0) {
-      obj.inFlight = Math.round(message.inFlight);
+    if (message.sequence !== 0) {
+      obj.sequence = Math.round(message.sequence);
+    }
+    if (message.loanSequence !== 0) {
+      obj.loanSequence = Math.round(message.loanSequence);
     }
     return obj;
   },
@@ -1182,28 +1318,50 @@
   fromPartial<I extends Exact<DeepPartial<PoolDemand>, I>>(object: I): PoolDemand {
     const message = createBasePoolDemand();
     message.pool = object.pool ?? "";
-    message.queued = object.queued ?? 0;
-    message.inFlight = object.inFlight ?? 0;
+    message.flows = object.flows?.map((e) => FlowDemand.fromPartial(e)) || [];
+    message.held = object.held?.map((e) => HeldSlot.fromPartial(e)) || [];
+    message.returned = object.returned?.map((e) => ReturnedSlot.fromPartial(e)) || [];
+    message.isComplete = object.isComplete ?? false;
+    message.sequence = object.sequence ?? 0;
+    message.loanSequence = object.loanSequence ?? 0;
     return message;
   },
 };
 
-function createBaseSlotLoan(): SlotLoan {
-  return { vms: [], termMs: 0 };
+function createBaseFlowDemand(): FlowDemand {
+  return { flow: 0, caller: "", workClass: "", queued: 0, waitedMs: 0, triedVms: [], isIdempotent: false, weight: 0 };
 }
 
-export const SlotLoan: MessageFns<SlotLoan> = {
-  encode(message: SlotLoan, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    for (const v of message.vms) {
-      VmSlots.encode(v!, writer.uint32(10).fork()).join();
+export const FlowDemand: MessageFns<FlowDemand> = {
+  encode(message: FlowDemand, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.flow !== 0) {
+      writer.uint32(8).uint32(message.flow);
     }
-    if (message.termMs !== 0) {
-      writer.uint32(16).uint32(message.termMs);
+    if (message.caller !== "") {
+      writer.uint32(18).string(message.caller);
+    }
+    if (message.workClass !== "") {
+      writer.uint32(26).string(message.workClass);
+    }
+    if (message.queued !== 0) {
+      writer.uint32(32).uint32(message.queued);
+    }
+    if (message.waitedMs !== 0) {
+      writer.uint32(40).uint32(message.waitedMs);
+    }
+    for (const v of message.triedVms) {
+      writer.uint32(50).string(v!);
+    }
+    if (message.isIdempotent !== false) {
+      writer.uint32(56).bool(message.isIdempotent);
+    }
+    if (message.weight !== 0) {
+      writer.uint32(65).double(message.weight);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): SlotLoan {
+  decode(input: BinaryReader | Uint8Array, length?: number): FlowDemand {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -1212,28 +1370,76 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseSlotLoan();
+      const message = createBaseFlowDemand();
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 10) {
+            if (tag !== 8) {
               break;
             }
 
-            message.vms.push(VmSlots.decode(reader, reader.uint32()));
+            message.flow = reader.uint32();
             continue;
           }
           case 2: {
-            if (tag !== 16) {
+            if (tag !== 18) {
               break;
             }
 
-            message.termMs = reader.uint32();
+            message.caller = reader.string();
             continue;
           }
-        }
-        if ((tag & 7) === 4 || tag === 0) {
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.workClass = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.queued = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.waitedMs = reader.uint32();
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.triedVms.push(reader.string());
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.isIdempotent = reader.bool();
+            continue;
+          }
+          case 8: {
+            if (tag !== 65) {
+              break;
+            }
+
+            message.weight = reader.double();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
           break;
         }
         reader.skip(tag & 7);
@@ -1244,55 +1450,106 @@
     }
   },
 
-  fromJSON(object: any): SlotLoan {
+  fromJSON(object: any): FlowDemand {
     return {
-      vms: globalThis.Array.isArray(object?.vms) ? object.vms.map((e: any) => VmSlots.fromJSON(e)) : [],
-      termMs: isSet(object.termMs)
-        ? globalThis.Number(object.termMs)
-        : isSet(object.term_ms)
-        ? globalThis.Number(object.term_ms)
+      flow: isSet(object.flow) ? globalThis.Number(object.flow) : 0,
+      caller: isSet(object.caller) ? globalThis.String(object.caller) : "",
+      workClass: isSet(object.workClass)
+        ? globalThis.String(object.workClass)
+        : isSet(object.work_class)
+        ? globalThis.String(object.work_class)
+        : "",
+      queued: isSet(object.queued) ? globalThis.Number(object.queued) : 0,
+      waitedMs: isSet(object.waitedMs)
+        ? globalThis.Number(object.waitedMs)
+        : isSet(object.waited_ms)
+        ? globalThis.Number(object.waited_ms)
         : 0,
+      triedVms: globalThis.Array.isArray(object?.triedVms)
+        ? object.triedVms.map((e: any) => globalThis.String(e))
+        : globalThis.Array.isArray(object?.tried_vms)
+        ? object.tried_vms.map((e: any) => globalThis.String(e))
+        : [],
+      isIdempotent: isSet(object.isIdempotent)
+        ? globalThis.Boolean(object.isIdempotent)
+        : isSet(object.is_idempotent)
+        ? globalThis.Boolean(object.is_idempotent)
+        : false,
+      weight: isSet(object.weight) ? globalThis.Number(object.weight) : 0,
     };
   },
 
-  toJSON(message: SlotLoan): unknown {
+  toJSON(message: FlowDemand): unknown {
     const obj: any = {};
-    if (message.vms?.length) {
-      obj.vms = message.vms.map((e) => VmSlots.toJSON(e));
+    if (message.flow !== 0) {
+      obj.flow = Math.round(message.flow);
     }
-    if (message.termMs !== 0) {
-      obj.termMs = Math.round(message.termMs);
+    if (message.caller !== "") {
+      obj.caller = message.caller;
+    }
+    if (message.workClass !== "") {
+      obj.workClass = message.workClass;
+    }
+    if (message.queued !== 0) {
+      obj.queued = Math.round(message.queued);
+    }
+    if (message.waitedMs !== 0) {
+      obj.waitedMs = Math.round(message.waitedMs);
+    }
+    if (message.triedVms?.length) {
+      obj.triedVms = message.triedVms;
+    }
+    if (message.isIdempotent !== false) {
+      obj.isIdempotent = message.isIdempotent;
+    }
+    if (message.weight !== 0) {
+      obj.weight = floatToJson(message.weight);
     }
     return obj;
   },
 
-  create<I extends Exact<DeepPartial<SlotLoan>, I>>(base?: I): SlotLoan {
-    return SlotLoan.fromPartial(base ?? ({} as any));
+  create<I extends Exact<DeepPartial<FlowDemand>, I>>(base?: I): FlowDemand {
+    return FlowDemand.fromPartial(base ?? ({} as any));
   },
-  fromPartial<I extends Exact<DeepPartial<SlotLoan>, I>>(object: I): SlotLoan {
-    const message = createBaseSlotLoan();
-    message.vms = object.vms?.map((e) => VmSlots.fromPartial(e)) || [];
-    message.termMs = object.termMs ?? 0;
+  fromPartial<I extends Exact<DeepPartial<FlowDemand>, I>>(object: I): FlowDemand {
+    const message = createBaseFlowDemand();
+    message.flow = object.flow ?? 0;
+    message.caller = object.caller ?? "";
+    message.workClass = object.workClass ?? "";
+    message.queued = object.queued ?? 0;
+    message.waitedMs = object.waitedMs ?? 0;
+    message.triedVms = object.triedVms?.map((e) => e) || [];
+    message.isIdempotent = object.isIdempotent ?? false;
+    message.weight = object.weight ?? 0;
     return message;
   },
 };
 
-function createBaseVmSlots(): VmSlots {
-  return { vmId: "", slots: 0 };
+function createBaseHeldSlot(): HeldSlot {
+  return { slotId: 0, vmId: "", caller: "", workClass: "", heldMs: 0 };
 }
 
-export const VmSlots: MessageFns<VmSlots> = {
-  encode(message: VmSlots, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+export const HeldSlot: MessageFns<HeldSlot> = {
+  encode(message: HeldSlot, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.slotId !== 0) {
+      writer.uint32(8).uint64(message.slotId);
+    }
     if (message.vmId !== "") {
-      writer.uint32(10).string(message.vmId);
+      writer.uint32(18).string(message.vmId);
+    }
+    if (message.caller !== "") {
+      writer.uint32(26).string(message.caller);
+    }
+    if (message.workClass !== "") {
+      writer.uint32(34).string(message.workClass);
     }
-    if (message.slots !== 0) {
-      writer.uint32(16).uint32(message.slots);
+    if (message.heldMs !== 0) {
+      writer.uint32(40).uint32(message.heldMs);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): VmSlots {
+  decode(input: BinaryReader | Uint8Array, length?: number): HeldSlot {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -1301,24 +1558,48 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseVmSlots();
+      const message = createBaseHeldSlot();
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 10) {
+            if (tag !== 8) {
               break;
             }
 
-            message.vmId = reader.string();
+            message.slotId = longToNumber(reader.uint64());
             continue;
           }
           case 2: {
-            if (tag !== 16) {
+            if (tag !== 18) {
               break;
             }
 
-            message.slots = reader.uint32();
+            message.vmId = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.caller = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.workClass = reader.string();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.heldMs = reader.uint32();
             continue;
           }
         }
@@ -1333,52 +1614,82 @@
     }
   },
 
-  fromJSON(object: any): VmSlots {
+  fromJSON(object: any): HeldSlot {
     return {
+      slotId: isSet(object.slotId)
+        ? globalThis.Number(object.slotId)
+        : isSet(object.slot_id)
+        ? globalThis.Number(object.slot_id)
+        : 0,
       vmId: isSet(object.vmId)
         ? globalThis.String(object.vmId)
         : isSet(object.vm_id)
         ? globalThis.String(object.vm_id)
         : "",
-      slots: isSet(object.slots) ? globalThis.Number(object.slots) : 0,
+      caller: isSet(object.caller) ? globalThis.String(object.caller) : "",
+      workClass: isSet(object.workClass)
+        ? globalThis.String(object.workClass)
+        : isSet(object.work_class)
+        ? globalThis.String(object.work_class)
+        : "",
+      heldMs: isSet(object.heldMs)
+        ? globalThis.Number(object.heldMs)
+        : isSet(object.held_ms)
+        ? globalThis.Number(object.held_ms)
+        : 0,
     };
   },
 
-  toJSON(message: VmSlots): unknown {
+  toJSON(message: HeldSlot): unknown {
     const obj: any = {};
+    if (message.slotId !== 0) {
+      obj.slotId = Math.round(message.slotId);
+    }
     if (message.vmId !== "") {
       obj.vmId = message.vmId;
     }
-    if (message.slots !== 0) {
-      obj.slots = Math.round(message.slots);
+    if (message.caller !== "") {
+      obj.caller = message.caller;
+    }
+    if (message.workClass !== "") {
+      obj.workClass = message.workClass;
+    }
+    if (message.heldMs !== 0) {
+      obj.heldMs = Math.round(message.heldMs);
     }
     return obj;
   },
 
-  create<I extends Exact<DeepPartial<VmSlots>, I>>(base?: I): VmSlots {
-    return VmSlots.fromPartial(base ?? ({} as any));
+  create<I extends Exact<DeepPartial<HeldSlot>, I>>(base?: I): HeldSlot {
+    return HeldSlot.fromPartial(base ?? ({} as any));
   },
-  fromPartial<I extends Exact<DeepPartial<VmSlots>, I>>(object: I): VmSlots {
-    const message = createBaseVmSlots();
+  fromPartial<I extends Exact<DeepPartial<HeldSlot>, I>>(object: I): HeldSlot {
+    const message = createBaseHeldSlot();
+    message.slotId = object.slotId ?? 0;
     message.vmId = object.vmId ?? "";
-    message.slots = object.slots ?? 0;
+    message.caller = object.caller ?? "";
+    message.workClass = object.workClass ?? "";
+    message.heldMs = object.heldMs ?? 0;
     return message;
   },
 };
 
-function createBaseSlotReturn(): SlotReturn {
-  return { vms: [] };
+function createBaseReturnedSlot(): ReturnedSlot {
+  return { slotId: 0, usedMs: 0 };
 }
 
-export const SlotReturn: MessageFns<SlotReturn> = {
-  encode(message: SlotReturn, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    for (const v of message.vms) {
-      VmSlots.encode(v!, writer.uint32(10).fork()).join();
+export const ReturnedSlot: MessageFns<ReturnedSlot> = {
+  encode(message: ReturnedSlot, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.slotId !== 0) {
+      writer.uint32(8).uint64(message.slotId);
+    }
+    if (message.usedMs !== 0) {
+      writer.uint32(16).uint32(message.usedMs);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): SlotReturn {
+  decode(input: BinaryReader | Uint8Array, length?: number): ReturnedSlot {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -1387,16 +1698,24 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseSlotReturn();
+      const message = createBaseReturnedSlot();
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 10) {
+            if (tag !== 8) {
               break;
             }
 
-            message.vms.push(VmSlots.decode(reader, reader.uint32()));
+            message.slotId = longToNumber(reader.uint64());
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.usedMs = reader.uint32();
             continue;
           }
         }
@@ -1411,41 +1730,68 @@
     }
   },
 
-  fromJSON(object: any): SlotReturn {
-    return { vms: globalThis.Array.isArray(object?.vms) ? object.vms.map((e: any) => VmSlots.fromJSON(e)) : [] };
+  fromJSON(object: any): ReturnedSlot {
+    return {
+      slotId: isSet(object.slotId)
+        ? globalThis.Number(object.slotId)
+        : isSet(object.slot_id)
+        ? globalThis.Number(object.slot_id)
+        : 0,
+      usedMs: isSet(object.usedMs)
+        ? globalThis.Number(object.usedMs)
+        : isSet(object.used_ms)
+        ? globalThis.Number(object.used_ms)
+        : 0,
+    };
   },
 
-  toJSON(message: SlotReturn): unknown {
+  toJSON(message: ReturnedSlot): unknown {
     const obj: any = {};
-    if (message.vms?.length) {
-      obj.vms = message.vms.map((e) => VmSlots.toJSON(e));
+    if (message.slotId !== 0) {
+      obj.slotId = Math.round(message.slotId);
+    }
+    if (message.usedMs !== 0) {
+      obj.usedMs = Math.round(message.usedMs);
     }
     return obj;
   },
 
-  create<I extends Exact<DeepPartial<SlotReturn>, I>>(base?: I): SlotReturn {
-    return SlotReturn.fromPartial(base ?? ({} as any));
+  create<I extends Exact<DeepPartial<ReturnedSlot>, I>>(base?: I): ReturnedSlot {
+    return ReturnedSlot.fromPartial(base ?? ({} as any));
   },
-  fromPartial<I extends Exact<DeepPartial<SlotReturn>, I>>(object: I): SlotReturn {
-    const message = createBaseSlotReturn();
-    message.vms = object.vms?.map((e) => VmSlots.fromPartial(e)) || [];
+  fromPartial<I extends Exact<DeepPartial<ReturnedSlot>, I>>(object: I): ReturnedSlot {
+    const message = createBaseReturnedSlot();
+    message.slotId = object.slotId ?? 0;
+    message.usedMs = object.usedMs ?? 0;
     return message;
   },
 };
 
-function createBaseUsageReport(): UsageReport {
-  return { callers: [] };
+function createBaseSlotLoan(): SlotLoan {
+  return { termMs: 0, pool: "", slots: [], sequence: 0, demandSequence: 0 };
 }
 
-export const UsageReport: MessageFns<UsageReport> = {
-  encode(message: UsageReport, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    for (const v of message.callers) {
-      CallerUsage.encode(v!, writer.uint32(10).fork()).join();
+export const SlotLoan: MessageFns<SlotLoan> = {
+  encode(message: SlotLoan, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.termMs !== 0) {
+      writer.uint32(16).uint32(message.termMs);
+    }
+    if (message.pool !== "") {
+      writer.uint32(26).string(message.pool);
+    }
+    for (const v of message.slots) {
+      LentSlot.encode(v!, writer.uint32(34).fork()).join();
+    }
+    if (message.sequence !== 0) {
+      writer.uint32(40).uint64(message.sequence);
+    }
+    if (message.demandSequence !== 0) {
+      writer.uint32(48).uint64(message.demandSequence);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): UsageReport {
+  decode(input: BinaryReader | Uint8Array, length?: number): SlotLoan {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -1454,16 +1800,48 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseUsageReport();
+      const message = createBaseSlotLoan();
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
-          case 1: {
-            if (tag !== 10) {
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.termMs = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.pool = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
               break;
             }
 
-            message.callers.push(CallerUsage.decode(reader, reader.uint32()));
+            message.slots.push(LentSlot.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.sequence = longToNumber(reader.uint64());
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.demandSequence = longToNumber(reader.uint64());
             continue;
           }
         }
@@ -1478,52 +1856,80 @@
     }
   },
 
-  fromJSON(object: any): UsageReport {
+  fromJSON(object: any): SlotLoan {
     return {
-      callers: globalThis.Array.isArray(object?.callers) ? object.callers.map((e: any) => CallerUsage.fromJSON(e)) : [],
+      termMs: isSet(object.termMs)
+        ? globalThis.Number(object.termMs)
+        : isSet(object.term_ms)
+        ? globalThis.Number(object.term_ms)
+        : 0,
+      pool: isSet(object.pool) ? globalThis.String(object.pool) : "",
+      slots: globalThis.Array.isArray(object?.slots) ? object.slots.map((e: any) => LentSlot.fromJSON(e)) : [],
+      sequence: isSet(object.sequence) ? globalThis.Number(object.sequence) : 0,
+      demandSequence: isSet(object.demandSequence)
+        ? globalThis.Number(object.demandSequence)
+        : isSet(object.demand_sequence)
+        ? globalThis.Number(object.demand_sequence)
+        : 0,
     };
   },
 
-  toJSON(message: UsageReport): unknown {
+  toJSON(message: SlotLoan): unknown {
     const obj: any = {};
-    if (message.callers?.length) {
-      obj.callers = message.callers.map((e) => CallerUsage.toJSON(e));
+    if (message.termMs !== 0) {
+      obj.termMs = Math.round(message.termMs);
+    }
+    if (message.pool !== "") {
+      obj.pool = message.pool;
+    }
+    if (message.slots?.length) {
+      obj.slots = message.slots.map((e) => LentSlot.toJSON(e));
+    }
+    if (message.sequence !== 0) {
+      obj.sequence = Math.round(message.sequence);
+    }
+    if (message.demandSequence !== 0) {
+      obj.demandSequence = Math.round(message.demandSequence);
     }
     return obj;
   },
 
-  create<I extends Exact<DeepPartial<UsageReport>, I>>(base?: I): UsageReport {
-    return UsageReport.fromPartial(base ?? ({} as any));
+  create<I extends Exact<DeepPartial<SlotLoan>, I>>(base?: I): SlotLoan {
+    return SlotLoan.fromPartial(base ?? ({} as any));
   },
-  fromPartial<I extends Exact<DeepPartial<UsageReport>, I>>(object: I): UsageReport {
-    const message = createBaseUsageReport();
-    message.callers = object.callers?.map((e) => CallerUsage.fromPartial(e)) || [];
+  fromPartial<I extends Exact<DeepPartial<SlotLoan>, I>>(object: I): SlotLoan {
+    const message = createBaseSlotLoan();
+    message.termMs = object.termMs ?? 0;
+    message.pool = object.pool ?? "";
+    message.slots = object.slots?.map((e) => LentSlot.fromPartial(e)) || [];
+    message.sequence = object.sequence ?? 0;
+    message.demandSequence = object.demandSequence ?? 0;
     return message;
   },
 };
 
-function createBaseCallerUsage(): CallerUsage {
-  return { pool: "", caller: "", workClass: "", slotSeconds: 0 };
+function createBaseLentSlot(): LentSlot {
+  return { slotId: 0, vmId: "", flow: 0, isProbe: false };
 }
 
-export const CallerUsage: MessageFns<CallerUsage> = {
-  encode(message: CallerUsage, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.pool !== "") {
-      writer.uint32(10).string(message.pool);
+export const LentSlot: MessageFns<LentSlot> = {
+  encode(message: LentSlot, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.slotId !== 0) {
+      writer.uint32(8).uint64(message.slotId);
     }
-    if (message.caller !== "") {
-      writer.uint32(18).string(message.caller);
+    if (message.vmId !== "") {
+      writer.uint32(18).string(message.vmId);
     }
-    if (message.workClass !== "") {
-      writer.uint32(26).string(message.workClass);
+    if (message.flow !== 0) {
+      writer.uint32(24).uint32(message.flow);
     }
-    if (message.slotSeconds !== 0) {
-      writer.uint32(33).double(message.slotSeconds);
+    if (message.isProbe !== false) {
+      writer.uint32(32).bool(message.isProbe);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): CallerUsage {
+  decode(input: BinaryReader | Uint8Array, length?: number): LentSlot {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -1532,16 +1938,16 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseCallerUsage();
+      const message = createBaseLentSlot();
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 10) {
+            if (tag !== 8) {
               break;
             }
 
-            message.pool = reader.string();
+            message.slotId = longToNumber(reader.uint64());
             continue;
           }
           case 2: {
@@ -1549,23 +1955,23 @@
               break;
             }
 
-            message.caller = reader.string();
+            message.vmId = reader.string();
             continue;
           }
           case 3: {
-            if (tag !== 26) {
+            if (tag !== 24) {
               break;
             }
 
-            message.workClass = reader.string();
+            message.flow = reader.uint32();
             continue;
           }
           case 4: {
-            if (tag !== 33) {
+            if (tag !== 32) {
               break;
             }
 
-            message.slotSeconds = reader.double();
+            message.isProbe = reader.bool();
             continue;
           }
         }
@@ -1580,49 +1986,53 @@
     }
   },
 
-  fromJSON(object: any): CallerUsage {
+  fromJSON(object: any): LentSlot {
     return {
-      pool: isSet(object.pool) ? globalThis.String(object.pool) : "",
-      caller: isSet(object.caller) ? globalThis.String(object.caller) : "",
-      workClass: isSet(object.workClass)
-        ? globalThis.String(object.workClass)
-        : isSet(object.work_class)
-        ? globalThis.String(object.work_class)
-        : "",
-      slotSeconds: isSet(object.slotSeconds)
-        ? globalThis.Number(object.slotSeconds)
-        : isSet(object.slot_seconds)
-        ? globalThis.Number(object.slot_seconds)
+      slotId: isSet(object.slotId)
+        ? globalThis.Number(object.slotId)
+        : isSet(object.slot_id)
+        ? globalThis.Number(object.slot_id)
         : 0,
+      vmId: isSet(object.vmId)
+        ? globalThis.String(object.vmId)
+        : isSet(object.vm_id)
+        ? globalThis.String(object.vm_id)
+        : "",
+      flow: isSet(object.flow) ? globalThis.Number(object.flow) : 0,
+      isProbe: isSet(object.isProbe)
+        ? globalThis.Boolean(object.isProbe)
+        : isSet(object.is_probe)
+        ? globalThis.Boolean(object.is_probe)
+        : false,
     };
   },
 
-  toJSON(message: CallerUsage): unknown {
+  toJSON(message: LentSlot): unknown {
     const obj: any = {};
-    if (message.pool !== "") {
-      obj.pool = message.pool;
+    if (message.slotId !== 0) {
+      obj.slotId = Math.round(message.slotId);
     }
-    if (message.caller !== "") {
-      obj.caller = message.caller;
+    if (message.vmId !== "") {
+      obj.vmId = message.vmId;
     }
-    if (message.workClass !== "") {
-      obj.workClass = message.workClass;
+    if (message.flow !== 0) {
+      obj.flow = Math.round(message.flow);
     }
-    if (message.slotSeconds !== 0) {
-      obj.slotSeconds = floatToJson(message.slotSeconds);
+    if (message.isProbe !== false) {
+      obj.isProbe = message.isProbe;
     }
     return obj;
   },
 
-  create<I extends Exact<DeepPartial<CallerUsage>, I>>(base?: I): CallerUsage {
-    return CallerUsage.fromPartial(base ?? ({} as any));
+  create<I extends Exact<DeepPartial<LentSlot>, I>>(base?: I): LentSlot {
+    return LentSlot.fromPartial(base ?? ({} as any));
   },
-  fromPartial<I extends Exact<DeepPartial<CallerUsage>, I>>(object: I): CallerUsage {
-    const message = createBaseCallerUsage();
-    message.pool = object.pool ?? "";
-    message.caller = object.caller ?? "";
-    message.workClass = object.workClass ?? "";
-    message.slotSeconds = object.slotSeconds ?? 0;
+  fromPartial<I extends Exact<DeepPartial<LentSlot>, I>>(object: I): LentSlot {
+    const message = createBaseLentSlot();
+    message.slotId = object.slotId ?? 0;
+    message.vmId = object.vmId ?? "";
+    message.flow = object.flow ?? 0;
+    message.isProbe = object.isProbe ?? false;
     return message;
   },
 };
--- a/packages/peer/src/memories.ts
+++ b/packages/peer/src/memories.ts
@@ -3,6 +3,7 @@
  */
 import {type Clock, type EntryId, type IncarnationId} from '@tamarackwind/core';
 import {PeerBus, type PeerBody, type PeerInfo} from './buses.js';
+import {PeerMessage} from './gen/tamarackwind/peer/v1/peer.js';
 
 /** Joins the buses of several entries. */
 export class MemoryPeerHub {
@@ -16,6 +17,7 @@
 	readonly #buses = new Map<EntryId, MemoryPeerBus>();
 	readonly #cuts = new Set<string>();
 	#messageCount = 0;
+	#byteCount = 0;
 
 	private constructor(clock: Clock, delayMs: number) {
 		this.#clock = clock;
@@ -27,6 +29,11 @@
 		return this.#messageCount;
 	}
 
+	/** Bytes of the encoded messages carried so far. */
+	get byteCount(): number {
+		return this.#byteCount;
+	}
+
 	createBus(entryId: EntryId): MemoryPeerBus {
 		const bus = MemoryPeerBus.create(this, entryId);
 		this.#buses.set(entryId, bus);
@@ -58,6 +65,7 @@
 		}
 
 		this.#messageCount++;
+		this.#byteCount += PeerMessage.encode({body}).finish().length;
 		await this.#clock.sleep(this.#delayMs);
 		this.#buses.get(to)?.accept({...from.self, heardAt: this.#clock.readMonotonic()}, body);
 	}
--- /dev/null
+++ b/packages/routing/src/homes.ts
@@ -0,0 +1,26 @@
+/**
+ * Home entries: which entry decides on the slots of a pool.
+ */
+import {type EntryId, type PoolName} from '@tamarackwind/core';
+import createHashes from 'xxhash-wasm';
+
+const {h32} = await createHashes();
+
+/**
+ * Chooses the home entry of a pool by rendezvous hashing. An entry that joins or leaves moves only the pools that it
+ * gains or had.
+ *
+ * @example
+ * const home = chooseHome(pool, [bus.self.entryId, ...bus.listPeers().map(peer => peer.entryId)]);
+ */
+export function chooseHome(pool: PoolName, entries: readonly EntryId[]): EntryId | undefined {
+	let best: {readonly entryId: EntryId; readonly score: number} | undefined;
+	for (const entryId of entries) {
+		const score = h32(`${pool}\n${entryId}`);
+		if (best === undefined || score > best.score || (score === best.score && entryId < best.entryId)) {
+			best = {entryId, score};
+		}
+	}
+
+	return best?.entryId;
+}
--- /dev/null
+++ b/packages/testing/src/bench-slots.ts
@@ -0,0 +1,83 @@
+/**
+ * `npm run bench -- slots [--seed N] [--service-ms N] [--seconds N]`: waits, idle slots and messages for each way of sharing slots between 9 entries.
+ */
+import {parseArgs} from 'node:util';
+import {FairWay} from './fair-ways.js';
+import {
+	SlotWorld, computeQuantile, drawRequests, listWaits, printTable, runSimulation, type Arrivals, type RunResult, type SlotWay,
+} from './slot-simulations.js';
+import {
+	BulkLoans, IdealQueue, OwnCounts, SharedCounts,
+} from './slot-ways.js';
+
+/** Slots of a pool of today's size. */
+const poolSlots = 64;
+const burstMs = 4000;
+/** Demand in a burst against what the pool can take. */
+const burstLoad = 1.3;
+const burstFactor = 5;
+const lullFactor = 1 / 20;
+
+export type SlotRunOptions = {readonly seed: number; readonly meanServiceMs: number; readonly durationMs: number};
+
+/** Queues that rise in turns to five times their mean, beyond their pool, and drop to a twentieth between. */
+export function planSwings(world: SlotWorld, meanServiceMs: number): Arrivals[] {
+	const meanRate = burstLoad * poolSlots * 1000 / meanServiceMs / burstFactor;
+	return world.pools.map((pool, index) => ({
+		group: pool.name,
+		pool: pool.name,
+		workClass: 'interactive',
+		callers: ['caller-1'],
+		readRate: at => meanRate * (Math.floor(at / burstMs) % world.pools.length === index ? burstFactor : lullFactor),
+		maxRate: meanRate * burstFactor,
+		meanServiceMs,
+	}));
+}
+
+/** Runs one way on the swings. */
+export async function runSlots(createWay: (world: SlotWorld) => SlotWay, {seed, meanServiceMs, durationMs}: SlotRunOptions): Promise<RunResult & {name: string}> {
+	const world = new SlotWorld({seed});
+	const requests = drawRequests(world, planSwings(world, meanServiceMs), durationMs);
+	const way = createWay(world);
+	return {name: way.name, ...await runSimulation(world, way, requests, {durationMs, drainMs: 30_000})};
+}
+
+export async function runBench(args: readonly string[]): Promise<void> {
+	const {values} = parseArgs({
+		args: [...args],
+		options: {seed: {type: 'string', default: '1'}, 'service-ms': {type: 'string', default: '200'}, seconds: {type: 'string', default: '60'}},
+	});
+	const options = {seed: Number(values.seed), meanServiceMs: Number(values['service-ms']), durationMs: Number(values.seconds) * 1000};
+	const ways: Array<(world: SlotWorld) => SlotWay> = [
+		world => new IdealQueue(world),
+		world => new OwnCounts(world),
+		world => new SharedCounts(world, 100),
+		world => new SharedCounts(world, 20),
+		world => new BulkLoans(world, 100),
+		world => new BulkLoans(world, 20),
+		world => new FairWay(world, {seed: options.seed}),
+	];
+	const rows: Array<Record<string, string | number>> = [];
+	let ideal: {p50: number; p99: number} | undefined;
+	for (const createWay of ways) {
+		const result = await runSlots(createWay, options);
+		const waits = listWaits(result.requests);
+		const [p50, p99] = [computeQuantile(waits, 0.5), computeQuantile(waits, 0.99)];
+		ideal ??= {p50, p99};
+		rows.push({
+			way: result.name,
+			started: `${waits.length}/${result.requests.length}`,
+			'p50 ms': p50.toFixed(1),
+			'p99 ms': p99.toFixed(1),
+			'p50 / ideal': (p50 / ideal.p50).toFixed(2),
+			'p99 / ideal': (p99 / ideal.p99).toFixed(2),
+			'idle while waiting': `${(100 * result.idlePart).toFixed(1)} %`,
+			'most in flight on a worker': result.maxInFlight,
+			'messages a second': result.messagesPerSecond.toFixed(0),
+			'bytes a second and entry': result.bytesPerEntrySecond.toFixed(0),
+		});
+	}
+
+	console.log(`seed ${options.seed}, mean service ${options.meanServiceMs} ms, ${options.durationMs / 1000} s`);
+	printTable(rows);
+}
--- /dev/null
+++ b/packages/testing/src/fair-ways.ts
@@ -0,0 +1,142 @@
+/**
+ * The product's schedulers as ways of a simulation, one per simulated entry.
+ */
+import {
+	FairScheduler, NaiveScheduler, type Scheduler, type SlotGrant,
+} from '@tamarackwind/admission';
+import {
+	Log, SeededRandom, VerdictError, isRetryable, type EntryId, type VmId,
+} from '@tamarackwind/core';
+import {MemoryPeerHub} from '@tamarackwind/peer';
+import {Registry} from 'prom-client';
+import {
+	SlotWay, createCaller, createService, type SimRequest, type SlotWorld,
+} from './slot-simulations.js';
+
+export type SchedulerWayOptions = {
+	readonly seed: number;
+	/** Time from arrival within which a request must start, in milliseconds. */
+	readonly startWithinMs?: number;
+	readonly maxAttempts?: number;
+};
+
+const linkMs = 1;
+const defaultStartWithinMs = 30_000;
+
+/** Brings requests to workers through schedulers, and retries as the data path does. */
+export abstract class SchedulerWay extends SlotWay {
+	readonly schedulers: Scheduler[] = [];
+	protected readonly world: SlotWorld;
+	protected readonly options: SchedulerWayOptions;
+
+	constructor(world: SlotWorld, options: SchedulerWayOptions) {
+		super();
+		this.world = world;
+		this.options = options;
+	}
+
+	override submit(request: SimRequest): void {
+		void this.#forward(request);
+	}
+
+	override async close(): Promise<void> {
+		await Promise.all(this.schedulers.map(async scheduler => scheduler.close()));
+	}
+
+	async #forward(request: SimRequest): Promise<void> {
+		const triedVms = new Set<VmId>();
+		const startBy = this.world.clock.readMonotonic() + (this.options.startWithinMs ?? defaultStartWithinMs);
+		try {
+			while (!(await this.#attempt(request, startBy, triedVms))) {
+				request.startedAt = undefined;
+				if (triedVms.size >= (this.options.maxAttempts ?? 3)) {
+					request.refusedAs = 'failed';
+					return;
+				}
+			}
+		} catch (error) {
+			if (!(error instanceof VerdictError) || !isRetryable(error.verdict, false)) {
+				throw error;
+			}
+
+			request.refusedAs = error.code;
+		}
+	}
+
+	async #attempt(request: SimRequest, startBy: number, triedVms: Set<VmId>): Promise<boolean> {
+		const pool = this.world.pools.find(({name}) => name === request.pool)!;
+		const grant = await this.schedulers[request.entry]!.acquireSlot({
+			pool,
+			service: createService(pool),
+			caller: createCaller(request.caller),
+			workClass: request.workClass,
+			startBy,
+			attempts: triedVms.size,
+			triedVms: new Set(triedVms),
+			signal: new AbortController().signal,
+		});
+		request.attempts++;
+		triedVms.add(grant.vm.vmId as VmId);
+		return this.#run(request, grant);
+	}
+
+	async #run(request: SimRequest, grant: SlotGrant): Promise<boolean> {
+		return new Promise(resolve => {
+			this.world.getWorker(grant.vm.vmId).run(request, isSuccess => {
+				grant.release(isSuccess ? 'answered' : 'error-answer');
+				resolve(isSuccess);
+			});
+		});
+	}
+}
+
+/** Every entry with the fair scheduler, joined by links of one millisecond. */
+export class FairWay extends SchedulerWay {
+	override readonly name: string = 'd: asked of the pool\'s home entry';
+	readonly hub: MemoryPeerHub;
+
+	constructor(world: SlotWorld, options: SchedulerWayOptions) {
+		super(world, options);
+		this.hub = MemoryPeerHub.create(world.clock, linkMs);
+		for (let index = 0; index < world.entryCount; index++) {
+			this.schedulers.push(this.createScheduler(index));
+		}
+	}
+
+	override readTraffic(): {messages: number; bytes: number} {
+		return {messages: this.hub.messageCount, bytes: this.hub.byteCount};
+	}
+
+	/** Starts the scheduler of one entry, again after it was closed. */
+	createScheduler(index: number): FairScheduler {
+		return FairScheduler.create({
+			clock: this.world.clock,
+			random: SeededRandom.create(this.options.seed + index),
+			bus: this.hub.createBus(`entry-${index + 1}` as EntryId),
+			log: Log.createSilent(),
+			registry: new Registry(),
+			listWorkers: pool => this.world.listWorkers(pool),
+			listPools: () => this.world.pools,
+			countEntries: () => this.world.entryCount,
+		});
+	}
+}
+
+/** Every entry with the naive scheduler. */
+export class NaiveWay extends SchedulerWay {
+	override readonly name: string = 'naive';
+
+	constructor(world: SlotWorld, options: SchedulerWayOptions) {
+		super(world, options);
+		for (let index = 0; index < world.entryCount; index++) {
+			this.schedulers.push(NaiveScheduler.create({
+				random: SeededRandom.create(options.seed + index),
+				listWorkers: pool => world.listWorkers(pool),
+			}));
+		}
+	}
+
+	override readTraffic(): {messages: number; bytes: number} {
+		return {messages: 0, bytes: 0};
+	}
+}
