Add leases of duties that any process may take

Cause: a wave, a move or a job needs a single doer, and no entry VM is special. Change: DutyLease keeps a lease row that changes only with its holder and a heartbeat row that the holder renews. A holder adds the lease row's version to each transaction. A takeover checks both rows, after they stayed unchanged for the term on the applicant's monotonic clock; the wait is spread by chance so that nine applicants do not write at once. Conclusion: safe under pauses, lost answers and clock jumps; no wall clock is read.

--- /dev/null
+++ b/packages/platform/src/duties.ts
@@ -0,0 +1,183 @@
+/**
+ * Leases of duties that need a single holder: a row of the table service, taken by any process.
+ */
+import {type Clock, type RandomSource} from '@tamarackwind/core';
+import {
+	absentVersion, type Check, type Row, type RowKey, type TableService,
+} from './tables.js';
+
+/** Table of the lease rows; a row changes only when its holder does. */
+export const dutyTable = 'duties';
+
+/** Table of the heartbeat rows, apart from the lease rows so that a renewal does not conflict with the holder's writes. */
+export const dutyHeartbeatTable = 'duty-heartbeats';
+
+/** Value of a lease row. */
+export type DutyRow = {
+	/** Process that holds the duty; empty when it was released. */
+	readonly holder: string;
+	/** Grows with each holder. */
+	readonly epoch: number;
+	/** Write token by which a holder recognises its own row after a lost answer. */
+	readonly token: string;
+};
+
+export type DutyLeaseOptions = {
+	readonly tables: TableService;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	/** Name of the duty, the key of its rows. */
+	readonly duty: string;
+	/** Process that applies for the duty. */
+	readonly holder: string;
+	/** Time without a renewal after which others may take the duty over, in milliseconds. */
+	readonly termMs?: number;
+};
+
+type Observation = {readonly leaseVersion: number; readonly heartbeatVersion: number; readonly takeAt: number};
+type Holding = {readonly check: Check; readonly epoch: number; readonly renewedAt: number};
+
+const defaultTermMs = 5000;
+const renewalsPerTerm = 4;
+const vacancySpreadMs = 500;
+
+/**
+ * The lease of one duty. Expiry is judged by rows that stay unchanged for the term on this process's monotonic clock,
+ * never by comparing wall clocks. A holder adds `check` to every transaction of the duty, so that a holder which was
+ * paused and lost the duty changes nothing.
+ *
+ * @example
+ * if (await lease.refresh()) {
+ *   await tables.commit({checks: [lease.check!, ...checks], writes});
+ * }
+ */
+export class DutyLease {
+	static create(options: DutyLeaseOptions): DutyLease {
+		return new DutyLease(options);
+	}
+
+	readonly #options: DutyLeaseOptions;
+	readonly #termMs: number;
+	#observation: Observation | undefined;
+	#holding: Holding | undefined;
+	#takeToken: string | undefined;
+	#takeStartedAt = 0;
+	#takeovers = 0;
+
+	private constructor(options: DutyLeaseOptions) {
+		this.#options = options;
+		this.#termMs = options.termMs ?? defaultTermMs;
+	}
+
+	/** Tells whether this process held the duty at its last renewal and the term has not run out since. */
+	get isHeld(): boolean {
+		return this.#holding !== undefined && this.#options.clock.readMonotonic() - this.#holding.renewedAt < this.#termMs;
+	}
+
+	/** Condition that each transaction of the duty must carry; `undefined` when the duty is not held. */
+	get check(): Check | undefined {
+		return this.isHeld ? this.#holding!.check : undefined;
+	}
+
+	/** Epoch of this holder; `undefined` when the duty is not held. */
+	get epoch(): number | undefined {
+		return this.isHeld ? this.#holding!.epoch : undefined;
+	}
+
+	/** Times that this process took the duty. */
+	get takeovers(): number {
+		return this.#takeovers;
+	}
+
+	/** Renews the lease or applies for it, as is due; call it several times a term. Resolves to whether the duty is held. */
+	async refresh(): Promise<boolean> {
+		if (this.#holding !== undefined) {
+			return this.#renewIfDue();
+		}
+
+		const {lease, heartbeat} = await this.#readRows();
+		if (lease !== undefined && this.#takeToken === lease.value.token) {
+			this.#recordHolding(lease.version, lease.value.epoch, this.#takeStartedAt);
+			return this.isHeld;
+		}
+
+		const observation = this.#observe(lease, heartbeat);
+		return this.#options.clock.readMonotonic() >= observation.takeAt && this.#take(lease, heartbeat);
+	}
+
+	/** Gives the duty up at once, so that another process need not wait for the term. */
+	async release(): Promise<void> {
+		const holding = this.#holding;
+		this.#holding = undefined;
+		if (holding !== undefined) {
+			const value: DutyRow = {holder: '', epoch: holding.epoch, token: ''};
+			await this.#options.tables.commit({checks: [holding.check], writes: [{...this.#leaseKey, value}]});
+		}
+	}
+
+	get #leaseKey(): RowKey {
+		return {table: dutyTable, key: this.#options.duty};
+	}
+
+	get #heartbeatKey(): RowKey {
+		return {table: dutyHeartbeatTable, key: this.#options.duty};
+	}
+
+	async #readRows(): Promise<{lease: Row<DutyRow> | undefined; heartbeat: Row | undefined}> {
+		const [lease, heartbeat] = await this.#options.tables.getRows([this.#leaseKey, this.#heartbeatKey]);
+		return {lease: lease as Row<DutyRow> | undefined, heartbeat};
+	}
+
+	#observe(lease: Row<DutyRow> | undefined, heartbeat: Row | undefined): Observation {
+		const leaseVersion = lease?.version ?? absentVersion;
+		const heartbeatVersion = heartbeat?.version ?? absentVersion;
+		const known = this.#observation;
+		if (known?.leaseVersion === leaseVersion && known.heartbeatVersion === heartbeatVersion) {
+			return known;
+		}
+
+		const isVacant = lease === undefined || lease.value.holder === '';
+		const {clock, random} = this.#options;
+		// Spread over time, so that applicants do not all write at once.
+		const waitMs = isVacant ? random.readFraction() * vacancySpreadMs : this.#termMs * (1 + (random.readFraction() / 2));
+		this.#observation = {leaseVersion, heartbeatVersion, takeAt: clock.readMonotonic() + waitMs};
+		return this.#observation;
+	}
+
+	async #take(lease: Row<DutyRow> | undefined, heartbeat: Row | undefined): Promise<boolean> {
+		const {tables, clock, random, holder} = this.#options;
+		const epoch = (lease?.value.epoch ?? 0) + 1;
+		this.#takeToken = random.createToken();
+		this.#takeStartedAt = clock.readMonotonic();
+		this.#observation = undefined;
+		const outcome = await tables.commit({
+			checks: [{...this.#leaseKey, version: lease?.version ?? absentVersion}, {...this.#heartbeatKey, version: heartbeat?.version ?? absentVersion}],
+			writes: [{...this.#leaseKey, value: {holder, epoch, token: this.#takeToken} satisfies DutyRow}],
+		});
+		if (outcome.status === 'conflict') {
+			this.#takeToken = undefined;
+			return false;
+		}
+
+		this.#recordHolding(outcome.version, epoch, this.#takeStartedAt);
+		return this.isHeld;
+	}
+
+	#recordHolding(version: number, epoch: number, renewedAt: number): void {
+		this.#takeToken = undefined;
+		this.#takeovers++;
+		this.#holding = {check: {...this.#leaseKey, version}, epoch, renewedAt};
+	}
+
+	async #renewIfDue(): Promise<boolean> {
+		const holding = this.#holding!;
+		const startedAt = this.#options.clock.readMonotonic();
+		if (startedAt - holding.renewedAt < this.#termMs / renewalsPerTerm) {
+			return true;
+		}
+
+		const outcome = await this.#options.tables.commit({checks: [holding.check], writes: [{...this.#heartbeatKey, value: {epoch: holding.epoch}}]});
+		this.#holding = outcome.status === 'committed' ? {...holding, renewedAt: startedAt} : undefined;
+		return this.isHeld;
+	}
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,6 @@
 export * from './clients.js';
 export * from './connections.js';
+export * from './duties.js';
 export * from './faults.js';
 export * from './memories.js';
 export * from './objects.js';
--- /dev/null
+++ b/packages/platform/tests/duties.test.ts
@@ -0,0 +1,104 @@
+import {ManualClock, SeededRandom} from '@tamarackwind/core';
+import test from 'ava';
+import fc from 'fast-check';
+import {DutyLease, MemoryTableService} from '../src/index.js';
+
+const termMs = 1000;
+
+function createLeases(count: number, seed = 1): {clock: ManualClock; tables: MemoryTableService; leases: DutyLease[]} {
+	const clock = ManualClock.create();
+	const tables = MemoryTableService.create();
+	const leases = Array.from({length: count}, (_, index) => DutyLease.create({
+		tables, clock, random: SeededRandom.create(seed + index), duty: 'fleet', holder: `entry-${index + 1}`, termMs,
+	}));
+	return {clock, tables, leases};
+}
+
+async function runTurns(clock: ManualClock, leases: readonly DutyLease[], turns: number): Promise<void> {
+	for (let turn = 0; turn < turns; turn++) {
+		await clock.advance(100);
+		for (const lease of leases) {
+			await lease.refresh();
+		}
+	}
+}
+
+test('one of nine takes the duty, and another after it goes silent', async t => {
+	const {clock, leases} = createLeases(9);
+	await runTurns(clock, leases, 10);
+	const holders = leases.filter(lease => lease.isHeld);
+	t.is(holders.length, 1);
+
+	const rest = leases.filter(lease => lease !== holders[0]);
+	await runTurns(clock, rest, 30);
+	t.is(leases.filter(lease => lease.isHeld).length, 1);
+	t.false(holders[0]!.isHeld);
+});
+
+test('a released duty is taken before the term', async t => {
+	const {clock, leases} = createLeases(2);
+	await runTurns(clock, leases.slice(0, 1), 10);
+	await runTurns(clock, leases.slice(1), 1);
+	await leases[0]!.release();
+	await runTurns(clock, leases.slice(1), 7);
+	t.true(leases[1]!.isHeld);
+});
+
+test('a write of a holder that was paused past its term conflicts', async t => {
+	const {clock, tables, leases} = createLeases(2);
+	await runTurns(clock, leases.slice(0, 1), 10);
+	const {check} = leases[0]!;
+	await runTurns(clock, leases.slice(1), 30);
+	const outcome = await tables.commit({checks: [check!], writes: [{table: 'x', key: 'x', value: 1}]});
+	t.is(outcome.status, 'conflict');
+	t.true(leases[1]!.isHeld);
+});
+
+test('a takeover that raced a renewal conflicts', async t => {
+	const {clock, tables, leases} = createLeases(2);
+	await runTurns(clock, leases.slice(0, 1), 10);
+	await leases[1]!.refresh();
+	await clock.advance(2 * termMs);
+	const commit = tables.commit.bind(tables);
+	tables.commit = async transaction => {
+		tables.commit = commit;
+		await leases[0]!.refresh();
+		return commit(transaction);
+	};
+
+	t.false(await leases[1]!.refresh());
+	t.true(leases[0]!.isHeld);
+});
+
+test('a takeover whose answer was lost is recognised', async t => {
+	const {clock, tables, leases} = createLeases(1);
+	await leases[0]!.refresh();
+	await clock.advance(600);
+	tables.faults.setFaults({lostAnswers: 1});
+	await t.throwsAsync(leases[0]!.refresh());
+	await clock.advance(100);
+	t.true(await leases[0]!.refresh());
+	t.is(leases[0]!.epoch, 1);
+});
+
+test('no two leases are held at once, whatever is paused and lost', async t => {
+	const turn = fc.record({advanceMs: fc.integer({min: 1, max: 700}), awake: fc.array(fc.boolean(), {minLength: 3, maxLength: 3}), lostAnswers: fc.integer({min: 0, max: 1})});
+	await t.notThrowsAsync(async () => fc.assert(fc.asyncProperty(fc.array(turn, {maxLength: 60}), async turns => {
+		const {clock, tables, leases} = createLeases(3, 7);
+		for (const {advanceMs, awake, lostAnswers} of turns) {
+			await clock.advance(advanceMs);
+			tables.faults.setFaults({lostAnswers});
+			for (const [index, lease] of leases.entries()) {
+				if (awake[index]) {
+					await lease.refresh().catch(() => false);
+				}
+			}
+
+			if (leases.filter(lease => lease.isHeld).length > 1) {
+				return false;
+			}
+		}
+
+		return true;
+	}), {seed: 5, numRuns: 200}));
+});
