Keep the fleet in rows, and carry out waves and moves under a lease

Cause: pools came from the platform's list, and nothing took VMs out or moved them. Change: VM rows name the one pool; every change checks and raises one fleet version and is logged, so that entries read one small row and then deltas. Draining ends at the version barrier plus the entries' reports, or when no request can run any longer. Operator routes and pool, vm, wave and move commands; the stand-in reboots VMs.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,13 +6,21 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {entryCommand} from './entries.js';
+import {moveCommand} from './moves.js';
+import {poolCommand} from './pools.js';
 import {statusCommand} from './statuses.js';
+import {vmCommand} from './vms.js';
+import {waveCommand} from './waves.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('tamarackwind')
 	.env('TAMARACKWIND')
 	.command(entryCommand)
 	.command(statusCommand)
+	.command(poolCommand)
+	.command(vmCommand)
+	.command(waveCommand)
+	.command(moveCommand)
 	.demandCommand(1, 'a command is missing; see --help')
 	.strict()
 	.parseAsync();
--- /dev/null
+++ b/packages/cli/src/waves.ts
@@ -0,0 +1,124 @@
+/**
+ * `tamarackwind wave`: maintenance waves.
+ */
+import {randomUUID} from 'node:crypto';
+import {createIssuesError} from '@tamarackwind/core';
+import {type Argv, type CommandModule} from 'yargs';
+import {
+	callOperatorPort, printRows, runCommand, withOperatorOptions, type OperatorOptions,
+} from './clients.js';
+
+type Wave = Record<string, unknown>;
+type NamedOptions = OperatorOptions & {readonly id: string};
+type StartOptions = OperatorOptions & {
+	readonly pool?: string[];
+	readonly zone?: string[];
+	readonly rack?: string[];
+	readonly vm?: string[];
+	readonly all?: boolean;
+	readonly action: string;
+	readonly maxNotBack: number;
+	readonly returnTimeout: number;
+	readonly deadline?: string;
+	readonly includeHeld: boolean;
+	readonly id?: string;
+};
+
+const secondMs = 1000;
+
+function withSelection<T>(yargs: Argv<T>): Argv<T> {
+	return yargs
+		.option('pool', {type: 'string', array: true, describe: 'VMs of these pools'})
+		.option('zone', {type: 'string', array: true, describe: 'VMs in these availability zones'})
+		.option('rack', {type: 'string', array: true, describe: 'VMs in these racks'})
+		.option('vm', {type: 'string', array: true, describe: 'These VMs'})
+		.option('all', {type: 'boolean', describe: 'Every VM of the fleet'});
+}
+
+function buildSelector({pool, zone, rack, vm, all}: StartOptions): Record<string, string[] | undefined> {
+	const hasChoice = [pool, zone, rack, vm].some(names => names !== undefined);
+	if (hasChoice === Boolean(all)) {
+		throw createIssuesError([{code: 'bad_selection', path: [], message: 'name the VMs by --pool, --zone, --rack or --vm, or take --all'}]);
+	}
+
+	return {
+		pools: pool, zones: zone, racks: rack, vms: vm,
+	};
+}
+
+function parseDeadline(text: string | undefined): number | undefined {
+	const deadline = text === undefined ? undefined : Date.parse(text);
+	if (Number.isNaN(deadline)) {
+		throw createIssuesError([{code: 'bad_time', path: ['deadline'], message: `"${text}" is not a time such as 2030-05-01T06:00Z`}]);
+	}
+
+	return deadline;
+}
+
+const startCommand: CommandModule<Record<string, unknown>, StartOptions> = {
+	command: 'start',
+	describe: 'Declare a wave; the entries carry it out within the budgets',
+	builder: yargs => withSelection(withOperatorOptions(yargs))
+		.option('action', {choices: ['reboot', 'drain'], default: 'reboot', describe: 'What to do with each VM; drain keeps it out until "vm release"'})
+		.option('max-not-back', {type: 'number', default: 1, describe: 'VMs that fail to come back before the wave stops'})
+		.option('return-timeout', {type: 'number', default: 600, describe: 'Seconds in which a VM must come back'})
+		.option('deadline', {type: 'string', describe: 'Time after which no further VM is taken out, such as 2030-05-01T06:00Z'})
+		.option('include-held', {type: 'boolean', default: false, describe: 'Take VMs that hold long-lived kernels too, which ends the kernels'})
+		.option('id', {type: 'string', describe: 'Id of the wave; with the same id a repeated call starts no second wave'})
+		.example('$0 wave start --pool north --max-not-back 2', 'Reboot every VM of a pool')
+		.example('$0 wave start --zone zone-1 --action drain', 'Empty an availability zone, as far as the budgets allow') as unknown as Argv<StartOptions>,
+	async handler(options) {
+		await runCommand(async () => {
+			const wave = await callOperatorPort<Wave>(options, 'POST', '/v1/waves', {
+				waveId: options.id ?? `wave-${randomUUID()}`,
+				selector: buildSelector(options),
+				action: options.action,
+				maxNotBack: options.maxNotBack,
+				returnTimeoutMs: options.returnTimeout * secondMs,
+				deadline: parseDeadline(options.deadline),
+				includesHeld: options.includeHeld,
+			});
+			printRows([wave], options);
+		});
+	},
+};
+
+const listCommand: CommandModule<Record<string, unknown>, OperatorOptions> = {
+	command: 'list',
+	describe: 'List waves with their progress and expected end',
+	builder: yargs => withOperatorOptions(yargs).example('$0 wave list', 'List the waves'),
+	async handler(options) {
+		await runCommand(async () => {
+			printRows(await callOperatorPort<Wave[]>(options, 'GET', '/v1/waves'), options);
+		});
+	},
+};
+
+function createIdCommand(verb: string, describe: string, method: 'GET' | 'POST', suffix: string): CommandModule<Record<string, unknown>, NamedOptions> {
+	return {
+		command: `${verb} <id>`,
+		describe,
+		builder: yargs => withOperatorOptions(yargs.positional('id', {type: 'string', demandOption: true, describe: 'Id of the wave'}))
+			.example(`$0 wave ${verb} wave-7`, describe),
+		async handler(options) {
+			await runCommand(async () => {
+				const {vms, ...wave} = await callOperatorPort<Wave>(options, method, `/v1/waves/${encodeURIComponent(options.id)}${suffix}`);
+				printRows([options.json && vms !== undefined ? {...wave, vms} : wave], options);
+			});
+		},
+	};
+}
+
+export const waveCommand: CommandModule = {
+	command: 'wave <command>',
+	describe: 'Declare and steer maintenance waves',
+	builder: yargs => yargs
+		.command(startCommand)
+		.command(listCommand)
+		.command(createIdCommand('show', 'Show a wave and the VMs that it has taken out', 'GET', ''))
+		.command(createIdCommand('pause', 'Take out no further VM until resumed', 'POST', '/pause'))
+		.command(createIdCommand('resume', 'Go on with a paused wave', 'POST', '/resume'))
+		.command(createIdCommand('cancel', 'End a wave; VMs that reboot come back first', 'POST', '/cancel'))
+		.demandCommand(1, 'a command is missing; see wave --help'),
+	handler() {},
+};
--- /dev/null
+++ b/packages/entry/src/fleets.ts
@@ -0,0 +1,147 @@
+/**
+ * The fleet's part of an entry: its planner, its reports, and the operator routes of pools, VMs, waves and moves.
+ */
+import {createHash} from 'node:crypto';
+import {type Scheduler} from '@tamarackwind/admission';
+import {
+	VerdictError, type EntryId, type OperatorId, type PoolName,
+} from '@tamarackwind/core';
+import {
+	Declarations, DemandReporter, DrainReporter, FleetPlanner, NeedPlanner, ReportedDemand, ReportedDrains, TcpProbe, type AuditRows, type FleetAction, type PlannerSettings,
+} from '@tamarackwind/fleet';
+import {type VersionBarrier} from '@tamarackwind/peer';
+import {DutyLease} from '@tamarackwind/platform';
+import {Counter, Gauge} from 'prom-client';
+import {type EntryContext} from './contexts.js';
+import {TrackingScheduler} from './trackers.js';
+
+export type FleetPartOptions = {
+	readonly ctx: EntryContext;
+	readonly scheduler: Scheduler;
+	readonly barrier: VersionBarrier;
+	/** Lists the entries known to be live, this one included. */
+	readonly listEntries: () => readonly EntryId[];
+	readonly auditAction: (action: FleetAction) => Promise<AuditRows>;
+};
+
+/** Name of the duty that carries out waves and moves. */
+export const fleetDuty = 'fleet';
+
+const anonymousOperator = 'anonymous' as OperatorId;
+
+/** What an entry runs for the fleet. */
+export class FleetPart {
+	static create(options: FleetPartOptions): FleetPart {
+		return new FleetPart(options);
+	}
+
+	/** Hands out slots and counts the work in flight on each VM. */
+	readonly scheduler: TrackingScheduler;
+	readonly declarations: Declarations;
+	readonly #planner: FleetPlanner;
+	readonly #drains: DrainReporter;
+	readonly #demand: DemandReporter;
+
+	private constructor({ctx, scheduler, barrier, listEntries, auditAction}: FleetPartOptions) {
+		const {clock, random, log, fleet, platform: {tables, vmControl}} = ctx;
+		const entryId = ctx.config.entryId as EntryId;
+		const duty = DutyLease.create({
+			tables, clock, random, duty: fleetDuty, holder: entryId,
+		});
+		const onError = registerMetrics(ctx, duty);
+		this.scheduler = TrackingScheduler.create(scheduler);
+		this.declarations = Declarations.create({
+			clock, tables, store: fleet.store, readPools: () => ctx.settings.current?.pools ?? new Map(), auditAction,
+		});
+		this.#drains = DrainReporter.create({
+			clock, tables, entryId, readState: () => fleet.state, countInFlight: vmId => this.scheduler.countInFlight(vmId), onError,
+		});
+		this.#demand = DemandReporter.create({
+			clock, tables, entryId, countSlots: () => this.scheduler.countSlots(), onError,
+		});
+		this.#planner = FleetPlanner.create({
+			clock, log, tables, store: fleet.store, duty, barrier, vmControl, onError,
+			drains: ReportedDrains.create(tables, listEntries),
+			demand: ReportedDemand.create(clock, tables),
+			needs: NeedPlanner.create({random}),
+			probe: TcpProbe.create(),
+			readListing: () => fleet.listing,
+			readSettings: () => readPlannerSettings(ctx),
+		});
+	}
+
+	/** Gives the planner's duty up, so that another entry goes on while this one stops. */
+	async closePlanner(): Promise<void> {
+		await this.#planner.close();
+	}
+
+	/** Ends the reports; call it once no request is in flight. */
+	async close(): Promise<void> {
+		await this.#demand.close();
+		await this.#drains.close();
+	}
+}
+
+/**
+ * Names the operator behind an `Authorization` field who may change the fleet of the deployment. A tree without
+ * operators lets everyone who reaches the port do so.
+ *
+ * @throws {VerdictError} with code `forbidden`.
+ */
+export function requireFleetRight({settings, config}: EntryContext, authorization: string | undefined): OperatorId {
+	const operators = [...settings.current?.operators.values() ?? []];
+	if (operators.length === 0) {
+		return anonymousOperator;
+	}
+
+	const token = /^Bearer (?<token>.+)$/v.exec(authorization ?? '')?.groups!.token ?? '';
+	const hash = `sha256:${createHash('sha256').update(token).digest('hex')}`;
+	const operator = operators.find(({tokenHashes}) => tokenHashes.includes(hash));
+	const path = `deployments.${config.deployment}`;
+	if (!operator?.rights.some(right => right === '' || path === right || path.startsWith(`${right}.`))) {
+		throw new VerdictError(`no right to change the fleet of deployment "${config.deployment}"`, {verdict: 'not-run', code: 'forbidden'});
+	}
+
+	return operator.id;
+}
+
+function readPlannerSettings({settings}: EntryContext): PlannerSettings | undefined {
+	const {current} = settings;
+	return current && {
+		pools: current.pools,
+		readMaxRunMs(pool: PoolName) {
+			const services = current.pools.get(pool)?.services ?? [];
+			return Math.max(0, ...services.map(name => current.services.get(name)!.maxDeadlineMs));
+		},
+	};
+}
+
+/** Registers the fleet's metrics and returns the counter of failed turns. */
+function registerMetrics({registry, fleet, settings}: EntryContext, duty: DutyLease): (error: unknown) => void {
+	const failures = new Counter({name: 'tamarackwind_fleet_failed_turns_total', help: 'Turns of the fleet\'s planner and reports that failed', registers: []});
+	registry.registerMetric(failures);
+	registry.registerMetric(new Gauge({
+		name: 'tamarackwind_fleet_duty_held', help: 'Whether this entry carries out waves and moves', registers: [],
+		collect() {
+			this.set(duty.isHeld ? 1 : 0);
+		},
+	}));
+	registry.registerMetric(new Gauge({
+		name: 'tamarackwind_fleet_vms', help: 'VMs by pool and state', labelNames: ['pool', 'state'], registers: [],
+		collect() {
+			this.reset();
+			for (const pool of settings.current?.pools.keys() ?? []) {
+				for (const state of ['serving', 'draining', 'out']) {
+					this.set({pool, state}, 0);
+				}
+			}
+
+			for (const row of fleet.state?.vms.values() ?? []) {
+				this.inc({pool: row.pool, state: row.state});
+			}
+		},
+	}));
+	return () => {
+		failures.inc();
+	};
+}
--- /dev/null
+++ b/packages/entry/src/trackers.ts
@@ -0,0 +1,95 @@
+/**
+ * Counts the work that this entry has in flight and waiting.
+ */
+import {
+	Scheduler, SlotGrant, type DispatchOutcome, type SlotRequest,
+} from '@tamarackwind/admission';
+import {type CallerId, type PoolName, type VmId} from '@tamarackwind/core';
+import {type ResolvedPool} from '@tamarackwind/settings';
+
+/** A scheduler that counts the slots of the one behind it. */
+export class TrackingScheduler extends Scheduler {
+	static create(inner: Scheduler): TrackingScheduler {
+		return new TrackingScheduler(inner);
+	}
+
+	readonly #inner: Scheduler;
+	readonly #inFlight = new Map<string, number>();
+	readonly #slots = new Map<PoolName, number>();
+
+	private constructor(inner: Scheduler) {
+		super();
+		this.#inner = inner;
+	}
+
+	/** Counts the requests that run on a VM. */
+	countInFlight(vmId: VmId): number {
+		return this.#inFlight.get(vmId) ?? 0;
+	}
+
+	/** Counts the slots that are used or waited for, by pool. */
+	countSlots(): ReadonlyMap<PoolName, number> {
+		return this.#slots;
+	}
+
+	override async acquireSlot(request: SlotRequest): Promise<SlotGrant> {
+		const pool = request.pool.name;
+		addCount(this.#slots, pool, 1);
+		try {
+			const grant = await this.#inner.acquireSlot(request);
+			addCount(this.#inFlight, grant.vm.vmId, 1);
+			return new TrackedGrant(grant, () => {
+				addCount(this.#slots, pool, -1);
+				addCount(this.#inFlight, grant.vm.vmId, -1);
+			});
+		} catch (error) {
+			addCount(this.#slots, pool, -1);
+			throw error;
+		}
+	}
+
+	override suggestRetryAfter(pool: ResolvedPool, caller: CallerId): number {
+		return this.#inner.suggestRetryAfter(pool, caller);
+	}
+
+	override noteLeaving(vmId: VmId): void {
+		this.#inner.noteLeaving(vmId);
+	}
+
+	override async close(): Promise<void> {
+		await this.#inner.close();
+	}
+}
+
+class TrackedGrant extends SlotGrant {
+	readonly #inner: SlotGrant;
+	readonly #onRelease: () => void;
+	#isReleased = false;
+
+	constructor(inner: SlotGrant, onRelease: () => void) {
+		super();
+		this.#inner = inner;
+		this.#onRelease = onRelease;
+	}
+
+	override get vm(): SlotGrant['vm'] {
+		return this.#inner.vm;
+	}
+
+	override release(outcome: DispatchOutcome): void {
+		if (!this.#isReleased) {
+			this.#isReleased = true;
+			this.#onRelease();
+			this.#inner.release(outcome);
+		}
+	}
+}
+
+function addCount<Key extends string>(counts: Map<Key, number>, key: Key, change: number): void {
+	const count = (counts.get(key) ?? 0) + change;
+	if (count === 0) {
+		counts.delete(key);
+	} else {
+		counts.set(key, count);
+	}
+}
--- /dev/null
+++ b/packages/fleet/src/budgets.ts
@@ -0,0 +1,34 @@
+/**
+ * Availability budgets: how many VMs of a pool may be out at once, and where.
+ */
+import {type Budget} from '@tamarackwind/settings';
+
+/** Where a VM stands. */
+export type FailureDomain = {readonly zone: string; readonly rack: string};
+
+/** Computes how many VMs of a pool of `size` may be out at once; percentages round down. */
+export function computeMaxUnavailable({maxUnavailable}: Pick<Budget, 'maxUnavailable'>, size: number): number {
+	return typeof maxUnavailable === 'number' ? maxUnavailable : Math.floor(Number.parseInt(maxUnavailable, 10) * size / 100);
+}
+
+/** Counts values by key. */
+export function countBy<T>(items: Iterable<T>, readKey: (item: T) => string): Map<string, number> {
+	const counts = new Map<string, number>();
+	for (const item of items) {
+		const key = readKey(item);
+		counts.set(key, (counts.get(key) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
+/** Tells whether a pool of `size` VMs keeps its budget with the VMs `out`. */
+export function isWithinBudget(budget: Budget, size: number, out: readonly FailureDomain[]): boolean {
+	if (out.length > computeMaxUnavailable(budget, size)) {
+		return false;
+	}
+
+	const zones = new Set(out.map(vm => vm.zone));
+	const racks = countBy(out, vm => vm.rack);
+	return zones.size <= budget.maxZones && [...racks.values()].every(count => count <= budget.maxPerRack);
+}
--- /dev/null
+++ b/packages/fleet/src/drains.ts
@@ -0,0 +1,119 @@
+/**
+ * Draining: each entry reports which of the draining VMs still run work of its own.
+ */
+import {
+	Loop, type Clock, type EntryId, type VmId,
+} from '@tamarackwind/core';
+import {type Row, type TableService} from '@tamarackwind/platform';
+import {type FleetState} from './mirrors.js';
+import {fleetTables, type VmRow} from './rows.js';
+
+/** Value of an entry's row. */
+export type DrainRow = {
+	/** Fleet version by which the entry works. */
+	readonly version: number;
+	/** VMs draining by that version on which the entry has work in flight. */
+	readonly busyVms: readonly VmId[];
+};
+
+export type DrainReporterOptions = {
+	readonly clock: Clock;
+	readonly tables: TableService;
+	readonly entryId: EntryId;
+	/** State that the entry dispatches by. */
+	readonly readState: () => FleetState | undefined;
+	readonly countInFlight: (vmId: VmId) => number;
+	readonly onError: (error: unknown) => void;
+};
+
+const reportIntervalMs = 250;
+
+/** Writes this entry's row, as often as it changes and only while VMs drain. */
+export class DrainReporter {
+	static create(options: DrainReporterOptions): DrainReporter {
+		return new DrainReporter(options);
+	}
+
+	readonly #options: DrainReporterOptions;
+	readonly #loop: Loop;
+	#reported: DrainRow | undefined;
+
+	private constructor(options: DrainReporterOptions) {
+		this.#options = options;
+		this.#loop = Loop.create({
+			clock: options.clock, intervalMs: reportIntervalMs, run: async () => this.#runTurn(), onError: options.onError,
+		});
+	}
+
+	/** Stops reporting and removes the row; call it once no work is in flight. */
+	async close(): Promise<void> {
+		await this.#loop.close();
+		try {
+			await this.#options.tables.commit({checks: [], writes: [this.#key]});
+		} catch (error) {
+			this.#options.onError(error);
+		}
+	}
+
+	get #key(): {table: string; key: string} {
+		return {table: fleetTables.drains, key: this.#options.entryId};
+	}
+
+	async #runTurn(): Promise<void> {
+		const state = this.#options.readState();
+		if (state === undefined) {
+			return;
+		}
+
+		const draining = [...state.vms.values()].filter(row => row.state === 'draining');
+		const row: DrainRow = {
+			version: Math.max(0, ...draining.map(vm => vm.drainVersion ?? 0)),
+			busyVms: draining.filter(vm => this.#options.countInFlight(vm.vmId) > 0).map(vm => vm.vmId).toSorted(),
+		};
+		if (draining.length === 0 && this.#reported !== undefined) {
+			return;
+		}
+
+		if (JSON.stringify(row) !== JSON.stringify(this.#reported)) {
+			await this.#options.tables.commit({checks: [], writes: [{...this.#key, value: row}]});
+			this.#reported = row;
+		}
+	}
+}
+
+/** Tells which draining VMs surely run no work of any entry. */
+export abstract class DrainSource {
+	/** Reads the reports of the entries. */
+	abstract refresh(): Promise<void>;
+
+	/** Tells whether every entry reported that a VM runs none of its work. */
+	abstract isReported(row: VmRow): boolean;
+}
+
+/** Reads the rows of the entries. A live entry without a row counts as busy. */
+export class ReportedDrains extends DrainSource {
+	/** `listEntries` lists the entries that are known to be live. */
+	static create(tables: TableService, listEntries: () => readonly EntryId[]): ReportedDrains {
+		return new ReportedDrains(tables, listEntries);
+	}
+
+	readonly #tables: TableService;
+	readonly #listEntries: () => readonly EntryId[];
+	#rows = new Map<string, DrainRow>();
+
+	private constructor(tables: TableService, listEntries: () => readonly EntryId[]) {
+		super();
+		this.#tables = tables;
+		this.#listEntries = listEntries;
+	}
+
+	override async refresh(): Promise<void> {
+		const rows = await this.#tables.listRows(fleetTables.drains) as Array<Row<DrainRow>>;
+		this.#rows = new Map(rows.map(row => [row.key, row.value]));
+	}
+
+	override isReported({vmId, drainVersion = 0}: VmRow): boolean {
+		const isComplete = this.#listEntries().every(entryId => this.#rows.has(entryId));
+		return isComplete && [...this.#rows.values()].every(row => row.version >= drainVersion && !row.busyVms.includes(vmId));
+	}
+}
--- a/packages/peer/src/leases.ts
+++ b/packages/peer/src/leases.ts
@@ -56,3 +56,21 @@
 		return true;
 	}
 }
+
+/** Stands for a deployment of one entry, which serves by its own view. */
+export class SoleEntryBarrier extends VersionBarrier {
+	static create(versions: ViewVersions): SoleEntryBarrier {
+		return new SoleEntryBarrier(versions);
+	}
+
+	readonly #versions: ViewVersions;
+
+	private constructor(versions: ViewVersions) {
+		super();
+		this.#versions = versions;
+	}
+
+	override async waitForVersion(part: ViewPart, version: number): Promise<boolean> {
+		return this.#versions.getVersion(part) >= version;
+	}
+}
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -13,11 +13,22 @@
 	readonly port?: number;
 	/** Time by which the list of VMs lags behind. */
 	readonly listLagMs?: number;
+	/** Time that a reboot takes. */
+	readonly rebootMs?: number;
+};
+
+/** How a VM comes back from its next reboots. */
+export type RebootBehavior = {
+	readonly afterMs?: number;
+	/** The VM never comes back. */
+	readonly isLost?: boolean;
 };
 
 /** Switches of the stand-in's parts. */
 export type PlatformFaults = {readonly tables?: Faults; readonly objects?: Faults; readonly vms?: Faults};
 
+const defaultRebootMs = 500;
+
 type Listing = {readonly since: number; readonly generation: number; readonly vms: readonly VmRecord[]};
 
 /** The platform on one loopback port. */
@@ -32,13 +43,22 @@
 	readonly objects = MemoryObjectStore.create();
 	readonly vmFaults = FaultSwitch.create();
 	readonly #vms = new Map<string, VmRecord>();
+	/** Reboots so far, in order. */
+	readonly reboots: Array<{readonly vmId: string; readonly token: string}> = [];
+	/** Called when a VM stops for a reboot and when it runs again. */
+	onReboot: (vmId: string, isRunning: boolean) => void = () => {};
+	readonly #rebootMs: number;
+	readonly #rebootBehaviors = new Map<string, RebootBehavior>();
+	readonly #rebootTokens = new Set<string>();
+	readonly #rebootTimers = new Set<NodeJS.Timeout>();
 	readonly #listLagMs: number;
 	#listings: Listing[] = [{since: 0, generation: 0, vms: []}];
 	#server: Server | undefined;
 	#port = 0;
 
-	private constructor({listLagMs}: PlatformStandInOptions) {
+	private constructor({listLagMs, rebootMs}: PlatformStandInOptions) {
 		this.#listLagMs = listLagMs ?? 0;
+		this.#rebootMs = rebootMs ?? defaultRebootMs;
 	}
 
 	get url(): string {
@@ -59,6 +79,33 @@
 		this.#recordListing();
 	}
 
+	/** Sets how a VM comes back from its next reboots. */
+	setRebootBehavior(vmId: string, behavior: RebootBehavior): void {
+		this.#rebootBehaviors.set(vmId, behavior);
+	}
+
+	/** Starts a reboot; a token that was seen before starts none. */
+	rebootVm(vmId: string, token: string): void {
+		const vm = this.#vms.get(vmId);
+		if (vm === undefined || this.#rebootTokens.has(token)) {
+			return;
+		}
+
+		this.#rebootTokens.add(token);
+		this.reboots.push({vmId, token});
+		this.onReboot(vmId, false);
+		this.putVms([{...vm, state: 'rebooting'}]);
+		const {afterMs = this.#rebootMs, isLost = false} = this.#rebootBehaviors.get(vmId) ?? {};
+		if (!isLost) {
+			const timer = setTimeout(() => {
+				this.#rebootTimers.delete(timer);
+				this.onReboot(vmId, true);
+				this.putVms([{...vm, incarnation: `${Number(vm.incarnation) + 1}`, state: 'live'}]);
+			}, afterMs);
+			this.#rebootTimers.add(timer);
+		}
+	}
+
 	setFaults({tables, objects, vms}: PlatformFaults): void {
 		this.tables.faults.setFaults(tables ?? {});
 		this.objects.faults.setFaults(objects ?? {});
@@ -66,6 +113,10 @@
 	}
 
 	async close(): Promise<void> {
+		for (const timer of this.#rebootTimers) {
+			clearTimeout(timer);
+		}
+
 		await new Promise(resolve => {
 			this.#server?.close(resolve);
 			this.#server?.closeAllConnections();
@@ -124,6 +175,13 @@
 			const listing = this.#readListing();
 			return ctx.json({generation: listing?.generation ?? 0, vms: listing?.vms ?? []});
 		});
+		app.post('/vms/:vm/reboot', async ctx => {
+			await this.vmFaults.applyBefore();
+			const {token} = await ctx.req.json<{token: string}>();
+			this.rebootVm(ctx.req.param('vm'), token);
+			this.vmFaults.applyAfterWrite();
+			return ctx.body(null, 202);
+		});
 		app.post('/stand-in/vms', async ctx => {
 			this.putVms(await ctx.req.json<VmRecord[]>());
 			return ctx.body(null, 204);
