Schedule jobs under a duty lease: rows, placement, quotas, runs, settlements

Starts and renewals carry a wall-clock time after which the worker refuses them, for a holder that wakes late.

--- /dev/null
+++ b/packages/jobs/src/nodes.ts
@@ -0,0 +1,83 @@
+/**
+ * Workers as placement sees them: whole and free capacity, and where they stand.
+ */
+import {type TaskResources, type VmRecord} from '@tamarackwind/platform';
+import {type JobSpec} from './schemas.js';
+
+/** A worker with what its jobs have taken. */
+export type PlacementNode = {
+	readonly vmId: string;
+	readonly pool: string | undefined;
+	readonly zone: string;
+	readonly rack: string;
+	readonly capacity: TaskResources;
+	free: TaskResources;
+};
+
+/** What a job needs of a node. */
+export type NodeRequest = {
+	readonly size: TaskResources;
+	readonly spec: Pick<JobSpec, 'pool' | 'zones' | 'racks'>;
+	/** Workers that the job must not run on. */
+	readonly excludedVms: ReadonlySet<string>;
+};
+
+/** Creates the node of an empty worker. */
+export function createNode(vm: VmRecord): PlacementNode {
+	const capacity = {cores: vm.cores, memoryMb: vm.memoryMb, accelerators: vm.accelerators};
+	return {
+		vmId: vm.vmId, pool: vm.pool, zone: vm.zone, rack: vm.rack, capacity, free: capacity,
+	};
+}
+
+/** Tells whether `size` lies within `room` in every resource. */
+export function isWithin(size: TaskResources, room: TaskResources): boolean {
+	return size.cores <= room.cores && size.memoryMb <= room.memoryMb && size.accelerators <= room.accelerators;
+}
+
+export function addResources(a: TaskResources, b: TaskResources): TaskResources {
+	return {cores: a.cores + b.cores, memoryMb: a.memoryMb + b.memoryMb, accelerators: a.accelerators + b.accelerators};
+}
+
+export function diffResources(a: TaskResources, b: TaskResources): TaskResources {
+	return {cores: a.cores - b.cores, memoryMb: a.memoryMb - b.memoryMb, accelerators: a.accelerators - b.accelerators};
+}
+
+/** Sums resources. */
+export function sumResources(items: readonly TaskResources[]): TaskResources {
+	let sum: TaskResources = {cores: 0, memoryMb: 0, accelerators: 0};
+	for (const item of items) {
+		sum = addResources(sum, item);
+	}
+
+	return sum;
+}
+
+/** Largest part that `used` takes of any resource of `whole`. */
+export function computeDominantShare(used: TaskResources, whole: TaskResources): number {
+	const divide = (part: number, all: number): number => part <= 0 ? 0 : part / Math.max(all, Number.EPSILON);
+	return Math.max(divide(used.cores, whole.cores), divide(used.memoryMb, whole.memoryMb), divide(used.accelerators, whole.accelerators));
+}
+
+/** Tells whether a job may stand on a node, apart from its size. */
+export function isAllowed({spec, excludedVms}: NodeRequest, node: PlacementNode): boolean {
+	return (spec.pool === undefined || spec.pool === node.pool)
+		&& (spec.zones === undefined || spec.zones.includes(node.zone))
+		&& (spec.racks === undefined || spec.racks.includes(node.rack))
+		&& !excludedVms.has(node.vmId);
+}
+
+/** Says why no node could hold a job even if it were empty, or nothing when one could. */
+export function explainMisfit(request: NodeRequest, nodes: readonly PlacementNode[]): string | undefined {
+	const allowed = nodes.filter(node => isAllowed(request, node));
+	if (allowed.length === 0) {
+		return 'no worker lies in the pool, zones and racks that the job names';
+	}
+
+	if (allowed.some(node => isWithin(request.size, node.capacity))) {
+		return undefined;
+	}
+
+	const {cores, memoryMb, accelerators} = request.size;
+	return `no worker has ${cores} cores, ${memoryMb} MB and ${accelerators} accelerators`;
+}
--- a/packages/platform/src/clients.ts
+++ b/packages/platform/src/clients.ts
@@ -144,8 +144,8 @@
 		return (await this.#call<{started: boolean}>(start.vmId, 'start', start)).started;
 	}
 
-	override async renewTask(run: TaskRun, leaseMs: number): Promise<boolean> {
-		return (await this.#call<{renewed: boolean}>(run.vmId, 'renew', {...run, leaseMs})).renewed;
+	override async renewTask(run: TaskRun, leaseMs: number, renewBy?: number): Promise<boolean> {
+		return (await this.#call<{renewed: boolean}>(run.vmId, 'renew', {...run, leaseMs, renewBy})).renewed;
 	}
 
 	override async checkpointTask(run: TaskRun): Promise<string | undefined> {
--- a/packages/platform/src/tasks.ts
+++ b/packages/platform/src/tasks.ts
@@ -44,6 +44,8 @@
 	/** Object to go on from. */
 	readonly checkpoint?: string;
 	readonly resources: TaskResources;
+	/** Wall-clock time after which the worker refuses the start, for one that arrives late. */
+	readonly startBy?: number;
 };
 
 /** Names one run of a task. */
@@ -58,8 +60,11 @@
 	/** Starts a task under a lease; resolves to `false` when the worker refused it, `not-run`. */
 	abstract startTask(start: TaskStart): Promise<boolean>;
 
-	/** Renews the lease; resolves to `false` when the worker does not run this run of the task. */
-	abstract renewTask(run: TaskRun, leaseMs: number): Promise<boolean>;
+	/**
+	 * Renews the lease; resolves to `false` when the worker does not run this run of the task, or the renewal arrived after the wall-clock
+	 * time `renewBy`.
+	 */
+	abstract renewTask(run: TaskRun, leaseMs: number, renewBy?: number): Promise<boolean>;
 
 	/** Asks for a checkpoint; resolves to the object that holds it, if the task could make one. */
 	abstract checkpointTask(run: TaskRun): Promise<string | undefined>;
@@ -67,7 +72,7 @@
 	/** Limits the processors of a task. */
 	abstract throttleTask(run: TaskRun, cores: number): Promise<void>;
 
-	/** Stops a task; resolves once it has surely stopped. */
+	/** Stops a task; resolves once it has surely stopped, and the worker starts no run of it with this epoch or a lower one any more. */
 	abstract stopTask(run: TaskRun): Promise<void>;
 
 	/** Lists the tasks of a worker, ended ones included, with their lagging usage. */
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -5,6 +5,7 @@
 export * from './notebooks.js';
 export * from './platforms.js';
 export * from './processes.js';
+export * from './tasks.js';
 export * from './workers.js';
 export * from './balancers.js';
 export * from './demo-callers.js';
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -3,11 +3,12 @@
  */
 import {type Server} from 'node:http';
 import {serve} from '@hono/node-server';
-import {VerdictError} from '@tamarackwind/core';
+import {SystemClock, VerdictError} from '@tamarackwind/core';
 import {
 	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
 } from '@tamarackwind/platform';
 import {Hono, type Context} from 'hono';
+import {WorkerTasks, createTaskApp} from './tasks.js';
 
 export type PlatformStandInOptions = {
 	readonly port?: number;
@@ -31,6 +32,10 @@
 	readonly tables = MemoryTableService.create();
 	readonly objects = MemoryObjectStore.create();
 	readonly vmFaults = FaultSwitch.create();
+	readonly tasks = WorkerTasks.create({
+		clock: SystemClock.create(), objects: this.objects, checkpointIntervalMs: 500, usageLagMs: 500,
+	});
+
 	readonly #vms = new Map<string, VmRecord>();
 	readonly #listLagMs: number;
 	#listings: Listing[] = [{since: 0, generation: 0, vms: []}];
@@ -124,6 +129,7 @@
 			const listing = this.#readListing();
 			return ctx.json({generation: listing?.generation ?? 0, vms: listing?.vms ?? []});
 		});
+		app.route('/', createTaskApp(this.tasks));
 		app.post('/stand-in/vms', async ctx => {
 			this.putVms(await ctx.req.json<VmRecord[]>());
 			return ctx.body(null, 204);
