Test scheduling of jobs in simulated time, and mend what it showed

Cause: a renewal to a worker that never answers counted as possibly received each time, so its lease was never judged lapsed; a build was placed again on the worker that did not answer; with 10,000 queued jobs a turn took 0.5 to 1.5 s in looking for room to take back for each job anew. Change: renewals end one lease after the worker was last heard; silent workers get no starts until they answer; equal requests of one team and class are looked at once a turn.

--- a/packages/jobs/src/controllers.ts
+++ b/packages/jobs/src/controllers.ts
@@ -259,6 +259,10 @@
 			this.#evidence.noteSuccess(run.task.vmId, row.jobId);
 		}
 
+		if (run.startOutcome === 'unknown') {
+			this.#keeper.noteSilentVm(run.task.vmId);
+		}
+
 		if (fields.state === 'queued') {
 			this.#counts.restarts += run.evicted === undefined ? 1 : 0;
 			this.#pauseJob(row, run.evicted === undefined);
@@ -326,7 +330,7 @@
 	async #startJobs(): Promise<void> {
 		const {clock, listWorkers, readQuotas} = this.#options;
 		const snapshot = FleetSnapshot.create({
-			workers: listWorkers(), setAside: new Set(this.#listSetAside()), runs: this.#keeper.listRuns(), quotas: readQuotas(),
+			workers: listWorkers(), setAside: new Set([...this.#listSetAside(), ...this.#keeper.listSilentVms()]), runs: this.#keeper.listRuns(), quotas: readQuotas(),
 		});
 		if (snapshot.isEmpty) {
 			return;
--- a/packages/jobs/src/plans.ts
+++ b/packages/jobs/src/plans.ts
@@ -79,6 +79,12 @@
 	return round.plan;
 }
 
+/** Text that is the same for requests that fit the same workers. */
+export function buildRequestKey({size, spec, excludedVms}: NodeRequest): string {
+	const {cores, memoryMb, accelerators} = size;
+	return [cores, memoryMb, accelerators, spec.pool, spec.zones?.join(','), spec.racks?.join(','), [...excludedVms].join(',')].join(' ');
+}
+
 class Round {
 	readonly plan: Plan = {starts: [], evictions: [], waits: new Map()};
 	readonly #input: PlanInput;
@@ -86,7 +92,9 @@
 	readonly #runsByVm: Map<string, PlannedRun[]>;
 	readonly #reservations = new Map<string, Reservation>();
 	/** Requests that found no room; room only shrinks during a round. */
-	readonly #failedRequests = new Map<string, string>();
+	readonly #failedRequests = new Set<string>();
+	/** Why jobs of a team and class found no room to take back, by their request. */
+	readonly #failedReclaims = new Map<string, string>();
 
 	constructor(input: PlanInput) {
 		this.#input = input;
@@ -136,7 +144,7 @@
 
 	#tryStart(job: QueuedJob, right: string): boolean {
 		const {placement, nodes, quotas, now} = this.#input;
-		const key = JSON.stringify([job.request.size, job.request.spec.pool, job.request.spec.zones, job.request.spec.racks, [...job.request.excludedVms]]);
+		const key = buildRequestKey(job.request);
 		if (this.plan.starts.length >= this.#input.maxStarts || this.#failedRequests.has(key)) {
 			return false;
 		}
@@ -145,7 +153,7 @@
 		const node = placement.chooseNode(job.request, open);
 		if (node === undefined) {
 			if (open === nodes) {
-				this.#failedRequests.set(key, job.jobId);
+				this.#failedRequests.add(key);
 			}
 
 			return false;
@@ -172,6 +180,13 @@
 	/** Waits for room that is being made, takes back what was lent, or reserves a worker. */
 	#reclaimRoom(job: QueuedJob): void {
 		const {nodes, now, maxReservations} = this.#input;
+		const key = `${job.team} ${job.workClass} ${buildRequestKey(job.request)}`;
+		const failed = this.#failedReclaims.get(key);
+		if (failed !== undefined) {
+			this.plan.waits.set(job.jobId, failed);
+			return;
+		}
+
 		const pending = nodes.find(node => !this.#reservations.has(node.vmId) && this.#isRoomComing(job, node));
 		if (pending !== undefined) {
 			this.#reservations.set(pending.vmId, {jobId: job.jobId, vmId: pending.vmId, readyAt: now});
@@ -186,7 +201,9 @@
 			return;
 		}
 
-		this.plan.waits.set(job.jobId, explainMisfit(job.request, nodes) ?? this.#describeRoom(job));
+		const reason = explainMisfit(job.request, nodes) ?? this.#describeRoom(job);
+		this.#failedReclaims.set(key, reason);
+		this.plan.waits.set(job.jobId, reason);
 		if (this.#reservations.size < maxReservations) {
 			this.#reserve(job, unreserved);
 		}
--- a/packages/jobs/src/runs.ts
+++ b/packages/jobs/src/runs.ts
@@ -27,6 +27,8 @@
 	renewedAt: number;
 	/** Time of the latest renewal that the worker granted. */
 	grantedAt: number;
+	/** Time at which the worker was last asked and answered. */
+	observedAt: number;
 	/** Most that was seen in use. */
 	peak: TaskResources;
 	/** Processors that the run was limited to. */
@@ -67,6 +69,7 @@
 
 	readonly #options: RunKeeperOptions;
 	readonly #runs = new Map<string, Run>();
+	readonly #silentVms = new Set<string>();
 
 	private constructor(options: RunKeeperOptions) {
 		this.#options = options;
@@ -95,6 +98,7 @@
 			observation: undefined,
 			renewedAt: now,
 			grantedAt: now,
+			observedAt: now,
 			peak: {cores: 0, memoryMb: 0, accelerators: 0},
 		};
 		this.#runs.set(row.jobId, run);
@@ -109,6 +113,16 @@
 		this.#runs.clear();
 	}
 
+	/** Workers that did not answer when last asked; they are asked until they do, and get no new runs before. */
+	listSilentVms(): string[] {
+		return [...this.#silentVms];
+	}
+
+	/** Notes a worker that did not answer a start. */
+	noteSilentVm(vmId: string): void {
+		this.#silentVms.add(vmId);
+	}
+
 	/** Tells whether the lease of a run has surely lapsed on its worker, which may not be reachable. */
 	isSurelyLapsed(run: Run, isVmGone: boolean): boolean {
 		const {clock, leaseMs, clockBoundMs, duty} = this.#options;
@@ -118,7 +132,8 @@
 
 	/** Observes every worker that has runs, and renews the leases that are due. */
 	async renewRuns(): Promise<void> {
-		const byVm = [...groupByKey(this.#runs.values(), run => run.task.vmId)];
+		const silent = [...this.#silentVms].map(vmId => [vmId, []] as const);
+		const byVm = [...new Map<string, readonly Run[]>([...silent, ...groupByKey(this.#runs.values(), run => run.task.vmId)])];
 		const queue = byVm.values();
 		const workers = Array.from({length: Math.min(parallelCalls, byVm.length)}, async () => {
 			for (const [vmId, runs] of queue) {
@@ -132,16 +147,21 @@
 	}
 
 	async #observeVm(vmId: string, runs: readonly Run[]): Promise<void> {
+		const askedAt = this.#options.clock.readMonotonic();
 		const startingBefore = new Set(runs.filter(run => run.isStarting));
 		let statuses: TaskStatus[];
 		try {
 			statuses = await this.#options.tasks.listTasks(vmId);
 		} catch {
+			this.#silentVms.add(vmId);
 			return;
 		}
 
+		this.#silentVms.delete(vmId);
+
 		const byTask = new Map(statuses.map(status => [`${status.taskId} ${status.epoch}`, status]));
 		for (const run of runs) {
+			run.observedAt = askedAt;
 			const status = byTask.get(`${run.task.taskId} ${run.task.epoch}`);
 			if (status !== undefined) {
 				run.observation = status;
@@ -152,11 +172,18 @@
 		}
 	}
 
+	/** A worker that has not answered for a lease gets no renewals any more, so that its lease surely lapses. */
+	#isRenewalDue(run: Run): boolean {
+		const {clock, leaseMs} = this.#options;
+		const now = clock.readMonotonic();
+		const isHeard = now - Math.max(run.grantedAt, run.observedAt) < leaseMs;
+		const isDue = now - run.grantedAt >= leaseMs / renewalsPerLease;
+		return isHeard && isDue && !run.isStarting && !run.isCancelled && isPossiblyRunning(run);
+	}
+
 	async #renewRun(run: Run): Promise<void> {
 		const {clock, tasks, duty, leaseMs} = this.#options;
-		const isRunning = isPossiblyRunning(run);
-		const isDue = clock.readMonotonic() - run.grantedAt >= leaseMs / renewalsPerLease;
-		if (run.isStarting || run.isCancelled || !isRunning || !isDue || !duty.isKeeper()) {
+		if (!duty.isKeeper() || !this.#isRenewalDue(run)) {
 			return;
 		}
 
--- a/packages/jobs/src/turns.ts
+++ b/packages/jobs/src/turns.ts
@@ -7,7 +7,7 @@
 import {explainMisfit, isWithin, type NodeRequest} from './nodes.js';
 import {type Placement} from './placements.js';
 import {
-	planRound, type Plan, type PlannedRun, type QueuedJob,
+	buildRequestKey, planRound, type Plan, type PlannedRun, type QueuedJob,
 } from './plans.js';
 import {noTeam, QuotaBook} from './quotas.js';
 import {type Run} from './runs.js';
@@ -106,7 +106,7 @@
 	const known = new Map<string, string | undefined>();
 	return request => {
 		const whole = {...request, excludedVms: new Set<string>()};
-		const key = JSON.stringify([request.size, request.spec.pool, request.spec.zones, request.spec.racks]);
+		const key = buildRequestKey(whole);
 		if (!known.has(key)) {
 			known.set(key, explainMisfit(whole, allNodes));
 		}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -3,6 +3,7 @@
 export * from './leagues.js';
 export * from './notebook-checks.js';
 export * from './notebooks.js';
+export * from './job-worlds.js';
 export * from './platforms.js';
 export * from './processes.js';
 export * from './tasks.js';
--- /dev/null
+++ b/packages/testing/tests/jobs.test.ts
@@ -0,0 +1,169 @@
+import test from 'ava';
+import {VerdictError} from '@tamarackwind/core';
+import {JobWorld, checkTaskHistory} from '../src/index.js';
+
+const minuteMs = 60_000;
+
+test('a build runs once and its result is fetched whole', async t => {
+	const world = JobWorld.create({seed: 1, workers: 2, entries: 3});
+	const {jobId} = await world.submit({kind: 'build'}, {key: 'season'});
+	t.true(await world.runUntil(async () => (await world.desk.getJob(jobId)).state === 'finished', 5 * minuteMs));
+	t.is(world.listStarts(jobId).length, 1);
+	t.is(Buffer.from(await world.desk.fetchResult(jobId, 'caller-1')).toString(), `result of ${jobId}`);
+	t.deepEqual(checkTaskHistory(world.tasks), []);
+});
+
+test('a key gives the same job, and only to its caller', async t => {
+	const world = JobWorld.create({seed: 1, workers: 1});
+	const first = await world.submit({kind: 'build'}, {key: 'season'});
+	t.is((await world.submit({kind: 'build'}, {key: 'season'})).jobId, first.jobId);
+	t.not((await world.submit({kind: 'build'}, {key: 'season', caller: 'caller-2'})).jobId, first.jobId);
+	const reused = await t.throwsAsync(async () => world.submit({kind: 'refit'}, {key: 'season'}));
+	t.is((reused as VerdictError).code, 'key_reused');
+	const foreign = await t.throwsAsync(async () => world.desk.getJob(first.jobId, 'caller-2'));
+	t.is((foreign as VerdictError).code, 'unknown_job');
+});
+
+test('a submission is refused not-run while the platform is down', async t => {
+	const world = JobWorld.create({seed: 1, workers: 1});
+	for (const faults of [{tables: {isDown: true}, objects: {}}, {tables: {}, objects: {isDown: true}}]) {
+		world.tables.faults.setFaults(faults.tables);
+		world.objects.faults.setFaults(faults.objects);
+		const error = await t.throwsAsync(async () => world.submit({kind: 'build'}));
+		t.true(error instanceof VerdictError);
+		t.is((error as VerdictError).verdict, 'not-run');
+	}
+
+	world.objects.faults.setFaults({});
+	t.deepEqual(await world.readJobs(), []);
+});
+
+test('a submission whose answer was lost is read back', async t => {
+	const world = JobWorld.create({seed: 1, workers: 1});
+	world.tables.faults.setFaults({lostAnswers: 1});
+	const submitted = world.submit({kind: 'build'});
+	await world.clock.advance(1000);
+	const {jobId} = await submitted;
+	t.deepEqual((await world.readJobs()).map(row => row.jobId), [jobId]);
+});
+
+test('a build goes on from its checkpoint after its holder was killed and its worker rebooted', async t => {
+	const world = JobWorld.create({seed: 1, workers: 2, entries: 3});
+	const {jobId} = await world.submit({kind: 'build'});
+	t.true(await world.runUntil(async () => (await world.desk.getJob(jobId)).checkpoint !== undefined, minuteMs));
+	const {vmId} = await world.desk.getJob(jobId);
+	world.killEntry(world.holder!);
+	await world.rebootWorker(vmId!);
+	t.true(await world.runUntil(async () => (await world.desk.getJob(jobId)).state === 'finished', 5 * minuteMs));
+	const starts = world.tasks.history.filter(event => event.type === 'started');
+	t.is(starts.length, 2);
+	t.truthy(starts[1]!.checkpoint);
+	t.deepEqual(checkTaskHistory(world.tasks), []);
+});
+
+const lostRuns = [
+	{kind: 'build', state: 'finished', starts: 2},
+	{kind: 'refresh', state: 'may-have-run', starts: 1},
+	{kind: 'kernel', state: 'finished', starts: 2},
+] as const;
+
+for (const {kind, state, starts} of lostRuns) {
+	test(`a ${kind} whose worker can't be reached ends as ${state} after ${starts} starts`, async t => {
+		const world = JobWorld.create({seed: 1, workers: 2});
+		const {jobId} = await world.submit({kind});
+		t.true(await world.runUntil(async () => {
+			const row = await world.desk.getJob(jobId);
+			return row.state === 'running' && (kind === 'refresh' || row.checkpoint !== undefined);
+		}, minuteMs));
+		const {vmId} = await world.desk.getJob(jobId);
+		world.tasks.setFaults(vmId!, {isUnreachable: true});
+		t.true(await world.runUntil(async () => (await world.desk.getJob(jobId)).state === state, 5 * minuteMs));
+		world.tasks.setFaults(vmId!, {});
+		await world.tasks.list(vmId!);
+		t.is(world.listStarts(jobId).length, starts);
+		t.deepEqual(checkTaskHistory(world.tasks), []);
+	});
+}
+
+test('a holder that wakes late starts nothing that another holder has taken up', async t => {
+	const world = JobWorld.create({seed: 1, workers: 2, entries: 2});
+	await world.run(2000);
+	const frozen = world.holder!;
+	const {jobId} = await world.submit({kind: 'refresh'});
+	await world.clock.advance(1);
+	const turn = frozen.controller.runTurn();
+	await world.tables.getRow({table: 'jobs', key: jobId});
+	frozen.gate.freeze();
+	await world.run(30_000);
+	t.not(world.holder, frozen);
+	frozen.gate.thaw();
+	await Promise.allSettled([turn]);
+	t.true(await world.runUntil(async () => (await world.desk.getJob(jobId)).state === 'finished', 5 * minuteMs));
+	t.is(world.listStarts(jobId).length, 1);
+});
+
+test('ten thousand cancellations are answered by one marker, and no cancelled job starts afterwards', async t => {
+	const world = JobWorld.create({seed: 1, workers: 2});
+	await world.run(1000);
+	const count = 10_000;
+	for (let index = 0; index < count; index++) {
+		await world.submit({kind: 'build', cores: 32}, {key: `job-${index}`});
+	}
+
+	await world.run(minuteMs);
+	const writesBefore = world.tables.counts.writes;
+	await world.desk.cancelJobs({jobIds: (await world.readJobs()).map(row => row.jobId)}, 'caller-1');
+	t.is(world.tables.counts.writes - writesBefore, 1);
+	const cancelledAt = world.clock.readMonotonic();
+	const before = world.tables.counts;
+	t.true(await world.runUntil(async () => (await world.tables.scanRows('jobs-open', {limit: 1})).length === 0, 2 * minuteMs));
+	const seconds = (world.clock.readMonotonic() - cancelledAt) / 1000;
+	t.true((world.tables.counts.writes - before.writes) / seconds < 200, 'writes a second stay within the share of the store');
+	t.deepEqual(world.tasks.history.filter(event => event.type === 'started' && event.at > cancelledAt), []);
+});
+
+test('a job that fails everywhere ends after three workers, and sets none of them aside', async t => {
+	const world = JobWorld.create({seed: 1, workers: 8, readScript: () => ({runMs: 1000, fails: true, usage: {cores: 1, memoryMb: 1, accelerators: 0}})});
+	const rows = await Promise.all(Array.from({length: 12}, async () => world.submit({kind: 'build'})));
+	t.true(await world.runUntil(async () => (await world.readJobs()).every(row => row.state === 'failed'), 10 * minuteMs));
+	for (const {jobId} of rows) {
+		const vms = world.tasks.history.filter(event => event.type === 'started' && event.taskId === jobId).map(event => event.vmId);
+		t.is(new Set(vms).size, 3);
+		t.is(vms.length, 3);
+	}
+
+	t.is(world.holder!.controller.counts.setAside, 0);
+});
+
+test('a worker that fails everything is set aside, and every job finishes elsewhere', async t => {
+	const world = JobWorld.create({seed: 1, workers: 8, readScript: () => ({runMs: 5000, usage: {cores: 1, memoryMb: 1, accelerators: 0}})});
+	world.tasks.setFaults('north-1', {failsAll: true});
+	for (let index = 0; index < 60; index++) {
+		await world.submit({kind: 'build', cores: 32});
+	}
+
+	t.true(await world.runUntil(async () => (await world.readJobs()).every(row => row.state === 'finished'), 10 * minuteMs));
+	t.is(world.holder!.controller.counts.setAside, 1);
+	t.true(world.tasks.history.filter(event => event.type === 'started' && event.vmId === 'north-1').length <= 4);
+});
+
+test('an hour without the tables: runs go on, nothing starts twice, and it recovers', async t => {
+	const world = JobWorld.create({
+		seed: 1, workers: 4, entries: 3, offlineMs: 90 * minuteMs, readScript: () => ({runMs: 90 * minuteMs, usage: {cores: 1, memoryMb: 1, accelerators: 0}}),
+	});
+	for (const kind of ['build', 'kernel', 'refresh', 'build'] as const) {
+		await world.submit({kind, cores: 32});
+	}
+
+	await world.run(10_000);
+	world.tables.faults.setFaults({isDown: true});
+	world.objects.faults.setFaults({isDown: true});
+	await world.run(60 * minuteMs);
+	t.is(world.tasks.history.filter(event => event.type === 'started').length, 4);
+	t.is(world.tasks.history.filter(event => event.type === 'ended').length, 0);
+	world.tables.faults.setFaults({});
+	world.objects.faults.setFaults({});
+	t.true(await world.runUntil(async () => (await world.readJobs()).every(row => row.state === 'finished'), 40 * minuteMs));
+	t.is(world.tasks.history.filter(event => event.type === 'started').length, 4);
+	t.deepEqual(checkTaskHistory(world.tasks), []);
+});
