--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -17,7 +17,7 @@
 import {Upstreams} from './upstreams.js';
 
 /** Ports that an entry listens on. */
-export type EntryPorts = {readonly caller: number; readonly operator: number; readonly metrics: number};
+export type EntryPorts = {readonly caller: number; readonly operator: number; readonly peer: number; readonly metrics: number};
 
 export type CloseOptions = {
 	/** Aborts the wait for requests in flight, which are then cut. */
@@ -56,7 +56,7 @@
 export class Entry {
 	static async create(config: EntryConfig): Promise<Entry> {
 		const receiptKey = config.receiptKeyFile === undefined ? undefined : await loadReceiptKey(config.receiptKeyFile);
-		const ctx = createEntryContext(config);
+		const ctx = await createEntryContext(config);
 		const path = createDataPath(ctx, receiptKey);
 		const entry = new Entry(ctx, path, {
 			caller: await Listener.create(path.port.app, config.caller),
@@ -80,7 +80,9 @@
 
 	get ports(): EntryPorts {
 		const {caller, operator, metrics} = this.#listeners;
-		return {caller: caller.port, operator: operator.port, metrics: metrics.port};
+		return {
+			caller: caller.port, operator: operator.port, peer: this.#ctx.bus.port, metrics: metrics.port,
+		};
 	}
 
 	/**
@@ -148,8 +150,9 @@
 		clock, random, tables, objects, registry,
 	});
 	const receipts = receiptKey === undefined ? undefined : ReceiptSigner.create(receiptKey, clock);
+	const countEntries = (): number => Math.max(1, fleet.listEntries().length);
 	const port = CallerPort.create({
-		clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings,
+		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings,
 	});
 	return {
 		port, claims, metrics, scheduler, upstreams, cleaner,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -15,6 +15,7 @@
 export * from './listeners.js';
 export * from './metrics.js';
 export * from './operators.js';
+export * from './peers.js';
 export * from './problems.js';
 export * from './receipts.js';
 export * from './refusals.js';
