--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -3,9 +3,14 @@
 export * from './leagues.js';
 export * from './notebook-checks.js';
 export * from './notebooks.js';
+export * from './job-worlds.js';
 export * from './platforms.js';
 export * from './processes.js';
+<<<<<<< HEAD
+export * from './tasks.js';
+=======
 export * from './relays.js';
+>>>>>>> main
 export * from './workers.js';
 export * from './balancers.js';
 export * from './demo-callers.js';
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -4,11 +4,12 @@
 import {type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {serve, type HttpBindings} from '@hono/node-server';
-import {VerdictError} from '@tamarackwind/core';
+import {SystemClock, VerdictError} from '@tamarackwind/core';
 import {
 	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
 } from '@tamarackwind/platform';
 import {Hono, type Context} from 'hono';
+import {WorkerTasks, createTaskApp} from './tasks.js';
 
 export type PlatformStandInOptions = {
 	readonly port?: number;
@@ -46,6 +47,10 @@
 	readonly tables = MemoryTableService.create();
 	readonly objects = MemoryObjectStore.create();
 	readonly vmFaults = FaultSwitch.create();
+	readonly tasks = WorkerTasks.create({
+		clock: SystemClock.create(), objects: this.objects, checkpointIntervalMs: 500, usageLagMs: 500,
+	});
+
 	readonly #vms = new Map<string, VmRecord>();
 	/** Reboots so far, in order. */
 	readonly reboots: Array<{readonly vmId: string; readonly token: string}> = [];
@@ -195,6 +200,7 @@
 			this.vmFaults.applyAfterWrite();
 			return ctx.body(null, 202);
 		});
+		app.route('/', createTaskApp(this.tasks));
 		app.post('/stand-in/vms', async ctx => {
 			this.putVms(await ctx.req.json<VmRecord[]>());
 			return ctx.body(null, 204);
