--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -48,6 +48,7 @@
 	#isLoaded = false;
 	#state: FleetState | undefined;
 	#listing: ReadListing | undefined;
+	#appliedVms: readonly VmRecord[] | undefined;
 	#workersByPool = new Map<PoolName, Worker[]>();
 	#entries: readonly VmRecord[] = [];
 
@@ -122,13 +123,15 @@
 	/** Puts the latest rows and list into force, then tells their version. */
 	#apply(): void {
 		const {state} = this.store.mirror;
-		if (state === undefined) {
+		const vms = this.#listing?.vms ?? [];
+		if (state === undefined || (state === this.#state && vms === this.#appliedVms)) {
 			return;
 		}
 
 		this.#state = state;
+		this.#appliedVms = vms;
 		const workersByPool = new Map<PoolName, Worker[]>();
-		for (const vm of this.#listing?.vms ?? []) {
+		for (const vm of vms) {
 			const row = state.vms.get(vm.vmId as VmId);
 			if (vm.kind === 'worker' && vm.state === 'live' && row?.state === 'serving') {
 				const workers = workersByPool.get(row.pool) ?? [];
--- a/packages/platform/src/clients.ts
+++ b/packages/platform/src/clients.ts
@@ -9,7 +9,9 @@
 import {
 	TaskControl, type TaskRun, type TaskStart, type TaskStatus,
 } from './tasks.js';
-import {VmControl, VmList, type VmListing} from './vms.js';
+import {
+	VmControl, VmList, applyListingChange, type VmListing, type VmListingChange,
+} from './vms.js';
 
 /** Table service over HTTP. */
 export class HttpTableService extends TableService {
@@ -89,6 +91,7 @@
 		return new HttpVmList(connection);
 	}
 
+	#listing: VmListing | undefined;
 	readonly #connection: PlatformConnection;
 
 	private constructor(connection: PlatformConnection) {
@@ -96,13 +99,22 @@
 		this.#connection = connection;
 	}
 
+	/** Asks only for what changed since the last call; gives the same object when nothing did. */
 	override async listVms(): Promise<VmListing> {
-		return parseAnswer<VmListing>(await this.#connection.send({method: 'GET', path: '/vms'}));
+		const known = this.#listing;
+		const query = known === undefined ? '' : `?since=${known.generation}`;
+		const change = parseAnswer<VmListingChange>(await this.#connection.send({method: 'GET', path: `/vms${query}`}));
+		this.#listing = applyListingChange(known, change) ?? await this.#readWhole();
+		return this.#listing;
 	}
 
 	override async close(): Promise<void> {
 		await this.#connection.close();
 	}
+
+	async #readWhole(): Promise<VmListing> {
+		return parseAnswer<VmListing>(await this.#connection.send({method: 'GET', path: '/vms'}));
+	}
 }
 
 /** Control of VMs over HTTP. */
--- a/packages/platform/src/vms.ts
+++ b/packages/platform/src/vms.ts
@@ -35,6 +35,40 @@
 	readonly vms: readonly VmRecord[];
 };
 
+/** The list as a change of an earlier one, or whole when `since` is left out. */
+export type VmListingChange = VmListing & {
+	/** Generation that `vms` and `removed` lead on from. */
+	readonly since?: number;
+	/** Ids of the VMs that are no longer listed. */
+	readonly removed?: readonly string[];
+};
+
+/** Applies a change to the listing that it leads on from; gives `undefined` when it does not fit. */
+export function applyListingChange(listing: VmListing | undefined, change: VmListingChange): VmListing | undefined {
+	if (change.since === undefined) {
+		return {generation: change.generation, vms: change.vms};
+	}
+
+	if (listing?.generation !== change.since) {
+		return undefined;
+	}
+
+	if (change.generation === change.since) {
+		return listing;
+	}
+
+	const vms = new Map(listing.vms.map(vm => [vm.vmId, vm]));
+	for (const vmId of change.removed ?? []) {
+		vms.delete(vmId);
+	}
+
+	for (const vm of change.vms) {
+		vms.set(vm.vmId, vm);
+	}
+
+	return {generation: change.generation, vms: [...vms.values()]};
+}
+
 /** Client of the list of VMs. Methods throw a `VerdictError`. */
 export abstract class VmList {
 	abstract listVms(): Promise<VmListing>;
--- /dev/null
+++ b/packages/platform/tests/listings.test.ts
@@ -0,0 +1,38 @@
+import test from 'ava';
+import {
+	applyListingChange, type VmListing, type VmListingChange, type VmRecord,
+} from '../src/index.js';
+
+function createVm(vmId: string, incarnation = '1'): VmRecord {
+	return {
+		vmId, incarnation, kind: 'worker', address: '10.0.0.1', port: 8000, region: 'r', zone: 'z', rack: 'k', state: 'live', cores: 1, memoryMb: 1, accelerators: 0,
+	};
+}
+
+const known: VmListing = {generation: 4, vms: [createVm('vm-1'), createVm('vm-2')]};
+
+const cases: Array<{title: string; change: VmListingChange; expected: string[] | undefined}> = [
+	{title: 'a whole list replaces', change: {generation: 9, vms: [createVm('vm-3')]}, expected: ['vm-3/1']},
+	{
+		title: 'a change adds, replaces and removes', change: {
+			generation: 5, since: 4, vms: [createVm('vm-2', '2'), createVm('vm-3')], removed: ['vm-1'],
+		}, expected: ['vm-2/2', 'vm-3/1'],
+	},
+	{
+		title: 'a VM that went and came back stays', change: {
+			generation: 6, since: 4, vms: [createVm('vm-1', '2')], removed: ['vm-1'],
+		}, expected: ['vm-1/2', 'vm-2/1'],
+	},
+	{title: 'a change of another generation does not fit', change: {generation: 5, since: 3, vms: []}, expected: undefined},
+];
+
+for (const {title, change, expected} of cases) {
+	test(title, t => {
+		const listing = applyListingChange(known, change);
+		t.deepEqual(listing?.vms.map(vm => `${vm.vmId}/${vm.incarnation}`).toSorted(), expected);
+	});
+}
+
+test('a change of nothing gives the same listing', t => {
+	t.is(applyListingChange(known, {generation: 4, since: 4, vms: []}), known);
+});
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -8,6 +8,8 @@
 export * from './job-worlds.js';
 export * from './league-checks.js';
 export * from './leagues.js';
+export * from './listings.js';
+export * from './metric-readers.js';
 export * from './notebook-checks.js';
 export * from './notebooks.js';
 export * from './platforms.js';
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -9,6 +9,7 @@
 	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
 } from '@tamarackwind/platform';
 import {Hono, type Context} from 'hono';
+import {Listings, type MapVms} from './listings.js';
 import {WorkerTasks, createTaskApp} from './tasks.js';
 
 export type PlatformStandInOptions = {
@@ -31,11 +32,6 @@
 
 const defaultRebootMs = 500;
 
-/** Changes the list of VMs for those who ask on one port. */
-export type MapVms = (vms: readonly VmRecord[]) => readonly VmRecord[];
-
-type Listing = {readonly since: number; readonly generation: number; readonly vms: readonly VmRecord[]};
-
 /** The platform on one loopback port. */
 export class PlatformStandIn {
 	static async create(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
@@ -60,14 +56,13 @@
 	readonly #rebootBehaviors = new Map<string, RebootBehavior>();
 	readonly #rebootTokens = new Set<string>();
 	readonly #rebootTimers = new Set<NodeJS.Timeout>();
-	readonly #listLagMs: number;
-	#listings: Listing[] = [{since: 0, generation: 0, vms: []}];
+	readonly #listings: Listings;
 	readonly #servers: Server[] = [];
 	readonly #mapsByPort = new Map<number, MapVms>();
 	#port = 0;
 
 	private constructor({listLagMs, rebootMs}: PlatformStandInOptions) {
-		this.#listLagMs = listLagMs ?? 0;
+		this.#listings = Listings.create(listLagMs ?? 0);
 		this.#rebootMs = rebootMs ?? defaultRebootMs;
 	}
 
@@ -81,12 +76,12 @@
 			this.#vms.set(vm.vmId, vm);
 		}
 
-		this.#recordListing();
+		this.#listings.record([...this.#vms.values()]);
 	}
 
 	removeVm(vmId: string): void {
 		this.#vms.delete(vmId);
-		this.#recordListing();
+		this.#listings.record([...this.#vms.values()]);
 	}
 
 	/** Sets how a VM comes back from its next reboots. */
@@ -140,16 +135,6 @@
 		})));
 	}
 
-	#recordListing(): void {
-		const generation = (this.#listings.at(-1)?.generation ?? 0) + 1;
-		this.#listings = [...this.#listings.slice(-200), {since: Date.now(), generation, vms: [...this.#vms.values()]}];
-	}
-
-	#readListing(): Listing | undefined {
-		const until = Date.now() - this.#listLagMs;
-		return this.#listings.findLast(listing => listing.since <= until);
-	}
-
 	async #listen(port: number): Promise<number> {
 		const app = this.#createApp();
 		return new Promise<number>(resolve => {
@@ -188,10 +173,14 @@
 		app.get('/objects', async ctx => ctx.json({names: await this.objects.listObjects(ctx.req.query('prefix') ?? '')}));
 		app.get('/vms', async ctx => {
 			await this.vmFaults.applyBefore();
-			const listing = this.#readListing();
-			const vms = listing?.vms ?? [];
 			const mapVms = this.#mapsByPort.get(ctx.env.incoming.socket.localPort ?? 0);
-			return ctx.json({generation: listing?.generation ?? 0, vms: mapVms?.(vms) ?? vms});
+			if (mapVms !== undefined) {
+				const {generation, vms} = this.#listings.read();
+				return ctx.json({generation, vms: mapVms(vms)});
+			}
+
+			const since = ctx.req.query('since');
+			return ctx.json(since === undefined ? this.#listings.read() : this.#listings.readChange(Number(since)));
 		});
 		app.post('/vms/:vm/reboot', async ctx => {
 			await this.vmFaults.applyBefore();
