Run keyed work at most once, proved over every fault of the table service

Cause: a re-sent key ran again on another entry. A fault found on the way: a key whose row was seen open was told not-run when the last look at the row ran into the deadline; it is told may-have-run now.

--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -146,6 +146,7 @@
 		const value = this.#createRow(request);
 		let version: number | undefined = request.mayInsert ? absentVersion : undefined;
 		let isUncertain = false;
+		let isKnownOpen = false;
 		for (let pollMs = minPollMs; ; pollMs = Math.min(pollMs * 2, maxPollMs)) {
 			const step = await this.#takeStep(request, value, version);
 			if (step.status === 'written') {
@@ -155,7 +156,7 @@
 			if (step.status === 'unavailable') {
 				isUncertain ||= step.isUncertain;
 				if (this.#hasPassed(request.availableBy) || request.signal.aborted) {
-					return {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
+					return isKnownOpen ? {status: 'open'} : {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
 				}
 			} else {
 				const decision = resolveClaim(step.row, request, value.token);
@@ -164,6 +165,7 @@
 				}
 
 				version = decision;
+				isKnownOpen = decision === undefined;
 			}
 
 			if (version === undefined && (this.#hasPassed(request.finishBy) || request.signal.aborted)) {
@@ -220,10 +222,21 @@
 	async #takeStep(request: ClaimRequest, value: ClaimRow, version: number | undefined): Promise<ClaimStep> {
 		const key = createRowKey(request.claimKey);
 		const step = version === undefined ? this.#readStep(key) : this.#writeStep(key, value, version);
-		return Promise.race([step, this.#waitForTimeout(request, version !== undefined)]);
+		const controller = new AbortController();
+		const abort = (): void => {
+			controller.abort();
+		};
+
+		request.signal.addEventListener('abort', abort);
+		try {
+			return await Promise.race([step, this.#waitForTimeout(request, version !== undefined, controller.signal)]);
+		} finally {
+			request.signal.removeEventListener('abort', abort);
+			abort();
+		}
 	}
 
-	async #waitForTimeout({availableBy, signal}: ClaimRequest, isUncertain: boolean): Promise<ClaimStep> {
+	async #waitForTimeout({availableBy}: ClaimRequest, isUncertain: boolean, signal: AbortSignal): Promise<ClaimStep> {
 		const {clock} = this.#options;
 		await clock.sleep(Math.max(0, availableBy - clock.readMonotonic()), signal);
 		return {status: 'unavailable', isUncertain};
--- /dev/null
+++ b/packages/entry/tests/claims.test.ts
@@ -0,0 +1,232 @@
+import test from 'ava';
+import {SeededRandom, SystemClock, type EntryId} from '@tamarackwind/core';
+import {MemoryObjectStore, MemoryTableService, type Faults} from '@tamarackwind/platform';
+import fc from 'fast-check';
+import {Registry} from 'prom-client';
+import {
+	ClaimCleaner, ClaimStore, RowBatcher, claimTable, hashParts, maxInlineBytes, type ClaimOutcome, type ClaimRequest, type ClaimRow,
+} from '../src/index.js';
+
+const clock = SystemClock.create();
+const {signal} = new AbortController();
+const patienceMs = 40;
+
+function createStores(tables: MemoryTableService, objects: MemoryObjectStore, count: number): ClaimStore[] {
+	return Array.from({length: count}, (_, index) => ClaimStore.create({
+		clock,
+		random: SeededRandom.create(index + 1),
+		tables,
+		objects,
+		entryId: `entry-${index + 1}` as EntryId,
+		batcher: RowBatcher.create({clock, tables, intervalMs: 1}),
+	}));
+}
+
+function createRequest(key: string, body: string, options: Partial<ClaimRequest> = {}): ClaimRequest {
+	const until = clock.readMonotonic() + patienceMs;
+	return {
+		claimKey: hashParts('caller', 'service', key),
+		headHash: hashParts('POST', '/redraw'),
+		bodyHash: hashParts(body),
+		retentionMs: 60_000,
+		attempt: undefined,
+		provenAttempt: undefined,
+		mayInsert: true,
+		availableBy: until,
+		finishBy: until,
+		signal,
+		...options,
+	};
+}
+
+function createAnswer(text: string): {status: number; headers: Record<string, string>; body: Uint8Array} {
+	return {status: 200, headers: {}, body: Buffer.from(text)};
+}
+
+async function waitForWrites(stores: readonly ClaimStore[]): Promise<void> {
+	while (stores.some(store => store.lateWrites > 0)) {
+		await clock.sleep(5);
+	}
+}
+
+type Send = {readonly store: number; readonly key: number; readonly body: number; readonly end: 'answered' | 'not-run' | 'crashed'};
+type Group = {readonly faults: Faults; readonly sends: readonly Send[]};
+
+const sendArbitrary: fc.Arbitrary<Send> = fc.record({
+	store: fc.nat(2), key: fc.nat(1), body: fc.nat(1), end: fc.constantFrom('answered' as const, 'answered' as const, 'not-run' as const, 'crashed' as const),
+});
+const faultsArbitrary: fc.Arbitrary<Faults> = fc.oneof(
+	fc.constant({}),
+	fc.constant({isDown: true}),
+	fc.record({lostAnswers: fc.integer({min: 1, max: 4})}),
+	fc.record({delayMs: fc.integer({min: 1, max: 30}), lostAnswers: fc.nat(2)}),
+);
+const groupArbitrary: fc.Arbitrary<Group> = fc.record({faults: faultsArbitrary, sends: fc.array(sendArbitrary, {minLength: 1, maxLength: 5})});
+
+/** Sends groups of requests over three entries and keeps what ran. */
+class World {
+	readonly ran = new Map<string, string[]>();
+	readonly faults: string[] = [];
+	readonly tables = MemoryTableService.create();
+	readonly objects = MemoryObjectStore.create();
+	readonly stores = createStores(this.tables, this.objects, 3);
+	#sends = 0;
+
+	async run(groups: readonly Group[]): Promise<void> {
+		for (const {faults, sends} of groups) {
+			this.tables.faults.setFaults(faults);
+			await Promise.all(sends.map(async send => this.#send(send)));
+		}
+
+		this.tables.faults.setFaults({});
+		await waitForWrites(this.stores);
+	}
+
+	async #send({store, key, body, end}: Send): Promise<void> {
+		const name = `key-${key}`;
+		const tag = `send-${this.#sends++}`;
+		const claims = this.stores[store]!;
+		const outcome = await claims.claim(createRequest(name, `body-${body}`));
+		if (outcome.status === 'unavailable' && outcome.isUncertain) {
+			claims.release(outcome.claim);
+		}
+
+		if (outcome.status === 'finished') {
+			await this.#checkAnswer(claims, name, outcome.row);
+		}
+
+		if (outcome.status === 'claimed') {
+			this.#finish(claims, name, tag, end, outcome);
+		}
+	}
+
+	#finish(claims: ClaimStore, name: string, tag: string, end: Send['end'], {claim}: ClaimOutcome & {status: 'claimed'}): void {
+		if (end === 'not-run') {
+			claims.release(claim);
+			return;
+		}
+
+		this.ran.set(name, [...this.ran.get(name) ?? [], tag]);
+		if (end === 'answered') {
+			claims.finish(claim, claim.value.bodyHash, createAnswer(tag));
+		}
+	}
+
+	async #checkAnswer(claims: ClaimStore, name: string, row: ClaimRow): Promise<void> {
+		const answer = Buffer.from((await claims.readAnswer(row)).body).toString();
+		if (this.ran.get(name)?.[0] !== answer) {
+			this.faults.push(`${name} ran as ${this.ran.get(name)?.join(', ')} and was answered as ${answer}`);
+		}
+	}
+}
+
+test('no key runs twice and each answer is its own, over three entries and every fault of the table service', async t => {
+	const found: string[] = [];
+	await fc.assert(fc.asyncProperty(fc.array(groupArbitrary, {minLength: 1, maxLength: 5}), async groups => {
+		const world = new World();
+		await world.run(groups);
+		const doubled = [...world.ran].flatMap(([key, tags]) => tags.length > 1 ? [`${key} ran as ${tags.join(', ')}`] : []);
+		found.push(...doubled, ...world.faults);
+		return found.length === 0;
+	}), {seed: 20_260_311, numRuns: 60, endOnFailure: true});
+	t.deepEqual(found, []);
+});
+
+test('a claim whose answer was lost is known by its token', async t => {
+	const tables = MemoryTableService.create();
+	const [store, other] = createStores(tables, MemoryObjectStore.create(), 2) as [ClaimStore, ClaimStore];
+	tables.faults.setFaults({lostAnswers: 1});
+	t.is((await store.claim(createRequest('lost', 'a'))).status, 'claimed');
+	t.is((await other.claim(createRequest('lost', 'a'))).status, 'open');
+});
+
+test('a claim that was seen open stays open when the table service fails after it', async t => {
+	const tables = MemoryTableService.create();
+	const [store, other] = createStores(tables, MemoryObjectStore.create(), 2) as [ClaimStore, ClaimStore];
+	await store.claim(createRequest('open', 'a'));
+	const until = clock.readMonotonic() + 500;
+	const pending = other.claim(createRequest('open', 'a', {availableBy: until, finishBy: until}));
+	await clock.sleep(100);
+	tables.faults.setFaults({isDown: true});
+	t.is((await pending).status, 'open');
+});
+
+test('an answer above the inline bound is kept in the object store', async t => {
+	const tables = MemoryTableService.create();
+	const [store, other] = createStores(tables, MemoryObjectStore.create(), 2) as [ClaimStore, ClaimStore];
+	const outcome = await store.claim(createRequest('large', 'a'));
+	t.is(outcome.status, 'claimed');
+	const text = 'x'.repeat(maxInlineBytes + 1);
+	store.finish((outcome as ClaimOutcome & {status: 'claimed'}).claim, hashParts('a'), createAnswer(text));
+	await waitForWrites([store]);
+	const found = await other.claim(createRequest('large', 'a'));
+	t.is(found.status, 'finished');
+	t.is(Buffer.from((await other.readAnswer((found as ClaimOutcome & {status: 'finished'}).row)).body).toString(), text);
+});
+
+const takeovers: Array<{title: string; row: Partial<ClaimRow>; request: Partial<ClaimRequest>; expected: ClaimOutcome['status']}> = [
+	{
+		title: 'an open claim is never taken over', row: {state: 'open'}, request: {}, expected: 'open',
+	},
+	{
+		title: 'a released claim is taken', row: {state: 'released'}, request: {}, expected: 'claimed',
+	},
+	{
+		title: 'a released claim is left to those who may start', row: {state: 'released', attempt: 1}, request: {mayInsert: false}, expected: 'absent',
+	},
+	{
+		title: 'an open claim of an attempt proven not to have run is taken', row: {state: 'open', attempt: 1}, request: {attempt: 2, provenAttempt: 1}, expected: 'claimed',
+	},
+	{
+		title: 'an open claim of a later attempt than the proven one stays', row: {state: 'open', attempt: 2}, request: {attempt: 2, provenAttempt: 1}, expected: 'open',
+	},
+	{
+		title: 'an open claim of an uncounted attempt stays', row: {state: 'open'}, request: {attempt: 2, provenAttempt: 1}, expected: 'open',
+	},
+	{
+		title: 'a released claim keeps its body', row: {state: 'released', bodyHash: 'other'}, request: {}, expected: 'mismatched',
+	},
+	{
+		title: 'another path is a mismatch', row: {state: 'finished', headHash: 'other'}, request: {}, expected: 'mismatched',
+	},
+];
+
+for (const {title, row, request, expected} of takeovers) {
+	test(title, async t => {
+		const tables = MemoryTableService.create();
+		const [store] = createStores(tables, MemoryObjectStore.create(), 1) as [ClaimStore];
+		const asked = createRequest('k', 'a', request);
+		const value: ClaimRow = {
+			state: 'open', token: 'of another', entryId: 'entry-9' as EntryId, headHash: asked.headHash, expiresAt: 0, ...row,
+		};
+		await tables.commit({checks: [], writes: [{table: claimTable, key: asked.claimKey, value}]});
+		t.is((await store.claim(asked)).status, expected);
+	});
+}
+
+test('claims of the same moment share transactions, and a conflict fails alone', async t => {
+	const tables = MemoryTableService.create();
+	const stores = createStores(tables, MemoryObjectStore.create(), 1);
+	await stores[0]!.claim(createRequest('key-7', 'another body'));
+	const before = tables.counts.writes;
+	const outcomes = await Promise.all(Array.from({length: 50}, async (_, index) => stores[0]!.claim(createRequest(`key-${index}`, 'a', {availableBy: clock.readMonotonic() + 10_000}))));
+	t.deepEqual(outcomes.flatMap(({status}, index) => status === 'claimed' ? [] : [[index, status]]), [[7, 'mismatched']]);
+	t.true(tables.counts.writes - before <= 5);
+});
+
+test('the clean-up deletes expired claims and no others', async t => {
+	const tables = MemoryTableService.create();
+	const now = clock.readWall();
+	const rows = Array.from({length: 250}, (_, index) => ({table: claimTable, key: `k${index}`, value: {expiresAt: index % 2 === 0 ? now - 600_000 : now}}));
+	await tables.commit({checks: [], writes: rows});
+	const cleaner = ClaimCleaner.create({
+		clock, random: SeededRandom.create(1), tables, objects: MemoryObjectStore.create(), registry: new Registry(), intervalMs: 60_000,
+	});
+	t.teardown(async () => cleaner.close());
+	for (let page = 0; page < 5; page++) {
+		await cleaner.deletePage();
+	}
+
+	const left = await tables.listRows(claimTable);
+	t.deepEqual(left.map(row => row.key).toSorted(), rows.filter((_, index) => index % 2 === 1).map(row => row.key).toSorted());
+});
