--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -16,6 +16,7 @@
 export * from './processes.js';
 export * from './raw-answers.js';
 export * from './relays.js';
+export * from './storms.js';
 export * from './tasks.js';
 export * from './worker-hosts.js';
 export * from './worker-processes.js';
