Give settings a life, a view lease, a barrier and an audit trail

Cause: a change of settings was a bare row that each entry polled by itself; nothing told when it was in force everywhere, nor who had made it, and an entry that was cut off served on by what it had.

Change: registered entries are a versioned row. An entry's view is current for 2.5 s after the start of a read of the platform, or after the moment by which a majority of the registered entries had heard from it and told no higher version. A change waits until every entry reported it, or a majority did and a lease term has passed since. A whole tree is applied with its base version and change id, by one transaction with the audit record; conflicts name their paths. Audit records are chained by hash. The operator port refuses strangers by bearer token.

--- a/packages/entry/src/configs.ts
+++ b/packages/entry/src/configs.ts
@@ -35,6 +35,8 @@
 		tokenFile: z.string().optional(),
 		timeoutMs: z.number().int().positive().optional(),
 	}),
+	/** Hash of the bearer token of an operator with all rights, while the settings name no operator: "sha256:" and 64 hexadecimal digits. */
+	operatorTokenHash: z.string().regex(/^sha256:[\da-f]{64}$/v, 'expected "sha256:" and 64 hexadecimal digits').optional(),
 	/** Entries to connect to until the platform's list was read. */
 	peers: z.array(z.strictObject({entryId: z.string(), address: z.string(), port: portSchema})).default([]),
 	/** File with the key, shared by all entries, that signs receipts; services with claims "first-attempt-unclaimed" need it. */
--- a/packages/entry/src/contexts.ts
+++ b/packages/entry/src/contexts.ts
@@ -2,19 +2,17 @@
  * What the parts of an entry share.
  */
 import {
-	Log, SystemClock, SystemRandom, type Clock, type EntryId, type IncarnationId, type RandomSource,
+	Log, SystemClock, SystemRandom, type Clock, type RandomSource,
 } from '@tamarackwind/core';
 import {FleetView} from '@tamarackwind/fleet';
-import {
-	SoleEntryLease, ViewVersions, type GrpcPeerBus, type ViewLease,
-} from '@tamarackwind/peer';
+import {ViewVersions} from '@tamarackwind/peer';
 import {
 	HttpObjectStore, HttpTableService, HttpTaskControl, HttpVmControl, HttpVmList, PlatformConnection,
 	type ObjectStore, type TableService, type TaskControl, type VmControl, type VmList,
 } from '@tamarackwind/platform';
 import {Registry} from 'prom-client';
 import {type EntryConfig} from './configs.js';
-import {createPeerBus} from './peers.js';
+import {createControl, type Control} from './controls.js';
 import {SettingsView} from './settings-views.js';
 
 /** Clients of the platform's services. */
@@ -27,7 +25,7 @@
 };
 
 /** The parts that an entry is made of. */
-export type EntryContext = {
+export type EntryContext = Omit<Control, 'close'> & {
 	readonly config: EntryConfig;
 	readonly clock: Clock;
 	readonly random: RandomSource;
@@ -37,14 +35,10 @@
 	readonly versions: ViewVersions;
 	readonly settings: SettingsView;
 	readonly fleet: FleetView;
-	readonly lease: ViewLease;
-	readonly bus: GrpcPeerBus;
 	/** Closes the parts in order. */
 	readonly close: () => Promise<void>;
 };
 
-const incarnationLength = 12;
-
 /** Creates the parts of an entry. */
 export async function createEntryContext(config: EntryConfig): Promise<EntryContext> {
 	const clock = SystemClock.create();
@@ -57,41 +51,22 @@
 		vmControl: HttpVmControl.create(connection),
 		tasks: HttpTaskControl.create(connection),
 	};
+	const random = SystemRandom.create();
+	const registry = new Registry();
 	const versions = ViewVersions.create();
-	const settings = SettingsView.create({
-		clock, log, tables: platform.tables, versions, deployment: config.deployment,
-	});
+	const settings = SettingsView.create({log, versions, deployment: config.deployment});
 	const fleet = FleetView.create({
 		clock, tables: platform.tables, vmList: platform.vmList, versions,
 	});
-	const random = SystemRandom.create();
-	const registry = new Registry();
-	const bus = await createPeerBus({
-		config,
-		self: {entryId: config.entryId as EntryId, incarnation: random.createToken().slice(0, incarnationLength) as IncarnationId},
-		clock,
-		random,
-		log,
-		registry,
-		versions,
-		settings,
-		fleet,
-	});
+	const parts = {
+		config, clock, random, log, registry, platform, versions, settings, fleet,
+	};
+	const control = await createControl(parts);
 	return {
-		config,
-		clock,
-		random,
-		log,
-		registry,
-		platform,
-		versions,
-		settings,
-		fleet,
-		lease: SoleEntryLease.create(),
-		bus,
+		...parts,
+		...control,
 		async close() {
-			await bus.close();
-			await settings.close();
+			await control.close();
 			await fleet.close();
 			await connection.close();
 		},
--- /dev/null
+++ b/packages/entry/src/controls.ts
@@ -0,0 +1,125 @@
+/**
+ * The parts of an entry that agree with other entries: membership, the view lease, settings and their changes.
+ */
+import {
+	type Clock, type EntryId, type IncarnationId, type Log, type PoolName, type RandomSource,
+} from '@tamarackwind/core';
+import {type FleetView} from '@tamarackwind/fleet';
+import {
+	MemberBarrier, QuorumLease, type GrpcPeerBus, type ViewVersions,
+} from '@tamarackwind/peer';
+import {type PoolCounts} from '@tamarackwind/settings';
+import {type Registry} from 'prom-client';
+import {AuditLog} from './audits.js';
+import {type EntryConfig} from './configs.js';
+import {type PlatformClients} from './contexts.js';
+import {Membership} from './memberships.js';
+import {registerCounter} from './metrics.js';
+import {createPeerBus} from './peers.js';
+import {SettingsChanges} from './settings-changes.js';
+import {SettingsStore} from './settings-stores.js';
+import {type SettingsView} from './settings-views.js';
+import {ViewPoll} from './view-polls.js';
+
+/** Parts that agree with other entries. */
+export type Control = {
+	readonly bus: GrpcPeerBus;
+	readonly membership: Membership;
+	readonly lease: QuorumLease;
+	readonly barrier: MemberBarrier;
+	readonly audit: AuditLog;
+	readonly settingsStore: SettingsStore;
+	readonly settingsChanges: SettingsChanges;
+	/** Tells the peers that this entry is about to stop. */
+	readonly markStopping: () => void;
+	/** Leaves the group and closes the parts; nothing may be dispatched any more. */
+	readonly close: () => Promise<void>;
+};
+
+export type ControlOptions = {
+	readonly config: EntryConfig;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: Log;
+	readonly registry: Registry;
+	readonly platform: PlatformClients;
+	readonly versions: ViewVersions;
+	readonly settings: SettingsView;
+	readonly fleet: FleetView;
+};
+
+const incarnationLength = 12;
+
+/** Creates the parts and joins the group. */
+export async function createControl(options: ControlOptions): Promise<Control> {
+	const {config, clock, random, log, registry, platform, versions, settings, fleet} = options;
+	const {tables, objects} = platform;
+	const selfId = config.entryId as EntryId;
+	const membership = Membership.create({
+		clock, random, log, tables, fleet, versions, selfId,
+	});
+	let isStopping = false;
+	const later: {lease?: QuorumLease; poll?: ViewPoll} = {};
+	const bus = await createPeerBus({
+		...options,
+		membership,
+		self: {entryId: selfId, incarnation: random.createToken().slice(0, incarnationLength) as IncarnationId},
+		isAnchored: () => later.lease?.isAnchored ?? false,
+		isStopping: () => isStopping,
+	});
+	const lease = QuorumLease.create({
+		clock,
+		bus,
+		versions,
+		getMembers: () => membership.current,
+		onBehind(peer, wanted) {
+			void later.poll?.fetchFrom(peer.entryId, wanted);
+		},
+	});
+	later.lease = lease;
+	const barrier = MemberBarrier.create({
+		clock,
+		bus,
+		versions,
+		readMembers: async () => membership.readMembers(),
+		isGone: (entryId, registeredAt) => membership.isGone(entryId, registeredAt),
+	});
+	const audit = AuditLog.create({
+		clock, random, tables, objects,
+	});
+	const settingsStore = SettingsStore.create(tables, objects);
+	const settingsChanges = SettingsChanges.create({
+		clock, store: settingsStore, audit, view: settings, barrier, countVms: () => countVms(settings, fleet),
+	});
+	const poll = ViewPoll.create({
+		clock, log, tables, store: settingsStore, settings, membership, versions, bus, lease, barrier,
+	});
+	later.poll = poll;
+	registerCounter(registry, 'tamarackwind_view_failed_reads_total', 'Reads of versions from the platform or a peer that failed', () => poll.failedPolls);
+	return {
+		bus,
+		membership,
+		lease,
+		barrier,
+		audit,
+		settingsStore,
+		settingsChanges,
+		markStopping() {
+			isStopping = true;
+			bus.sendHeartbeats();
+		},
+		async close() {
+			await poll.close();
+			await bus.close();
+			await membership.removeSelf();
+		},
+	};
+}
+
+function countVms({current}: SettingsView, fleet: FleetView): PoolCounts {
+	if (current === undefined) {
+		return new Map();
+	}
+
+	return new Map([...current.pools.keys()].map((pool: PoolName) => [`${current.deployment}/${pool}`, fleet.listWorkers(pool).length]));
+}
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -93,6 +93,7 @@
 		const {config, clock, log} = this.#ctx;
 		log.info('entry stopping', {inFlight: this.#path.port.inFlight});
 		this.#path.port.drain();
+		this.#ctx.markStopping();
 		await clock.sleep(config.balancerDelayMs, signal);
 		const cutRequests = await this.#drainCallers(signal);
 		await this.#path.claims.close(claimFlushMs);
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -6,7 +6,7 @@
 import {type EntryContext} from './contexts.js';
 
 /** Builds the app of the metrics port; `isDraining` tells whether the entry is about to stop. */
-export function createMetricsApp({registry, settings}: EntryContext, isDraining: () => boolean): Hono {
+export function createMetricsApp({registry, settings, lease}: EntryContext, isDraining: () => boolean): Hono {
 	collectDefaultMetrics({register: registry});
 	const app = new Hono();
 	app.get('/metrics', async c => c.text(await registry.metrics(), 200, {'content-type': registry.contentType}));
@@ -16,7 +16,11 @@
 			return c.text('entry is stopping', 503);
 		}
 
-		return settings.current === undefined ? c.text('settings were not read yet', 503) : c.text('ok');
+		if (settings.current === undefined) {
+			return c.text('settings were not read yet', 503);
+		}
+
+		return lease.isValid() ? c.text('ok') : c.text('neither the platform nor a majority of the entries confirms the view', 503);
 	});
 	return app;
 }
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -1,22 +1,62 @@
 /**
  * The operator port: a JSON interface for the command line and for scripts.
  */
+import {IssuesError, VerdictError, readErrorMessage} from '@tamarackwind/core';
+import {describeSchemaIssues} from '@tamarackwind/settings';
 import {Hono} from 'hono';
+import {z} from 'zod';
 import {type EntryContext} from './contexts.js';
+import {createOperatorGuard, type OperatorContext, type OperatorEnv} from './operator-identities.js';
+import {createSettingsRoutes} from './settings-routes.js';
 
 /** Builds the app of the operator port; each concern adds its routes below /v1. */
-export function createOperatorApp(ctx: EntryContext): Hono {
-	const app = new Hono();
+export function createOperatorApp(ctx: EntryContext): Hono<OperatorEnv> {
+	const app = new Hono<OperatorEnv>();
+	app.onError((error, c) => sendError(error, c as OperatorContext));
+	app.use('/v1/*', createOperatorGuard({settings: ctx.settings, registry: ctx.registry, bootstrapHash: ctx.config.operatorTokenHash}));
 	app.get('/v1/status', c => c.json(describeStatus(ctx)));
+	app.route('/v1', createSettingsRoutes({store: ctx.settingsStore, changes: ctx.settingsChanges, audit: ctx.audit}));
 	return app;
 }
 
-function describeStatus({config, versions}: EntryContext): Record<string, unknown> {
+function sendError(error: Error, c: OperatorContext): Response {
+	if (error instanceof IssuesError) {
+		return c.json({code: 'bad_input', message: error.message, issues: error.issues}, 400);
+	}
+
+	if (error instanceof z.ZodError) {
+		const issues = describeSchemaIssues(z.unknown(), error.issues);
+		return c.json({code: 'bad_input', message: error.message, issues}, 400);
+	}
+
+	if (error instanceof SyntaxError) {
+		return c.json({code: 'bad_input', message: `body is not JSON: ${error.message}`}, 400);
+	}
+
+	if (error instanceof VerdictError) {
+		const status = error.code.startsWith('unknown_') ? 404 : 503;
+		return c.json({code: error.code, message: error.message, verdict: error.verdict}, status);
+	}
+
+	return c.json({code: 'internal', message: readErrorMessage(error)}, 500);
+}
+
+function describeStatus({config, versions, bus, barrier, lease, membership}: EntryContext): Record<string, unknown> {
+	const live = new Set(bus.listPeers().map(({entryId}) => entryId));
 	return {
 		entryId: config.entryId,
 		deployment: config.deployment,
 		zone: config.zone,
 		settingsVersion: versions.getVersion('settings'),
 		fleetVersion: versions.getVersion('fleet'),
+		membersVersion: versions.getVersion('members'),
+		isCurrent: lease.isValid(),
+		members: membership.current.sets.at(-1)!.map(({entryId}) => ({
+			entryId,
+			isLive: entryId === bus.self.entryId || live.has(entryId),
+			...(entryId === bus.self.entryId
+				? {settings: versions.getVersion('settings'), fleet: versions.getVersion('fleet')}
+				: {settings: barrier.reported.get(entryId)?.settings ?? 0, fleet: barrier.reported.get(entryId)?.fleet ?? 0}),
+		})),
 	};
 }
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -6,10 +6,14 @@
 	type Clock, type EntryId, type IncarnationId, type Log, type RandomSource,
 } from '@tamarackwind/core';
 import {type FleetView} from '@tamarackwind/fleet';
-import {GrpcPeerBus, type PeerAddress, type ViewVersions} from '@tamarackwind/peer';
+import {
+	GrpcPeerBus, type FetchSettingsReply, type PeerAddress, type ViewVersions,
+} from '@tamarackwind/peer';
 import {Gauge, type Registry} from 'prom-client';
 import {type EntryConfig} from './configs.js';
+import {type Membership} from './memberships.js';
 import {registerCounter} from './metrics.js';
+import {hashTree} from './settings-stores.js';
 import {type SettingsView} from './settings-views.js';
 
 export type PeerBusOptions = {
@@ -22,6 +26,9 @@
 	readonly versions: ViewVersions;
 	readonly settings: SettingsView;
 	readonly fleet: FleetView;
+	readonly membership: Membership;
+	readonly isAnchored: () => boolean;
+	readonly isStopping: () => boolean;
 };
 
 /** Opens the peer port and connects to the other entries. */
@@ -38,12 +45,10 @@
 			settingsVersion: versions.getVersion('settings'),
 			fleetVersion: versions.getVersion('fleet'),
 			membersVersion: versions.getVersion('members'),
-			isStopping: false,
-			isAnchored: true,
-		}),
-		answerFetch: () => ({
-			version: 0, treeJson: '', contentHash: '', membersVersion: 0, membersJson: '',
+			isStopping: options.isStopping(),
+			isAnchored: options.isAnchored(),
 		}),
+		answerFetch: ({knownVersion}) => createFetchReply(options, knownVersion),
 	});
 	versions.subscribe(() => {
 		bus.sendHeartbeats();
@@ -52,6 +57,18 @@
 	return bus;
 }
 
+function createFetchReply({settings, membership, versions}: PeerBusOptions, knownVersion: number): FetchSettingsReply {
+	const isNewer = settings.version > knownVersion;
+	return {
+		version: settings.version,
+		treeJson: isNewer ? JSON.stringify(settings.tree) : '',
+		contentHash: isNewer ? hashTree(settings.tree) : '',
+		membersVersion: membership.current.version,
+		membersJson: JSON.stringify(membership.current),
+		fleetVersion: versions.getVersion('fleet'),
+	};
+}
+
 function listAddresses({config, fleet}: PeerBusOptions): PeerAddress[] {
 	const listed = fleet.listEntries().flatMap(({vmId, address, peerPort}) => peerPort === undefined ? [] : [{entryId: vmId as EntryId, address, port: peerPort}]);
 	return listed.length > 0 ? listed : config.peers.map(peer => ({...peer, entryId: peer.entryId as EntryId}));
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -5,7 +5,9 @@
 	Loop, type Clock, type PoolName, type VmId,
 } from '@tamarackwind/core';
 import {type ViewVersions} from '@tamarackwind/peer';
-import {type TableService, type VmList, type VmRecord} from '@tamarackwind/platform';
+import {
+	type TableService, type VmList, type VmListing, type VmRecord,
+} from '@tamarackwind/platform';
 
 /** A worker that belongs to a pool. */
 export type Worker = VmRecord & {readonly vmId: VmId; readonly pool: PoolName};
@@ -19,6 +21,12 @@
 	readonly pollIntervalMs?: number;
 };
 
+/** The platform's list as it was last read. */
+export type ReadListing = VmListing & {
+	/** Monotonic time of the reading, in milliseconds. */
+	readonly readAt: number;
+};
+
 const defaultPollIntervalMs = 500;
 
 /** The workers of each pool as this entry last saw them. */
@@ -32,6 +40,7 @@
 	#failedPolls = 0;
 	#workersByPool = new Map<PoolName, Worker[]>();
 	#entries: readonly VmRecord[] = [];
+	#listing: ReadListing | undefined;
 
 	private constructor(options: FleetViewOptions) {
 		this.#options = options;
@@ -50,6 +59,11 @@
 		return this.#failedPolls;
 	}
 
+	/** The platform's list, once it was read. */
+	get listing(): ReadListing | undefined {
+		return this.#listing;
+	}
+
 	/** Lists the workers of a pool that may get new work. */
 	listWorkers(pool: PoolName): readonly Worker[] {
 		return this.#workersByPool.get(pool) ?? [];
@@ -65,7 +79,9 @@
 	}
 
 	async #refresh(): Promise<void> {
-		const {vms, generation} = await this.#options.vmList.listVms();
+		const listing = await this.#options.vmList.listVms();
+		const {vms, generation} = listing;
+		this.#listing = {...listing, readAt: this.#options.clock.readMonotonic()};
 		const workersByPool = new Map<PoolName, Worker[]>();
 		for (const vm of vms) {
 			if (vm.kind === 'worker' && vm.state === 'live' && vm.pool !== undefined) {
--- /dev/null
+++ b/packages/peer/src/barriers.ts
@@ -0,0 +1,111 @@
+/**
+ * The barrier of a change: waits until no entry can serve by an older view.
+ */
+import {type Clock, type EntryId} from '@tamarackwind/core';
+import {type PeerBus} from './buses.js';
+import {VersionBarrier, type ViewPart, type ViewVersions} from './leases.js';
+import {countMajority, type MemberSet, type Members} from './members.js';
+import {defaultLeaseTermMs, readHeartbeatVersions, type VersionSet} from './quorum-leases.js';
+
+export type MemberBarrierOptions = {
+	readonly clock: Clock;
+	readonly bus: PeerBus;
+	readonly versions: ViewVersions;
+	/** Reads the members from the platform, after the change was committed. */
+	readonly readMembers: () => Promise<Members>;
+	/** Tells whether the VM of an entry has left the platform's list for good. */
+	readonly isGone: (entryId: EntryId, registeredAt: number) => boolean;
+	readonly termMs?: number;
+};
+
+/** How far two monotonic clocks may drift apart over a lease term, with the delay of a timer, in milliseconds. */
+const driftMarginMs = 500;
+const checkIntervalMs = 25;
+const retryIntervalMs = 100;
+
+/** Waits for the registered entries. */
+export class MemberBarrier extends VersionBarrier {
+	static create(options: MemberBarrierOptions): MemberBarrier {
+		return new MemberBarrier(options);
+	}
+
+	readonly #options: MemberBarrierOptions;
+	readonly #graceMs: number;
+	readonly #reported = new Map<EntryId, VersionSet>();
+
+	private constructor(options: MemberBarrierOptions) {
+		super();
+		this.#options = options;
+		this.#graceMs = (options.termMs ?? defaultLeaseTermMs) + driftMarginMs;
+		options.bus.subscribe('heartbeat', (from, {heartbeat}) => {
+			this.#reported.set(from.entryId, readHeartbeatVersions(heartbeat));
+		});
+	}
+
+	/** Versions that each peer told last. */
+	get reported(): ReadonlyMap<EntryId, VersionSet> {
+		return this.#reported;
+	}
+
+	override async waitForVersion(part: ViewPart, version: number, timeoutMs: number): Promise<boolean> {
+		const {clock} = this.#options;
+		const endsAt = clock.readMonotonic() + timeoutMs;
+		const members = await this.#readMembers(endsAt);
+		if (members === undefined) {
+			return false;
+		}
+
+		let majorityAt: number | undefined;
+		for (;;) {
+			const now = clock.readMonotonic();
+			const missing = members.sets.map(set => this.#countMissing(members, set, part, version));
+			if (missing.every(count => count === 0)) {
+				return true;
+			}
+
+			if (members.sets.every((set, index) => set.length - missing[index]! >= countMajority(set))) {
+				majorityAt ??= now;
+			}
+
+			if (majorityAt !== undefined && now - majorityAt > this.#graceMs) {
+				return true;
+			}
+
+			if (now >= endsAt) {
+				return false;
+			}
+
+			await clock.sleep(checkIntervalMs);
+		}
+	}
+
+	async #readMembers(endsAt: number): Promise<Members | undefined> {
+		const {clock, readMembers} = this.#options;
+		for (;;) {
+			try {
+				return await readMembers();
+			} catch {
+				if (clock.readMonotonic() >= endsAt) {
+					return undefined;
+				}
+
+				await clock.sleep(retryIntervalMs);
+			}
+		}
+	}
+
+	#countMissing(members: Members, set: MemberSet, part: ViewPart, version: number): number {
+		return set.filter(({entryId, registeredAt}) => !this.#hasReached(entryId, part, version)
+			&& !members.left.includes(entryId)
+			&& !this.#options.isGone(entryId, registeredAt)).length;
+	}
+
+	#hasReached(entryId: EntryId, part: ViewPart, version: number): boolean {
+		const {bus, versions} = this.#options;
+		if (entryId === bus.self.entryId) {
+			return versions.getVersion(part) >= version;
+		}
+
+		return (this.#reported.get(entryId)?.[part] ?? 0) >= version;
+	}
+}
--- a/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
+++ b/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
@@ -148,6 +148,7 @@
   membersVersion: number;
   /** The members as JSON. */
   membersJson: string;
+  fleetVersion: number;
 }
 
 function createBasePeerMessage(): PeerMessage {
@@ -1949,7 +1950,7 @@
 };
 
 function createBaseFetchSettingsReply(): FetchSettingsReply {
-  return { version: 0, treeJson: "", contentHash: "", membersVersion: 0, membersJson: "" };
+  return { version: 0, treeJson: "", contentHash: "", membersVersion: 0, membersJson: "", fleetVersion: 0 };
 }
 
 export const FetchSettingsReply: MessageFns<FetchSettingsReply> = {
@@ -1969,6 +1970,9 @@
     if (message.membersJson !== "") {
       writer.uint32(42).string(message.membersJson);
     }
+    if (message.fleetVersion !== 0) {
+      writer.uint32(48).uint64(message.fleetVersion);
+    }
     return writer;
   },
 
@@ -2025,6 +2029,14 @@
             message.membersJson = reader.string();
             continue;
           }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.fleetVersion = longToNumber(reader.uint64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2060,6 +2072,11 @@
         : isSet(object.members_json)
         ? globalThis.String(object.members_json)
         : "",
+      fleetVersion: isSet(object.fleetVersion)
+        ? globalThis.Number(object.fleetVersion)
+        : isSet(object.fleet_version)
+        ? globalThis.Number(object.fleet_version)
+        : 0,
     };
   },
 
@@ -2080,6 +2097,9 @@
     if (message.membersJson !== "") {
       obj.membersJson = message.membersJson;
     }
+    if (message.fleetVersion !== 0) {
+      obj.fleetVersion = Math.round(message.fleetVersion);
+    }
     return obj;
   },
 
@@ -2093,6 +2113,7 @@
     message.contentHash = object.contentHash ?? "";
     message.membersVersion = object.membersVersion ?? 0;
     message.membersJson = object.membersJson ?? "";
+    message.fleetVersion = object.fleetVersion ?? 0;
     return message;
   },
 };
--- /dev/null
+++ b/packages/settings/src/checks.ts
@@ -0,0 +1,166 @@
+/**
+ * Checks of a tree that go beyond its schema: references, budgets that can't be met, pools that would be emptied.
+ */
+import {type Issue, type Result, createIssuesError} from '@tamarackwind/core';
+import {type z} from 'zod';
+import {resolveSettings, type ResolvedPool} from './resolutions.js';
+import {settingsTreeSchema, type SettingsTree} from './schemas.js';
+import {suggestName} from './suggestions.js';
+
+type ZodIssue = z.core.$ZodIssue;
+
+/** VMs that each pool of each deployment holds now, by `deployment/pool`. */
+export type PoolCounts = ReadonlyMap<string, number>;
+
+/** Gives the keys that the schema allows at a path, as far as it names them. */
+function listKnownKeys(schema: z.ZodType, path: ReadonlyArray<string | number>): string[] {
+	let node: unknown = schema;
+	for (const key of path) {
+		node = findChild(resolveSchema(node), key);
+	}
+
+	const {shape} = (resolveSchema(node) ?? {}) as {readonly shape?: Record<string, unknown>};
+	return Object.keys(shape ?? {});
+}
+
+type SchemaNode = {readonly def?: {readonly type?: string; readonly innerType?: unknown; readonly valueType?: unknown; readonly element?: unknown}; readonly shape?: Record<string, unknown>};
+
+function resolveSchema(schema: unknown): SchemaNode | undefined {
+	let node = schema as SchemaNode | undefined;
+	while (node?.def?.innerType !== undefined) {
+		node = node.def.innerType as SchemaNode;
+	}
+
+	return node;
+}
+
+function findChild(node: SchemaNode | undefined, key: string | number): unknown {
+	return node?.shape?.[key] ?? node?.def?.valueType ?? node?.def?.element;
+}
+
+/** Turns the issues of a schema into ours; an unknown key stands at its own path, with the nearest known one. */
+export function describeSchemaIssues(schema: z.ZodType, issues: readonly ZodIssue[]): Issue[] {
+	return issues.flatMap(issue => {
+		const path = issue.path.map(key => typeof key === 'symbol' ? String(key) : key);
+		if (issue.code !== 'unrecognized_keys') {
+			return [{code: issue.code, path, message: issue.message}];
+		}
+
+		const known = listKnownKeys(schema, path);
+		return issue.keys.map(key => {
+			const nearest = suggestName(key, known);
+			const hint = nearest === undefined ? `expected one of ${known.join(', ')}` : `did you mean "${nearest}"?`;
+			return {code: 'unknown_key', path: [...path, key], message: `unknown key "${key}"; ${hint}`};
+		});
+	});
+}
+
+/** Parses a tree and checks its references, without throwing. */
+export function safeParseTree(json: unknown): Result<SettingsTree> {
+	const parsed = settingsTreeSchema.safeParse(json);
+	const issues = parsed.success ? checkTree(parsed.data) : describeSchemaIssues(settingsTreeSchema, parsed.error.issues);
+	return parsed.success && issues.length === 0 ? {success: true, data: parsed.data} : {success: false, error: createIssuesError(issues)};
+}
+
+/** Lists the faults of a tree that its schema can't tell. */
+export function checkTree(tree: SettingsTree): Issue[] {
+	return Object.keys(tree.deployments).flatMap(name => checkDeployment(tree, name));
+}
+
+/** Lists the pools that hold VMs now and would be gone, or would have to give up all of their VMs. */
+export function checkPoolsKept(tree: SettingsTree, counts: PoolCounts): Issue[] {
+	const issues: Issue[] = [];
+	for (const [key, count] of counts) {
+		const [deployment, pool] = key.split('/') as [string, string];
+		const node = tree.deployments[deployment]?.pools[pool];
+		const path = ['deployments', deployment, 'pools', pool];
+		if (count > 0 && node === undefined) {
+			issues.push({code: 'pool_not_empty', path, message: `pool "${pool}" still holds ${count} VMs; move them first`});
+		} else if (count > 0 && node?.size === 0) {
+			issues.push({code: 'pool_emptied', path: [...path, 'size'], message: `size 0 would empty pool "${pool}" of its ${count} VMs; found 0, expected 1 or more`});
+		}
+	}
+
+	return issues;
+}
+
+function checkDeployment(tree: SettingsTree, name: string): Issue[] {
+	const deployment = tree.deployments[name]!;
+	const path = ['deployments', name];
+	const settings = resolveSettings(tree, name, 0);
+	const issues = [...settings.pools.values()].flatMap(pool => checkPool(pool, path));
+	const owners = new Map<string, string>();
+	for (const [pool, node] of Object.entries(deployment.pools)) {
+		for (const service of Object.keys(node.services)) {
+			const owner = owners.get(service);
+			if (owner !== undefined) {
+				issues.push({code: 'duplicate_service', path: [...path, 'pools', pool, 'services', service], message: `service "${service}" stands in pool "${owner}" already`});
+			}
+
+			owners.set(service, pool);
+		}
+	}
+
+	const services = [...owners.keys()];
+	const teams = Object.keys(deployment.teams ?? {});
+	for (const [caller, node] of Object.entries(deployment.callers ?? {})) {
+		const callerPath = [...path, 'callers', caller];
+		for (const [index, service] of (node.services ?? []).entries()) {
+			issues.push(...checkReference('service', service, services, [...callerPath, 'services', index]));
+		}
+
+		if (node.team !== undefined) {
+			issues.push(...checkReference('team', node.team, teams, [...callerPath, 'team']));
+		}
+	}
+
+	for (const service of settings.services.values()) {
+		if (service.deadlineMs > service.maxDeadlineMs) {
+			issues.push({
+				code: 'bad_deadline',
+				path: [...path, 'pools', service.pool, 'services', service.name, 'deadlineMs'],
+				message: `found ${service.deadlineMs}, expected at most maxDeadlineMs, which is ${service.maxDeadlineMs}`,
+			});
+		}
+	}
+
+	return issues;
+}
+
+function checkReference(kind: string, name: string, known: readonly string[], path: Issue['path']): Issue[] {
+	if (known.includes(name)) {
+		return [];
+	}
+
+	const nearest = suggestName(name, known);
+	return [{code: `unknown_${kind}`, path, message: `${kind} "${name}" does not exist${nearest === undefined ? '' : `; did you mean "${nearest}"?`}`}];
+}
+
+/** VMs that a budget lets out of a pool of `size` VMs. */
+export function computeMaxUnavailable(maxUnavailable: number | string, size: number): number {
+	return typeof maxUnavailable === 'number' ? maxUnavailable : Math.floor(size * Number.parseInt(maxUnavailable, 10) / 100);
+}
+
+function checkPool(pool: ResolvedPool, deploymentPath: readonly string[]): Issue[] {
+	const path = [...deploymentPath, 'pools', pool.name];
+	const {budget, shares, size} = pool;
+	const issues: Issue[] = [];
+	if (typeof budget.maxUnavailable === 'string' && Number.parseInt(budget.maxUnavailable, 10) > 100) {
+		issues.push({code: 'bad_budget', path: [...path, 'budget', 'maxUnavailable'], message: `found "${budget.maxUnavailable}", expected at most "100%"`});
+	}
+
+	if (budget.maxPerRack === 0 || computeMaxUnavailable(budget.maxUnavailable, size ?? 100) === 0) {
+		issues.push({code: 'bad_budget', path: [...path, 'budget'], message: `budget of pool "${pool.name}" lets no VM out, so that none can ever be maintained`});
+	}
+
+	if (size !== undefined && size > 1 && computeMaxUnavailable(budget.maxUnavailable, size) >= size) {
+		issues.push({code: 'bad_budget', path: [...path, 'budget', 'maxUnavailable'], message: `found ${JSON.stringify(budget.maxUnavailable)}, which lets out all ${size} VMs of pool "${pool.name}" at once`});
+	}
+
+	const floors = shares.urgent.floor + shares.interactive.floor + shares.batch.floor;
+	if (floors > 1) {
+		issues.push({code: 'bad_shares', path: [...path, 'shares'], message: `floors of pool "${pool.name}" add up to ${floors}, expected at most 1`});
+	}
+
+	return issues;
+}
--- a/packages/settings/src/files.ts
+++ b/packages/settings/src/files.ts
@@ -1,11 +1,12 @@
 /**
  * JSON with comments, checked against a schema, with the line of each fault.
  */
-import {createIssuesError, type Issue, type Result} from '@tamarackwind/core';
+import {createIssuesError, type Result} from '@tamarackwind/core';
 import {
 	findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode, type Node, type ParseError,
 } from 'jsonc-parser';
 import {type z} from 'zod';
+import {describeSchemaIssues} from './checks.js';
 
 function countLine(text: string, offset: number): number {
 	let line = 1;
@@ -57,12 +58,7 @@
 		return {success: true, data: parsed.data};
 	}
 
-	const issues: Issue[] = parsed.error.issues.map(issue => {
-		const path = issue.path.map(key => typeof key === 'symbol' ? String(key) : key);
-		return {
-			code: issue.code, path, message: issue.message, file, line: findLine(text, root, path),
-		};
-	});
+	const issues = describeSchemaIssues(schema, parsed.error.issues).map(issue => ({...issue, file, line: findLine(text, root, issue.path)}));
 	return {success: false, error: createIssuesError(issues)};
 }
 
--- a/packages/settings/src/resolutions.ts
+++ b/packages/settings/src/resolutions.ts
@@ -43,9 +43,11 @@
 	readonly teams: ReadonlyMap<TeamName, NonNullable<Deployment['teams']>[string]>;
 };
 
-type PlainObject = Record<string, unknown>;
+/** An object of JSON. */
+export type PlainObject = Record<string, unknown>;
 
-function isPlainObject(value: unknown): value is PlainObject {
+/** Tells whether a value of JSON is an object. */
+export function isPlainObject(value: unknown): value is PlainObject {
 	return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
--- a/packages/testing/src/processes.ts
+++ b/packages/testing/src/processes.ts
@@ -7,10 +7,14 @@
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import {hashToken} from '@tamarackwind/entry';
 import {request} from 'undici';
 
 const mainFile = fileURLToPath(import.meta.resolve('tamarackwind/main'));
 
+/** Bearer token of the operator that entries know while the settings name none. */
+export const operatorToken = 'test-operator';
+
 const loopback = {host: '127.0.0.1', port: 0};
 
 /** Daemon settings of an entry on free loopback ports. */
@@ -25,6 +29,7 @@
 		peer: loopback,
 		metrics: loopback,
 		platform: {url: platformUrl},
+		operatorTokenHash: hashToken(operatorToken),
 		balancerDelayMs: 50,
 	};
 }
@@ -61,6 +66,16 @@
 		return `http://127.0.0.1:${this.ports[port]}`;
 	}
 
+	/** Sends one call to the operator port. */
+	async callOperator<T = Record<string, unknown>>(method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, json?: unknown, token = operatorToken): Promise<{readonly status: number; readonly body: T}> {
+		const {statusCode, body} = await request(`${this.getUrl('operator')}${path}`, {
+			method,
+			headers: {authorization: `Bearer ${token}`, 'content-type': 'application/json'},
+			body: json === undefined ? undefined : JSON.stringify(json),
+		});
+		return {status: statusCode, body: await body.json() as T};
+	}
+
 	/** Tells whether the balancer may send callers here. */
 	async isReady(): Promise<boolean> {
 		const {statusCode, body} = await request(`${this.getUrl('metrics')}/readyz`);
