--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -11,7 +11,8 @@
 import {dispatchRequest} from './dispatches.js';
 import {headerNames, type HeaderFields} from './headers.js';
 import {type RequestMetrics} from './request-metrics.js';
-import {type CallerRequest} from './requests.js';
+import {isRequestCurrent, type CallerRequest} from './requests.js';
+import {type SettingsView} from './settings-views.js';
 import {type UpstreamConnection, type Upstreams} from './upstreams.js';
 
 /** Longest pause within an answer's body, on either side, in milliseconds. */
@@ -24,6 +25,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly lease: ViewLease;
+	readonly settings: Pick<SettingsView, 'current'>;
 	readonly scheduler: Scheduler;
 	readonly upstreams: Upstreams;
 	readonly metrics: RequestMetrics;
@@ -153,7 +155,7 @@
 }
 
 async function sendOnConnection(parts: AttemptParts, options: ForwardOptions, connection: UpstreamConnection, vmId: VmId): Promise<void> {
-	const {clock, random, lease, scheduler} = parts;
+	const {clock, random, scheduler} = parts;
 	const {request, headers, body, answer, deadlineAt, signal, isDetached} = options;
 	const remainingMs = Math.floor(deadlineAt - clock.readMonotonic());
 	if (remainingMs <= 0) {
@@ -178,7 +180,7 @@
 		idleTimeoutMs: answerIdleTimeoutMs,
 		signal: isDetached ? undefined : signal,
 		answer,
-		checkStart: () => checkStart(lease, clock, deadlineAt, signal),
+		checkStart: () => checkStart(parts, options),
 		onHead(answerHeaders) {
 			if (answerHeaders[headerNames.leaving] === 'true') {
 				scheduler.noteLeaving(vmId);
@@ -188,7 +190,7 @@
 }
 
 /** Finds why a dispatch must not start now. */
-function checkStart(lease: ViewLease, clock: Clock, deadlineAt: number, signal: AbortSignal): VerdictError | undefined {
+function checkStart({lease, clock, settings}: AttemptParts, {request, deadlineAt, signal}: ForwardOptions): VerdictError | undefined {
 	if (signal.aborted) {
 		return new VerdictError('the caller hung up', {verdict: 'not-run', code: 'caller_gone'});
 	}
@@ -197,6 +199,10 @@
 		return new VerdictError('the entry can\'t tell whether its settings and fleet are still in force', {verdict: 'not-run', code: 'view_stale'});
 	}
 
+	if (!isRequestCurrent(request, settings.current)) {
+		return new VerdictError('the settings of the service, its pool or the caller changed while the request waited', {verdict: 'not-run', code: 'settings_changed'});
+	}
+
 	return clock.readMonotonic() >= deadlineAt ? createDeadlineError() : undefined;
 }
 
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -51,6 +51,7 @@
 		fleetVersion: versions.getVersion('fleet'),
 		membersVersion: versions.getVersion('members'),
 		isCurrent: lease.isValid(),
+		isMembershipSettled: membership.current.sets.length === 1,
 		members: membership.current.sets.at(-1)!.map(({entryId}) => ({
 			entryId,
 			isLive: entryId === bus.self.entryId || live.has(entryId),
--- a/packages/entry/src/requests.ts
+++ b/packages/entry/src/requests.ts
@@ -2,12 +2,13 @@
  * What a caller asks for: the fields of a request, checked.
  */
 import {type IncomingMessage} from 'node:http';
+import {isDeepStrictEqual} from 'node:util';
 import {VerdictError, type ServiceName} from '@tamarackwind/core';
 import {
 	workClassSchema, type ResolvedCaller, type ResolvedPool, type ResolvedService, type ResolvedSettings, type WorkClass,
 } from '@tamarackwind/settings';
 import {headerNames} from './headers.js';
-import {requireService, type Identities} from './identities.js';
+import {anonymousCaller, requireService, type Identities} from './identities.js';
 
 /** A request of a caller whose fields are in order. */
 export type CallerRequest = {
@@ -135,3 +136,15 @@
 
 	return values[0];
 }
+
+/** Tells whether the settings in force still give a request the service, pool and caller that it was read with. */
+export function isRequestCurrent({service, pool, caller}: CallerRequest, settings: ResolvedSettings | undefined): boolean {
+	if (settings?.services.get(service.name) === service) {
+		return true;
+	}
+
+	return settings !== undefined
+		&& isDeepStrictEqual(settings.services.get(service.name), service)
+		&& isDeepStrictEqual(settings.pools.get(pool.name), pool)
+		&& (settings.callers.size === 0 ? caller === anonymousCaller : isDeepStrictEqual(settings.callers.get(caller.id), caller));
+}
--- a/packages/entry/src/view-polls.ts
+++ b/packages/entry/src/view-polls.ts
@@ -77,9 +77,8 @@
 		this.#fetching.add(entryId);
 		try {
 			this.#acceptReply(await bus.fetchSettings(entryId, settings.version));
-		} catch (error) {
+		} catch {
 			this.#failedPolls++;
-			error;
 		} finally {
 			this.#fetching.delete(entryId);
 		}
