--- a/packages/entry/src/controls.ts
+++ b/packages/entry/src/controls.ts
@@ -2,7 +2,7 @@
  * The parts of an entry that agree with other entries: membership, the view lease, settings and their changes.
  */
 import {
-	type Clock, type EntryId, type IncarnationId, type Log, type PoolName, type RandomSource,
+	type Clock, type EntryId, type IncarnationId, type Log, type RandomSource,
 } from '@tamarackwind/core';
 import {type FleetView} from '@tamarackwind/fleet';
 import {
@@ -89,7 +89,7 @@
 	});
 	const settingsStore = SettingsStore.create(tables, objects);
 	const settingsChanges = SettingsChanges.create({
-		clock, store: settingsStore, audit, view: settings, barrier, countVms: () => countVms(settings, fleet),
+		clock, store: settingsStore, audit, view: settings, barrier, countVms: () => countVms(config.deployment, fleet),
 	});
 	const poll = ViewPoll.create({
 		clock, log, tables, store: settingsStore, settings, membership, versions, bus, lease, barrier,
@@ -116,10 +116,12 @@
 	};
 }
 
-function countVms({current}: SettingsView, fleet: FleetView): PoolCounts {
-	if (current === undefined) {
-		return new Map();
+function countVms(deployment: string, fleet: FleetView): PoolCounts {
+	const counts = new Map<string, number>();
+	for (const {pool} of fleet.state?.vms.values() ?? []) {
+		const key = `${deployment}/${pool}`;
+		counts.set(key, (counts.get(key) ?? 0) + 1);
 	}
 
-	return new Map([...current.pools.keys()].map((pool: PoolName) => [`${current.deployment}/${pool}`, fleet.listWorkers(pool).length]));
+	return counts;
 }
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -6,16 +6,23 @@
 import {Hono} from 'hono';
 import {z} from 'zod';
 import {type EntryContext} from './contexts.js';
-import {createOperatorGuard, type OperatorContext, type OperatorEnv} from './operator-identities.js';
+import {addFleetRoutes} from './fleet-routes.js';
+import {type FleetPart} from './fleets.js';
+import {
+	createOperatorGuard, requireFleetRight, type OperatorContext, type OperatorEnv,
+} from './operator-identities.js';
 import {createSettingsRoutes} from './settings-routes.js';
 
 /** Builds the app of the operator port; each concern adds its routes below /v1. */
-export function createOperatorApp(ctx: EntryContext): Hono<OperatorEnv> {
+export function createOperatorApp(ctx: EntryContext, fleetPart: FleetPart): Hono<OperatorEnv> {
 	const app = new Hono<OperatorEnv>();
 	app.onError((error, c) => sendError(error, c as OperatorContext));
-	app.use('/v1/*', createOperatorGuard({settings: ctx.settings, registry: ctx.registry, bootstrapHash: ctx.config.operatorTokenHash}));
+	app.use('/v1/*', createOperatorGuard({
+		settings: ctx.settings, registry: ctx.registry, audit: ctx.audit, bootstrapHash: ctx.config.operatorTokenHash,
+	}));
 	app.get('/v1/status', c => c.json(describeStatus(ctx)));
 	app.route('/v1', createSettingsRoutes({store: ctx.settingsStore, changes: ctx.settingsChanges, audit: ctx.audit}));
+	addFleetRoutes(app, {ctx, declarations: fleetPart.declarations, authorizeChange: () => requireFleetRight(ctx.config.deployment)});
 	return app;
 }
 
