Let an entry that can't reach the platform take the fleet from its peers

Cause: an entry that was restarted while the platform was down learned the settings from its peers but no VM, and one that was cut off could not follow a change of the fleet, so neither could serve.

Change: the fetch from a peer carries the VM rows and the list too, asked for only after 1.2 s without a read of the platform.

Result: the process test restarts an entry with the platform down; it becomes ready and serves by the present settings.

--- a/packages/entry/src/controls.ts
+++ b/packages/entry/src/controls.ts
@@ -92,7 +92,7 @@
 		clock, store: settingsStore, audit, view: settings, barrier, countVms: () => countVms(config.deployment, fleet),
 	});
 	const poll = ViewPoll.create({
-		clock, log, tables, store: settingsStore, settings, membership, versions, bus, lease, barrier,
+		clock, log, tables, store: settingsStore, settings, fleet, membership, versions, bus, lease, barrier,
 	});
 	later.poll = poll;
 	registerCounter(registry, 'tamarackwind_view_failed_reads_total', 'Reads of versions from the platform or a peer that failed', () => poll.failedPolls);
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -7,7 +7,7 @@
 } from '@tamarackwind/core';
 import {type FleetView} from '@tamarackwind/fleet';
 import {
-	GrpcPeerBus, type FetchSettingsReply, type PeerAddress, type ViewVersions,
+	GrpcPeerBus, type FetchSettingsReply, type FetchSettingsRequest, type PeerAddress, type ViewVersions,
 } from '@tamarackwind/peer';
 import {Gauge, type Registry} from 'prom-client';
 import {type EntryConfig} from './configs.js';
@@ -48,7 +48,7 @@
 			isStopping: options.isStopping(),
 			isAnchored: options.isAnchored(),
 		}),
-		answerFetch: ({knownVersion}) => createFetchReply(options, knownVersion),
+		answerFetch: known => createFetchReply(options, known),
 	});
 	versions.subscribe(() => {
 		bus.sendHeartbeats();
@@ -57,15 +57,18 @@
 	return bus;
 }
 
-function createFetchReply({settings, membership, versions}: PeerBusOptions, knownVersion: number): FetchSettingsReply {
-	const isNewer = settings.version > knownVersion;
+function createFetchReply({settings, membership, fleet, versions}: PeerBusOptions, known: FetchSettingsRequest): FetchSettingsReply {
+	const isNewer = settings.version > known.knownVersion;
+	const fleetVersion = versions.getVersion('fleet');
+	const copy = fleetVersion > known.knownFleetVersion ? fleet.createCopy() : undefined;
 	return {
 		version: settings.version,
 		treeJson: isNewer ? JSON.stringify(settings.tree) : '',
 		contentHash: isNewer ? hashTree(settings.tree) : '',
 		membersVersion: membership.current.version,
 		membersJson: JSON.stringify(membership.current),
-		fleetVersion: versions.getVersion('fleet'),
+		fleetVersion,
+		fleetJson: copy === undefined ? '' : JSON.stringify(copy),
 	};
 }
 
--- a/packages/entry/src/view-polls.ts
+++ b/packages/entry/src/view-polls.ts
@@ -4,6 +4,7 @@
 import {
 	Loop, VerdictError, readErrorMessage, type Clock, type EntryId, type Log,
 } from '@tamarackwind/core';
+import {type FleetCopy, type FleetView} from '@tamarackwind/fleet';
 import {
 	hasMember, type FetchSettingsReply, type GrpcPeerBus, type Members, type QuorumLease, type VersionBarrier, type VersionSet, type ViewVersions,
 } from '@tamarackwind/peer';
@@ -18,6 +19,7 @@
 	readonly tables: TableService;
 	readonly store: SettingsStore;
 	readonly settings: SettingsView;
+	readonly fleet: FleetView;
 	readonly membership: Membership;
 	readonly versions: ViewVersions;
 	readonly bus: GrpcPeerBus;
@@ -30,6 +32,8 @@
 /** Row that names the fleet version in force. */
 const currentFleetKey: RowKey = {table: 'fleet', key: 'current'};
 const defaultPollIntervalMs = 500;
+/** Time without a read of the platform after which the fleet is fetched from peers, in milliseconds. */
+const cutOffMs = 1200;
 
 function readVersion(row: Row | undefined): number {
 	return (row?.value as {readonly version: number} | undefined)?.version ?? 0;
@@ -45,6 +49,7 @@
 	readonly #loop: Loop;
 	readonly #fetching = new Set<EntryId>();
 	#failedPolls = 0;
+	#lastReadAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(options: ViewPollOptions) {
 		this.#options = options;
@@ -66,17 +71,24 @@
 		return this.#failedPolls;
 	}
 
-	/** Fetches from a peer what it works by; one fetch from a peer at a time. */
+	/**
+	 * Fetches from a peer what it works by; one fetch from a peer at a time. The fleet is fetched only while the platform
+	 * can't be read, since the fleet's own reads carry less.
+	 */
 	async fetchFrom(entryId: EntryId, wanted: VersionSet): Promise<void> {
-		const {bus, settings, membership} = this.#options;
-		const isBehind = wanted.settings > settings.version || wanted.members > membership.current.version;
+		const {bus, settings, membership, versions, clock} = this.#options;
+		const fleetVersion = versions.getVersion('fleet');
+		const isCutOff = clock.readMonotonic() - this.#lastReadAt > cutOffMs;
+		const needsFleet = isCutOff && wanted.fleet > fleetVersion;
+		const isBehind = needsFleet || wanted.settings > settings.version || wanted.members > membership.current.version;
 		if (!isBehind || this.#fetching.has(entryId)) {
 			return;
 		}
 
 		this.#fetching.add(entryId);
 		try {
-			this.#acceptReply(await bus.fetchSettings(entryId, settings.version));
+			const knownFleetVersion = needsFleet ? fleetVersion : Number.MAX_SAFE_INTEGER;
+			this.#acceptReply(await bus.fetchSettings(entryId, {knownVersion: settings.version, knownFleetVersion}));
 		} catch {
 			this.#failedPolls++;
 		} finally {
@@ -101,6 +113,10 @@
 			settings.acceptTree(reply.version, JSON.parse(reply.treeJson));
 		}
 
+		if (reply.fleetJson !== '') {
+			this.#options.fleet.acceptCopy(JSON.parse(reply.fleetJson) as FleetCopy);
+		}
+
 		if (reply.membersJson !== '') {
 			this.#acceptMembers(JSON.parse(reply.membersJson) as Members, reply.fleetVersion);
 		}
@@ -110,6 +126,7 @@
 		const {clock, tables, store, settings, membership, lease, bus, barrier} = this.#options;
 		const startedAt = clock.readMonotonic();
 		const [settingsRow, fleetRow, membersRow] = await tables.getRows([currentSettingsKey, currentFleetKey, membersKey]);
+		this.#lastReadAt = startedAt;
 		const current = settingsRow?.value as CurrentSettings | undefined;
 		if (current !== undefined && current.version > settings.version) {
 			settings.acceptTree(current.version, await store.readTree(current));
--- a/packages/fleet/src/mirrors.ts
+++ b/packages/fleet/src/mirrors.ts
@@ -37,6 +37,13 @@
 		return this.#state;
 	}
 
+	/** Takes rows that another entry has read, unless these are as new. */
+	acceptState(state: FleetState): void {
+		if (state.version > (this.#state?.version ?? -1)) {
+			this.#state = state;
+		}
+	}
+
 	/** Reads what has changed and gives the rows; a call during another shares its outcome. */
 	async refresh(): Promise<FleetState> {
 		this.#refreshing ??= this.#read();
@@ -55,7 +62,7 @@
 		if (before?.rowVersion !== rowVersion) {
 			const changed = before === undefined ? undefined : await this.#listChangedVms(before.version, version);
 			const vms = before === undefined || changed === undefined ? await this.#readAll() : await this.#readSome(before.vms, changed);
-			this.#state = {version, rowVersion, vms};
+			this.acceptState({version, rowVersion, vms});
 		}
 
 		return this.#state!;
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -10,6 +10,7 @@
 } from '@tamarackwind/platform';
 import {VmJoiner} from './joins.js';
 import {FleetMirror, type FleetState} from './mirrors.js';
+import {type VmRow} from './rows.js';
 import {FleetStore} from './stores.js';
 
 /** A worker that belongs to a pool. */
@@ -31,6 +32,14 @@
 	readonly readAt: number;
 };
 
+/** What an entry gives another that can't reach the platform. */
+export type FleetCopy = {
+	readonly version: number;
+	readonly rowVersion: number;
+	readonly rows: readonly VmRow[];
+	readonly listing: VmListing;
+};
+
 const defaultPollIntervalMs = 500;
 
 /** The workers of each pool as this entry last saw them: pools come from the rows, liveness from the list. */
@@ -96,6 +105,31 @@
 		return this.#entries;
 	}
 
+	/** Copies what this entry works by, once it was read. */
+	createCopy(): FleetCopy | undefined {
+		if (this.#state === undefined || this.#listing === undefined) {
+			return undefined;
+		}
+
+		const {version, rowVersion, vms} = this.#state;
+		const {generation, vms: listed} = this.#listing;
+		return {
+			version, rowVersion, rows: [...vms.values()], listing: {generation, vms: listed},
+		};
+	}
+
+	/** Works by another entry's copy from now on, unless its version is as high already. */
+	acceptCopy({version, rowVersion, rows, listing}: FleetCopy): void {
+		this.store.mirror.acceptState({version, rowVersion, vms: new Map(rows.map(row => [row.vmId, row]))});
+		if (this.#listing === undefined) {
+			this.#listing = {...listing, readAt: Number.NEGATIVE_INFINITY};
+			this.#entries = listing.vms.filter(vm => vm.kind === 'entry');
+			this.#isLoaded = true;
+		}
+
+		this.#apply();
+	}
+
 	async close(): Promise<void> {
 		await this.#loop.close();
 	}
--- a/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
+++ b/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
@@ -171,6 +171,7 @@
 export interface FetchSettingsRequest {
   /** Version that the caller already has. */
   knownVersion: number;
+  knownFleetVersion: number;
 }
 
 export interface FetchSettingsReply {
@@ -182,6 +183,8 @@
   /** The members as JSON. */
   membersJson: string;
   fleetVersion: number;
+  /** The VM rows and the list as JSON; empty when known_fleet_version is current. */
+  fleetJson: string;
 }
 
 function createBasePeerMessage(): PeerMessage {
@@ -2287,7 +2290,7 @@
 };
 
 function createBaseFetchSettingsRequest(): FetchSettingsRequest {
-  return { knownVersion: 0 };
+  return { knownVersion: 0, knownFleetVersion: 0 };
 }
 
 export const FetchSettingsRequest: MessageFns<FetchSettingsRequest> = {
@@ -2295,6 +2298,9 @@
     if (message.knownVersion !== 0) {
       writer.uint32(8).uint64(message.knownVersion);
     }
+    if (message.knownFleetVersion !== 0) {
+      writer.uint32(16).uint64(message.knownFleetVersion);
+    }
     return writer;
   },
 
@@ -2319,6 +2325,14 @@
             message.knownVersion = longToNumber(reader.uint64());
             continue;
           }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.knownFleetVersion = longToNumber(reader.uint64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2338,6 +2352,11 @@
         : isSet(object.known_version)
         ? globalThis.Number(object.known_version)
         : 0,
+      knownFleetVersion: isSet(object.knownFleetVersion)
+        ? globalThis.Number(object.knownFleetVersion)
+        : isSet(object.known_fleet_version)
+        ? globalThis.Number(object.known_fleet_version)
+        : 0,
     };
   },
 
@@ -2346,6 +2365,9 @@
     if (message.knownVersion !== 0) {
       obj.knownVersion = Math.round(message.knownVersion);
     }
+    if (message.knownFleetVersion !== 0) {
+      obj.knownFleetVersion = Math.round(message.knownFleetVersion);
+    }
     return obj;
   },
 
@@ -2355,12 +2377,21 @@
   fromPartial<I extends Exact<DeepPartial<FetchSettingsRequest>, I>>(object: I): FetchSettingsRequest {
     const message = createBaseFetchSettingsRequest();
     message.knownVersion = object.knownVersion ?? 0;
+    message.knownFleetVersion = object.knownFleetVersion ?? 0;
     return message;
   },
 };
 
 function createBaseFetchSettingsReply(): FetchSettingsReply {
-  return { version: 0, treeJson: "", contentHash: "", membersVersion: 0, membersJson: "", fleetVersion: 0 };
+  return {
+    version: 0,
+    treeJson: "",
+    contentHash: "",
+    membersVersion: 0,
+    membersJson: "",
+    fleetVersion: 0,
+    fleetJson: "",
+  };
 }
 
 export const FetchSettingsReply: MessageFns<FetchSettingsReply> = {
@@ -2383,6 +2414,9 @@
     if (message.fleetVersion !== 0) {
       writer.uint32(48).uint64(message.fleetVersion);
     }
+    if (message.fleetJson !== "") {
+      writer.uint32(58).string(message.fleetJson);
+    }
     return writer;
   },
 
@@ -2447,6 +2481,14 @@
             message.fleetVersion = longToNumber(reader.uint64());
             continue;
           }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.fleetJson = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2487,6 +2529,11 @@
         : isSet(object.fleet_version)
         ? globalThis.Number(object.fleet_version)
         : 0,
+      fleetJson: isSet(object.fleetJson)
+        ? globalThis.String(object.fleetJson)
+        : isSet(object.fleet_json)
+        ? globalThis.String(object.fleet_json)
+        : "",
     };
   },
 
@@ -2510,6 +2557,9 @@
     if (message.fleetVersion !== 0) {
       obj.fleetVersion = Math.round(message.fleetVersion);
     }
+    if (message.fleetJson !== "") {
+      obj.fleetJson = message.fleetJson;
+    }
     return obj;
   },
 
@@ -2524,6 +2574,7 @@
     message.membersVersion = object.membersVersion ?? 0;
     message.membersJson = object.membersJson ?? "";
     message.fleetVersion = object.fleetVersion ?? 0;
+    message.fleetJson = object.fleetJson ?? "";
     return message;
   },
 };
@@ -2541,7 +2592,7 @@
     responseSerialize: (value: PeerMessage): Buffer => Buffer.from(PeerMessage.encode(value).finish()),
     responseDeserialize: (value: Buffer): PeerMessage => PeerMessage.decode(value),
   },
-  /** Reads the settings tree and the members that the peer works by. */
+  /** Reads the settings tree, the fleet and the members that the peer works by. */
   fetchSettings: {
     path: "/tamarackwind.peer.v1.PeerService/FetchSettings" as const,
     requestStream: false as const,
@@ -2556,7 +2607,7 @@
 export interface PeerServiceServer extends UntypedServiceImplementation {
   /** Carries deltas both ways; each side sends a Hello first. */
   exchange: handleBidiStreamingCall<PeerMessage, PeerMessage>;
-  /** Reads the settings tree and the members that the peer works by. */
+  /** Reads the settings tree, the fleet and the members that the peer works by. */
   fetchSettings: handleUnaryCall<FetchSettingsRequest, FetchSettingsReply>;
 }
 
@@ -2565,7 +2616,7 @@
   exchange(): ClientDuplexStream<PeerMessage, PeerMessage>;
   exchange(options: Partial<CallOptions>): ClientDuplexStream<PeerMessage, PeerMessage>;
   exchange(metadata: Metadata, options?: Partial<CallOptions>): ClientDuplexStream<PeerMessage, PeerMessage>;
-  /** Reads the settings tree and the members that the peer works by. */
+  /** Reads the settings tree, the fleet and the members that the peer works by. */
   fetchSettings(
     request: FetchSettingsRequest,
     callback: (error: ServiceError | null, response: FetchSettingsReply) => void,
--- a/packages/peer/src/grpc-buses.ts
+++ b/packages/peer/src/grpc-buses.ts
@@ -100,17 +100,17 @@
 	}
 
 	/**
-	 * Reads the settings and members that a peer works by.
+	 * Reads the settings, fleet and members that a peer works by, as far as they are newer than what is known.
 	 *
 	 * @throws {VerdictError} when the peer does not answer.
 	 */
-	async fetchSettings(from: EntryId, knownVersion: number): Promise<FetchSettingsReply> {
+	async fetchSettings(from: EntryId, known: FetchSettingsRequest): Promise<FetchSettingsReply> {
 		const link = this.#links.get(from);
 		if (link === undefined) {
 			throw new VerdictError(`entry "${from}" is not known`, {verdict: 'not-run', code: 'peer_unavailable'});
 		}
 
-		return link.fetchSettings(knownVersion);
+		return link.fetchSettings(known);
 	}
 
 	override async close(): Promise<void> {
--- a/packages/peer/src/links.ts
+++ b/packages/peer/src/links.ts
@@ -8,7 +8,7 @@
 import {type PeerBody} from './buses.js';
 import {channelOptions} from './channels.js';
 import {
-	PeerMessage, PeerServiceClient, type FetchSettingsReply, type Heartbeat, type Hello,
+	PeerMessage, PeerServiceClient, type FetchSettingsReply, type FetchSettingsRequest, type Heartbeat, type Hello,
 } from './gen/tamarackwind/peer/v1/peer.js';
 
 /** Where another entry listens for its peers. */
@@ -113,7 +113,7 @@
 	 *
 	 * @throws {VerdictError} when the peer does not answer.
 	 */
-	async fetchSettings(knownVersion: number): Promise<FetchSettingsReply> {
+	async fetchSettings(known: FetchSettingsRequest): Promise<FetchSettingsReply> {
 		const client = this.#client;
 		try {
 			return await new Promise((resolve, reject) => {
@@ -122,7 +122,7 @@
 					return;
 				}
 
-				client.fetchSettings({knownVersion}, new Metadata(), {deadline: Date.now() + fetchTimeoutMs}, (error, reply) => {
+				client.fetchSettings(known, new Metadata(), {deadline: Date.now() + fetchTimeoutMs}, (error, reply) => {
 					if (error) {
 						reject(error);
 					} else {
--- a/packages/testing/tests/views.test.ts
+++ b/packages/testing/tests/views.test.ts
@@ -110,10 +110,10 @@
 
 	t.is((await putTree(first, 'c-2', 2, createTree('newer'))).status, 503);
 	const restarted = await cluster.restartEntry(2, {peers, peer: {host: '127.0.0.1', port: last.ports.peer}});
-	await waitUntil(async () => await callService(restarted, 'old') === 404);
-	cluster.platform.setFaults({});
 	await waitUntil(async () => restarted.isReady());
 	t.is(await callService(restarted, 'new'), 200);
+	t.is(await callService(restarted, 'old'), 404);
+	cluster.platform.setFaults({});
 	t.is((await putTree(first, 'c-3', 2, createTree('newest'))).status, 200);
 });
 
