--- a/packages/admission/src/borrowers.ts
+++ b/packages/admission/src/borrowers.ts
@@ -8,6 +8,7 @@
 import {type VmRecord} from '@tamarackwind/platform';
 import {type ResolvedPool} from '@tamarackwind/settings';
 import {RequestQueue, type RequestFlow, type Waiter} from './request-queues.js';
+import {UsageHistory} from './usages.js';
 import {SlotGrant, type DispatchOutcome, type SlotRequest} from './schedulers.js';
 
 export type BorrowerOptions = {
@@ -67,6 +68,7 @@
 
 	readonly queue: RequestQueue<SlotGrant>;
 	readonly #options: BorrowerOptions;
+	readonly #usages: UsageHistory;
 	readonly #held = new Map<number, Held>();
 	readonly #loanSequences = new Map<EntryId, number>();
 	readonly #sentAt = new Map<number, number>();
@@ -86,6 +88,7 @@
 		this.#options = options;
 		this.#pool = options.pool;
 		this.queue = RequestQueue.create(options.clock);
+		this.#usages = UsageHistory.create(options.clock);
 	}
 
 	/** Requests in flight. */
@@ -170,6 +173,7 @@
 
 	/** Renews what is held and waited for; call it several times a second. */
 	renew(): void {
+		this.#usages.trim();
 		const intervalMs = this.queue.size > 0 ? waitingSyncMs : holdingSyncMs;
 		const isDue = this.#options.clock.readMonotonic() - this.#syncedAt >= intervalMs;
 		if (isDue && (!this.#isIdle() || !this.#isIdleTold)) {
@@ -218,15 +222,17 @@
 		this.#held.set(slot.slotId, held);
 		this.#options.onStart(waiter.request, now - waiter.since);
 		waiter.accept(new LentGrant(vm, outcome => {
-			this.#finish(held, waiter.request, outcome);
+			this.#finish(held, waiter.request, now, outcome);
 		}));
 		return true;
 	}
 
-	#finish(held: Held, request: SlotRequest, outcome: DispatchOutcome): void {
+	#finish(held: Held, request: SlotRequest, requestAt: number, outcome: DispatchOutcome): void {
 		const {slot, vm, startedAt, home} = held;
 		this.#options.onOutcome(vm.vmId as VmId, request, outcome);
-		const usedMs = this.#options.clock.readMonotonic() - startedAt;
+		const now = this.#options.clock.readMonotonic();
+		const usedMs = now - startedAt;
+		this.#usages.addUse(held.flow.usageKey, now - requestAt);
 		if (this.#isReusable(held, outcome, usedMs) && this.#startNext(held)) {
 			return;
 		}
@@ -281,7 +287,7 @@
 			this.#mustSync = false;
 		}
 
-		const demand = {...this.#buildDemand(this.#home, isComplete), flows: this.queue.collectDemand(isComplete), returned: this.#returned};
+		const demand = {...this.#buildDemand(this.#home, isComplete), flows: this.queue.collectDemand(isComplete, this.#usages), returned: this.#returned};
 		this.#returned = [];
 		this.#options.sendDemand(this.#home, demand);
 	}
--- a/packages/admission/src/brokers.ts
+++ b/packages/admission/src/brokers.ts
@@ -60,6 +60,8 @@
 type Member = {
 	readonly entryId: EntryId;
 	flows: Map<number, Flow>;
+	/** Slots that callers used at the entry on average, by class and caller. */
+	readonly usualSlots: Map<string, number>;
 	readonly lent: Map<number, Lent>;
 	heardAt: number;
 	demandSequence: number;
@@ -162,7 +164,7 @@
 		}
 
 		const member: Member = {
-			entryId, flows: new Map(), lent: new Map(), heardAt: 0, demandSequence: 0, loanSequence: this.#options.firstSlotId, mustAcknowledge: false,
+			entryId, flows: new Map(), usualSlots: new Map(), lent: new Map(), heardAt: 0, demandSequence: 0, loanSequence: this.#options.firstSlotId, mustAcknowledge: false,
 		};
 		this.#members.set(entryId, member);
 		return member;
@@ -191,9 +193,25 @@
 				weight: demand.weight,
 				waitingSince: now - demand.waitedMs,
 			});
+			this.#updateUsual(member, demand);
 		}
 	}
 
+	#updateUsual(member: Member, {workClass, caller, usualSlots}: FlowDemand): void {
+		const key = `${workClass} ${caller}`;
+		if (member.usualSlots.get(key) === usualSlots || caller === '') {
+			return;
+		}
+
+		member.usualSlots.set(key, usualSlots);
+		let sum = 0;
+		for (const other of this.#members.values()) {
+			sum += other.usualSlots.get(key) ?? 0;
+		}
+
+		this.#ledger.setUsualSlots(workClass as WorkClass, caller as CallerId, sum);
+	}
+
 	/** Adopts slots that the entry holds and this broker has not lent, and takes back what it no longer holds. */
 	#updateHeld(member: Member, {held, loanSequence}: PoolDemand): void {
 		const now = this.#options.clock.readMonotonic();
--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -178,6 +178,10 @@
 		return Math.ceil(seconds * (1 + (this.#options.random.readFraction() * retryAfterJitter)));
 	}
 
+	override getConnectionLimit({connectionsPerVm}: ResolvedPool): number {
+		return Math.max(1, Math.floor(connectionsPerVm / this.#countEntries()));
+	}
+
 	override noteLeaving(vmId: VmId): void {
 		this.#leaving.noteLeaving(vmId);
 	}
@@ -254,8 +258,7 @@
 		return desk;
 	}
 
-	#noteOutcome(vmId: VmId, {pool, caller}: SlotRequest, outcome: DispatchOutcome): void {
-		this.#metrics.countOutcome(pool.name, outcome);
+	#noteOutcome(vmId: VmId, {caller}: SlotRequest, outcome: DispatchOutcome): void {
 		const isSuccess = match(outcome)
 			.with('answered', () => true)
 			.with('error-answer', 'unsent', 'failed', 'timed-out', () => false)
@@ -344,7 +347,7 @@
 	}
 
 	#lendSlots({pool, broker}: Desk): void {
-		broker?.lendSlots(pool, () => Math.min(pool.slotsPerVm, Math.max(1, Math.floor(pool.connectionsPerVm / this.#countEntries()))));
+		broker?.lendSlots(pool, () => Math.min(pool.slotsPerVm, this.getConnectionLimit(pool)));
 	}
 
 	#receiveDemand(from: EntryId, demand: PoolDemand): void {
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -7,3 +7,4 @@
 export * from './scheduler-metrics.js';
 export * from './schedulers.js';
 export * from './shares.js';
+export * from './usages.js';
--- a/packages/admission/src/naive-schedulers.ts
+++ b/packages/admission/src/naive-schedulers.ts
@@ -3,6 +3,7 @@
  */
 import {VerdictError, type PoolName, type RandomSource} from '@tamarackwind/core';
 import {type VmRecord} from '@tamarackwind/platform';
+import {type ResolvedPool} from '@tamarackwind/settings';
 import {Scheduler, SlotGrant, type SlotRequest} from './schedulers.js';
 
 export type NaiveSchedulerOptions = {
@@ -48,6 +49,10 @@
 		return 1;
 	}
 
+	override getConnectionLimit({connectionsPerVm}: ResolvedPool): number {
+		return connectionsPerVm;
+	}
+
 	override noteLeaving(): void {}
 
 	override async close(): Promise<void> {}
--- a/packages/admission/src/request-queues.ts
+++ b/packages/admission/src/request-queues.ts
@@ -4,6 +4,7 @@
 import {type CallerId, type Clock} from '@tamarackwind/core';
 import {type FlowDemand} from '@tamarackwind/peer';
 import {type SlotRequest} from './schedulers.js';
+import {type UsageHistory} from './usages.js';
 
 /** A request in the queue. */
 export type Waiter<T> = {
@@ -17,6 +18,8 @@
 export type RequestFlow<T> = {
 	readonly id: number;
 	readonly key: string;
+	/** Class and caller, by which use is averaged. */
+	readonly usageKey: string;
 	readonly waiters: Array<Waiter<T>>;
 	isDirty: boolean;
 	/** Mean time between two starts while requests wait, in milliseconds; 0 before the second start. */
@@ -66,7 +69,7 @@
 		}
 
 		const flow: RequestFlow<T> = {
-			id: this.#nextId++, key, waiters: [], isDirty: false, meanGapMs: 0, starts: 0, lastStartAt: this.#clock.readMonotonic(),
+			id: this.#nextId++, key, usageKey: `${workClass} ${caller.id}`, waiters: [], isDirty: false, meanGapMs: 0, starts: 0, lastStartAt: this.#clock.readMonotonic(),
 		};
 		this.#flows.set(key, flow);
 		this.#byId.set(flow.id, flow);
@@ -149,12 +152,12 @@
 	}
 
 	/** Lists the flows as demand, only those that changed unless `isComplete`. */
-	collectDemand(isComplete: boolean): FlowDemand[] {
+	collectDemand(isComplete: boolean, usages: UsageHistory): FlowDemand[] {
 		const now = this.#clock.readMonotonic();
 		const demands: FlowDemand[] = [];
 		for (const flow of this.#flows.values()) {
 			if (flow.isDirty || (isComplete && flow.waiters.length > 0)) {
-				demands.push(buildDemand(flow, now));
+				demands.push(buildDemand(flow, now, usages));
 			}
 
 			flow.isDirty = false;
@@ -199,7 +202,12 @@
 	}
 }
 
-function buildDemand<T>({id, waiters}: RequestFlow<T>, now: number): FlowDemand {
+/** Rounds to a thousandth, so that small changes are not news. */
+function toReported(slots: number): number {
+	return Math.fround(Math.round(slots * 1000) / 1000);
+}
+
+function buildDemand<T>({id, usageKey, waiters}: RequestFlow<T>, now: number, usages: UsageHistory): FlowDemand {
 	const [first] = waiters;
 	return {
 		flow: id,
@@ -210,5 +218,6 @@
 		triedVms: first === undefined ? [] : [...first.request.triedVms],
 		isIdempotent: waiters.some(({request}) => request.isIdempotent !== false),
 		weight: first?.request.caller.weight ?? 1,
+		usualSlots: first === undefined ? 0 : toReported(usages.readSlots(usageKey)),
 	};
 }
--- a/packages/admission/src/scheduler-metrics.ts
+++ b/packages/admission/src/scheduler-metrics.ts
@@ -24,7 +24,6 @@
 
 	readonly #waits: Histogram<'pool' | 'class'>;
 	readonly #refused: Counter<'pool' | 'class' | 'code'>;
-	readonly #dispatches: Counter<'pool' | 'outcome'>;
 	readonly #changes: Counter<'change'>;
 
 	private constructor(registry: Registry, readPools: () => readonly PoolGauges[]) {
@@ -35,9 +34,6 @@
 		this.#refused = new Counter({
 			name: 'tamarackwind_refused_total', help: 'Requests refused before they ran.', labelNames: ['pool', 'class', 'code'], registers,
 		});
-		this.#dispatches = new Counter({
-			name: 'tamarackwind_dispatch_outcomes_total', help: 'Dispatches by how they ended.', labelNames: ['pool', 'outcome'], registers,
-		});
 		this.#changes = new Counter({
 			name: 'tamarackwind_set_aside_changes_total', help: 'Workers set aside and taken back.', labelNames: ['change'], registers,
 		});
@@ -67,10 +63,6 @@
 		this.#refused.inc({pool, class: workClass, code});
 	}
 
-	countOutcome(pool: string, outcome: string): void {
-		this.#dispatches.inc({pool, outcome});
-	}
-
 	countChange(isSetAside: boolean): void {
 		this.#changes.inc({change: isSetAside ? 'set-aside' : 'taken-back'});
 	}
--- a/packages/admission/src/schedulers.ts
+++ b/packages/admission/src/schedulers.ts
@@ -57,6 +57,9 @@
 	/** Seconds after which a refused caller may try again. */
 	abstract suggestRetryAfter(pool: ResolvedPool, caller: CallerId): number;
 
+	/** Most connections that this entry may open to one worker, so that all entries together keep to the pool's limit. */
+	abstract getConnectionLimit(pool: ResolvedPool): number;
+
 	/** Tells whether a VM is about to leave, as an answer of it said; it gets no new work. */
 	abstract noteLeaving(vmId: VmId): void;
 
--- a/packages/admission/src/shares.ts
+++ b/packages/admission/src/shares.ts
@@ -17,7 +17,17 @@
 /** Slots of the pool at this moment. */
 export type Capacity = {readonly total: number; readonly free: number};
 
-type CallerUse = {inUse: number; virtualTime: number; weight: number; usedAt: number};
+type CallerUse = {
+	inUse: number;
+	virtualTime: number;
+	weight: number;
+	usedAt: number;
+	/** Slots used on average over the last minutes. */
+	usualSlots: number;
+	/** Slot time within its usual use that the caller has not used yet, in milliseconds. */
+	creditMs: number;
+	creditAt: number;
+};
 
 type ClassUse = {
 	inUse: number;
@@ -41,6 +51,10 @@
 const minExpected = 1;
 /** Time after which the use of an idle caller is forgotten. */
 const callerMemoryMs = 60_000;
+/** Use above the usual one that still counts as usual. */
+const usualHeadroom = 2;
+/** Time for which unused credit is saved up. */
+const creditMemoryMs = 10_000;
 
 function createClassUse(): ClassUse {
 	return {
@@ -50,8 +64,8 @@
 
 /**
  * Counts the slots in use by class and caller and orders those that wait. Classes below their floors come first, then
- * the class that uses least for its weight; within a class the caller that uses least for its weight, and the one that
- * used least slot time among equals.
+ * the class that uses least for its weight. Within a class callers that keep to their usual use come first, then the
+ * caller that uses least for its weight, and the one that used least slot time among equals.
  */
 export class ShareLedger {
 	static create(clock: Clock): ShareLedger {
@@ -69,6 +83,16 @@
 		return this.#classes[workClass].inUse;
 	}
 
+	/** Takes what a caller has used on average, summed over the entries. */
+	setUsualSlots(workClass: WorkClass, caller: CallerId, usualSlots: number): void {
+		const use = this.#classes[workClass];
+		const callerUse = this.#getCaller(use, caller);
+		if (callerUse.usualSlots !== usualSlots) {
+			this.#updateCredit(use, callerUse);
+			callerUse.usualSlots = usualSlots;
+		}
+	}
+
 	/** Counts a slot that was taken `heldMs` milliseconds ago. */
 	beginUse(workClass: WorkClass, caller: CallerId, weight: number, heldMs = 0): void {
 		const now = this.#clock.readMonotonic();
@@ -87,6 +111,7 @@
 		callerUse.virtualTime = start + (use.meanHoldMs / weight);
 		callerUse.inUse++;
 		callerUse.usedAt = now;
+		callerUse.creditMs -= use.meanHoldMs;
 	}
 
 	/** Counts a slot that was given back after `usedMs` milliseconds. */
@@ -99,6 +124,7 @@
 		callerUse.inUse--;
 		callerUse.usedAt = now;
 		callerUse.virtualTime += (usedMs - use.meanHoldMs) / callerUse.weight;
+		callerUse.creditMs -= usedMs - use.meanHoldMs;
 		use.meanHoldMs += (usedMs - use.meanHoldMs) * holdSmoothing;
 	}
 
@@ -110,7 +136,7 @@
 		return classes.flatMap(workClass => claimants
 			.filter(claimant => claimant.workClass === workClass)
 			.map(claimant => ({claimant, ...this.#readCaller(claimant)}))
-			.toSorted((a, b) => a.load - b.load || a.virtualTime - b.virtualTime || a.claimant.waitingSince - b.claimant.waitingSince)
+			.toSorted((a, b) => Number(b.isUsual) - Number(a.isUsual) || a.load - b.load || a.virtualTime - b.virtualTime || a.claimant.waitingSince - b.claimant.waitingSince)
 			.map(({claimant}) => claimant));
 	}
 
@@ -133,21 +159,32 @@
 		}
 
 		const created: CallerUse = {
-			inUse: 0, virtualTime: use.virtualTime, weight: 1, usedAt: this.#clock.readMonotonic(),
+			inUse: 0, virtualTime: use.virtualTime, weight: 1, usedAt: this.#clock.readMonotonic(), usualSlots: 0, creditMs: 0, creditAt: this.#clock.readMonotonic(),
 		};
 		use.callers.set(caller, created);
 		return created;
 	}
 
-	#readCaller({workClass, caller, weight}: Claimant): {load: number; virtualTime: number} {
+	#readCaller({workClass, caller, weight}: Claimant): {load: number; virtualTime: number; isUsual: boolean} {
 		const use = this.#classes[workClass];
 		const callerUse = use.callers.get(caller);
 		return {
+			isUsual: callerUse !== undefined && this.#updateCredit(use, callerUse) > 0,
 			load: (callerUse?.inUse ?? 0) / weight,
 			virtualTime: Math.max(callerUse?.virtualTime ?? 0, use.virtualTime),
 		};
 	}
 
+	/** Adds the credit of the time that passed, up to what may be saved. */
+	#updateCredit({meanHoldMs}: ClassUse, callerUse: CallerUse): number {
+		const now = this.#clock.readMonotonic();
+		const rate = callerUse.usualSlots * usualHeadroom;
+		const limit = rate === 0 ? 0 : meanHoldMs + (rate * creditMemoryMs);
+		callerUse.creditMs = Math.min(limit, Math.max(-limit, callerUse.creditMs + (rate * (now - callerUse.creditAt))));
+		callerUse.creditAt = now;
+		return callerUse.creditMs;
+	}
+
 	/** Below zero while the class is below its floor. */
 	#computeRank(workClass: WorkClass, {total}: Capacity, shares: PoolValues['shares']): number {
 		const {floor, weight} = shares[workClass];
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -95,6 +95,7 @@
 		startBy: deadlineAt,
 		attempts,
 		triedVms,
+		isIdempotent: request.isIdempotent,
 		signal,
 	});
 	triedVms.add(grant.vm.vmId as VmId);
@@ -131,7 +132,7 @@
 	const {upstreams} = parts;
 	const {request, body} = options;
 	const connection = await upstreams.acquireConnection(vm, {
-		limit: request.pool.connectionsPerVm,
+		limit: parts.scheduler.getConnectionLimit(request.pool),
 		maxIdleMs: request.isIdempotent ? Number.POSITIVE_INFINITY : maxFreshIdleMs,
 	});
 	let isReusable = false;
--- a/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
+++ b/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
@@ -119,6 +119,8 @@
   isIdempotent: boolean;
   /** Share of the caller against others of the class. */
   weight: number;
+  /** Slots that the caller and class have used at the sender on average over the last minutes. */
+  usualSlots: number;
 }
 
 export interface HeldSlot {
@@ -1329,7 +1331,17 @@
 };
 
 function createBaseFlowDemand(): FlowDemand {
-  return { flow: 0, caller: "", workClass: "", queued: 0, waitedMs: 0, triedVms: [], isIdempotent: false, weight: 0 };
+  return {
+    flow: 0,
+    caller: "",
+    workClass: "",
+    queued: 0,
+    waitedMs: 0,
+    triedVms: [],
+    isIdempotent: false,
+    weight: 0,
+    usualSlots: 0,
+  };
 }
 
 export const FlowDemand: MessageFns<FlowDemand> = {
@@ -1358,6 +1370,9 @@
     if (message.weight !== 0) {
       writer.uint32(65).double(message.weight);
     }
+    if (message.usualSlots !== 0) {
+      writer.uint32(77).float(message.usualSlots);
+    }
     return writer;
   },
 
@@ -1438,6 +1453,14 @@
             message.weight = reader.double();
             continue;
           }
+          case 9: {
+            if (tag !== 77) {
+              break;
+            }
+
+            message.usualSlots = reader.float();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1476,6 +1499,11 @@
         ? globalThis.Boolean(object.is_idempotent)
         : false,
       weight: isSet(object.weight) ? globalThis.Number(object.weight) : 0,
+      usualSlots: isSet(object.usualSlots)
+        ? globalThis.Number(object.usualSlots)
+        : isSet(object.usual_slots)
+        ? globalThis.Number(object.usual_slots)
+        : 0,
     };
   },
 
@@ -1505,6 +1533,9 @@
     if (message.weight !== 0) {
       obj.weight = floatToJson(message.weight);
     }
+    if (message.usualSlots !== 0) {
+      obj.usualSlots = floatToJson(message.usualSlots);
+    }
     return obj;
   },
 
@@ -1521,6 +1552,7 @@
     message.triedVms = object.triedVms?.map((e) => e) || [];
     message.isIdempotent = object.isIdempotent ?? false;
     message.weight = object.weight ?? 0;
+    message.usualSlots = object.usualSlots ?? 0;
     return message;
   },
 };
--- a/packages/testing/src/slot-simulations.ts
+++ b/packages/testing/src/slot-simulations.ts
@@ -255,7 +255,7 @@
 }
 
 /** Time for entries to find each other before the first request. */
-const warmUpMs = 1000;
+export const warmUpMs = 1000;
 
 /** The `part` quantile of values, 0 when there are none. */
 export function computeQuantile(values: readonly number[], part: number): number {
