--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -178,10 +178,6 @@
 		return Math.ceil(seconds * (1 + (this.#options.random.readFraction() * retryAfterJitter)));
 	}
 
-	override getConnectionLimit({connectionsPerVm}: ResolvedPool): number {
-		return Math.max(1, Math.floor(connectionsPerVm / this.#countEntries()));
-	}
-
 	override noteLeaving(vmId: VmId): void {
 		this.#leaving.noteLeaving(vmId);
 	}
@@ -347,7 +343,7 @@
 	}
 
 	#lendSlots({pool, broker}: Desk): void {
-		broker?.lendSlots(pool, () => Math.min(pool.slotsPerVm, this.getConnectionLimit(pool)));
+		broker?.lendSlots(pool, () => Math.min(pool.slotsPerVm, Math.max(1, Math.floor(pool.connectionsPerVm / (this.#countEntries() + 1)))));
 	}
 
 	#receiveDemand(from: EntryId, demand: PoolDemand): void {
--- a/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
+++ b/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
@@ -53,6 +53,9 @@
   settingsVersion: number;
   fleetVersion: number;
   isStopping: boolean;
+  membersVersion: number;
+  /** Whether the sender's versions were confirmed by the platform or by a majority since it started. */
+  isAnchored: boolean;
 }
 
 /** VMs that the sender knows to be leaving. */
@@ -177,6 +180,9 @@
   /** The tree as JSON; empty when known_version is current. */
   treeJson: string;
   contentHash: string;
+  membersVersion: number;
+  /** The members as JSON. */
+  membersJson: string;
 }
 
 function createBasePeerMessage(): PeerMessage {
@@ -491,7 +497,15 @@
 };
 
 function createBaseHeartbeat(): Heartbeat {
-  return { sequence: 0, acknowledgedSequence: 0, settingsVersion: 0, fleetVersion: 0, isStopping: false };
+  return {
+    sequence: 0,
+    acknowledgedSequence: 0,
+    settingsVersion: 0,
+    fleetVersion: 0,
+    isStopping: false,
+    membersVersion: 0,
+    isAnchored: false,
+  };
 }
 
 export const Heartbeat: MessageFns<Heartbeat> = {
@@ -511,6 +525,12 @@
     if (message.isStopping !== false) {
       writer.uint32(40).bool(message.isStopping);
     }
+    if (message.membersVersion !== 0) {
+      writer.uint32(48).uint64(message.membersVersion);
+    }
+    if (message.isAnchored !== false) {
+      writer.uint32(56).bool(message.isAnchored);
+    }
     return writer;
   },
 
@@ -567,6 +587,22 @@
             message.isStopping = reader.bool();
             continue;
           }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.membersVersion = longToNumber(reader.uint64());
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.isAnchored = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -602,6 +638,16 @@
         : isSet(object.is_stopping)
         ? globalThis.Boolean(object.is_stopping)
         : false,
+      membersVersion: isSet(object.membersVersion)
+        ? globalThis.Number(object.membersVersion)
+        : isSet(object.members_version)
+        ? globalThis.Number(object.members_version)
+        : 0,
+      isAnchored: isSet(object.isAnchored)
+        ? globalThis.Boolean(object.isAnchored)
+        : isSet(object.is_anchored)
+        ? globalThis.Boolean(object.is_anchored)
+        : false,
     };
   },
 
@@ -622,6 +668,12 @@
     if (message.isStopping !== false) {
       obj.isStopping = message.isStopping;
     }
+    if (message.membersVersion !== 0) {
+      obj.membersVersion = Math.round(message.membersVersion);
+    }
+    if (message.isAnchored !== false) {
+      obj.isAnchored = message.isAnchored;
+    }
     return obj;
   },
 
@@ -635,6 +687,8 @@
     message.settingsVersion = object.settingsVersion ?? 0;
     message.fleetVersion = object.fleetVersion ?? 0;
     message.isStopping = object.isStopping ?? false;
+    message.membersVersion = object.membersVersion ?? 0;
+    message.isAnchored = object.isAnchored ?? false;
     return message;
   },
 };
@@ -2337,7 +2391,7 @@
 };
 
 function createBaseFetchSettingsReply(): FetchSettingsReply {
-  return { version: 0, treeJson: "", contentHash: "" };
+  return { version: 0, treeJson: "", contentHash: "", membersVersion: 0, membersJson: "" };
 }
 
 export const FetchSettingsReply: MessageFns<FetchSettingsReply> = {
@@ -2351,6 +2405,12 @@
     if (message.contentHash !== "") {
       writer.uint32(26).string(message.contentHash);
     }
+    if (message.membersVersion !== 0) {
+      writer.uint32(32).uint64(message.membersVersion);
+    }
+    if (message.membersJson !== "") {
+      writer.uint32(42).string(message.membersJson);
+    }
     return writer;
   },
 
@@ -2391,6 +2451,22 @@
             message.contentHash = reader.string();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.membersVersion = longToNumber(reader.uint64());
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.membersJson = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2416,6 +2492,16 @@
         : isSet(object.content_hash)
         ? globalThis.String(object.content_hash)
         : "",
+      membersVersion: isSet(object.membersVersion)
+        ? globalThis.Number(object.membersVersion)
+        : isSet(object.members_version)
+        ? globalThis.Number(object.members_version)
+        : 0,
+      membersJson: isSet(object.membersJson)
+        ? globalThis.String(object.membersJson)
+        : isSet(object.members_json)
+        ? globalThis.String(object.members_json)
+        : "",
     };
   },
 
@@ -2430,6 +2516,12 @@
     if (message.contentHash !== "") {
       obj.contentHash = message.contentHash;
     }
+    if (message.membersVersion !== 0) {
+      obj.membersVersion = Math.round(message.membersVersion);
+    }
+    if (message.membersJson !== "") {
+      obj.membersJson = message.membersJson;
+    }
     return obj;
   },
 
@@ -2441,6 +2533,8 @@
     message.version = object.version ?? 0;
     message.treeJson = object.treeJson ?? "";
     message.contentHash = object.contentHash ?? "";
+    message.membersVersion = object.membersVersion ?? 0;
+    message.membersJson = object.membersJson ?? "";
     return message;
   },
 };
@@ -2458,7 +2552,7 @@
     responseSerialize: (value: PeerMessage): Buffer => Buffer.from(PeerMessage.encode(value).finish()),
     responseDeserialize: (value: Buffer): PeerMessage => PeerMessage.decode(value),
   },
-  /** Reads the settings tree that the peer works by. */
+  /** Reads the settings tree and the members that the peer works by. */
   fetchSettings: {
     path: "/tamarackwind.peer.v1.PeerService/FetchSettings" as const,
     requestStream: false as const,
@@ -2473,7 +2567,7 @@
 export interface PeerServiceServer extends UntypedServiceImplementation {
   /** Carries deltas both ways; each side sends a Hello first. */
   exchange: handleBidiStreamingCall<PeerMessage, PeerMessage>;
-  /** Reads the settings tree that the peer works by. */
+  /** Reads the settings tree and the members that the peer works by. */
   fetchSettings: handleUnaryCall<FetchSettingsRequest, FetchSettingsReply>;
 }
 
@@ -2482,7 +2576,7 @@
   exchange(): ClientDuplexStream<PeerMessage, PeerMessage>;
   exchange(options: Partial<CallOptions>): ClientDuplexStream<PeerMessage, PeerMessage>;
   exchange(metadata: Metadata, options?: Partial<CallOptions>): ClientDuplexStream<PeerMessage, PeerMessage>;
-  /** Reads the settings tree that the peer works by. */
+  /** Reads the settings tree and the members that the peer works by. */
   fetchSettings(
     request: FetchSettingsRequest,
     callback: (error: ServiceError | null, response: FetchSettingsReply) => void,
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -2,7 +2,8 @@
  * Stand-in of the platform: table service, object store, list of VMs, with switches for faults.
  */
 import {type Server} from 'node:http';
-import {serve} from '@hono/node-server';
+import {type AddressInfo} from 'node:net';
+import {serve, type HttpBindings} from '@hono/node-server';
 import {VerdictError} from '@tamarackwind/core';
 import {
 	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
@@ -13,18 +14,32 @@
 	readonly port?: number;
 	/** Time by which the list of VMs lags behind. */
 	readonly listLagMs?: number;
+	/** Time that a reboot takes. */
+	readonly rebootMs?: number;
+};
+
+/** How a VM comes back from its next reboots. */
+export type RebootBehavior = {
+	readonly afterMs?: number;
+	/** The VM never comes back. */
+	readonly isLost?: boolean;
 };
 
 /** Switches of the stand-in's parts. */
 export type PlatformFaults = {readonly tables?: Faults; readonly objects?: Faults; readonly vms?: Faults};
 
+const defaultRebootMs = 500;
+
+/** Changes the list of VMs for those who ask on one port. */
+export type MapVms = (vms: readonly VmRecord[]) => readonly VmRecord[];
+
 type Listing = {readonly since: number; readonly generation: number; readonly vms: readonly VmRecord[]};
 
 /** The platform on one loopback port. */
 export class PlatformStandIn {
 	static async create(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
 		const standIn = new PlatformStandIn(options);
-		await standIn.#listen(options.port ?? 0);
+		standIn.#port = await standIn.#listen(options.port ?? 0);
 		return standIn;
 	}
 
@@ -32,13 +47,23 @@
 	readonly objects = MemoryObjectStore.create();
 	readonly vmFaults = FaultSwitch.create();
 	readonly #vms = new Map<string, VmRecord>();
+	/** Reboots so far, in order. */
+	readonly reboots: Array<{readonly vmId: string; readonly token: string}> = [];
+	/** Called when a VM stops for a reboot and when it runs again. */
+	onReboot: (vmId: string, isRunning: boolean) => void = () => {};
+	readonly #rebootMs: number;
+	readonly #rebootBehaviors = new Map<string, RebootBehavior>();
+	readonly #rebootTokens = new Set<string>();
+	readonly #rebootTimers = new Set<NodeJS.Timeout>();
 	readonly #listLagMs: number;
 	#listings: Listing[] = [{since: 0, generation: 0, vms: []}];
-	#server: Server | undefined;
+	readonly #servers: Server[] = [];
+	readonly #mapsByPort = new Map<number, MapVms>();
 	#port = 0;
 
-	private constructor({listLagMs}: PlatformStandInOptions) {
+	private constructor({listLagMs, rebootMs}: PlatformStandInOptions) {
 		this.#listLagMs = listLagMs ?? 0;
+		this.#rebootMs = rebootMs ?? defaultRebootMs;
 	}
 
 	get url(): string {
@@ -59,17 +84,55 @@
 		this.#recordListing();
 	}
 
+	/** Sets how a VM comes back from its next reboots. */
+	setRebootBehavior(vmId: string, behavior: RebootBehavior): void {
+		this.#rebootBehaviors.set(vmId, behavior);
+	}
+
+	/** Starts a reboot; a token that was seen before starts none. */
+	rebootVm(vmId: string, token: string): void {
+		const vm = this.#vms.get(vmId);
+		if (vm === undefined || this.#rebootTokens.has(token)) {
+			return;
+		}
+
+		this.#rebootTokens.add(token);
+		this.reboots.push({vmId, token});
+		this.onReboot(vmId, false);
+		this.putVms([{...vm, state: 'rebooting'}]);
+		const {afterMs = this.#rebootMs, isLost = false} = this.#rebootBehaviors.get(vmId) ?? {};
+		if (!isLost) {
+			const timer = setTimeout(() => {
+				this.#rebootTimers.delete(timer);
+				this.onReboot(vmId, true);
+				this.putVms([{...vm, incarnation: `${Number(vm.incarnation) + 1}`, state: 'live'}]);
+			}, afterMs);
+			this.#rebootTimers.add(timer);
+		}
+	}
+
 	setFaults({tables, objects, vms}: PlatformFaults): void {
 		this.tables.faults.setFaults(tables ?? {});
 		this.objects.faults.setFaults(objects ?? {});
 		this.vmFaults.setFaults(vms ?? {});
 	}
 
+	/** Opens one more port, on which the list of VMs is changed by `mapVms`. */
+	async openPort(mapVms: MapVms): Promise<number> {
+		const port = await this.#listen(0);
+		this.#mapsByPort.set(port, mapVms);
+		return port;
+	}
+
 	async close(): Promise<void> {
-		await new Promise(resolve => {
-			this.#server?.close(resolve);
-			this.#server?.closeAllConnections();
-		});
+		for (const timer of this.#rebootTimers) {
+			clearTimeout(timer);
+		}
+
+		await Promise.all(this.#servers.map(async server => new Promise(resolve => {
+			server.close(resolve);
+			server.closeAllConnections();
+		})));
 	}
 
 	#recordListing(): void {
@@ -82,18 +145,17 @@
 		return this.#listings.findLast(listing => listing.since <= until);
 	}
 
-	async #listen(port: number): Promise<void> {
+	async #listen(port: number): Promise<number> {
 		const app = this.#createApp();
-		await new Promise<void>(resolve => {
-			this.#server = serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
-				this.#port = info.port;
-				resolve();
-			}) as Server;
+		return new Promise<number>(resolve => {
+			this.#servers.push(serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
+				resolve((info).port);
+			}) as Server);
 		});
 	}
 
-	#createApp(): Hono {
-		const app = new Hono();
+	#createApp(): Hono<{Bindings: HttpBindings}> {
+		const app = new Hono<{Bindings: HttpBindings}>();
 		app.onError((error, ctx) => answerError(error, ctx));
 		app.post('/tables/read', async ctx => {
 			const {keys} = await ctx.req.json<{keys: RowKey[]}>();
@@ -122,7 +184,16 @@
 		app.get('/vms', async ctx => {
 			await this.vmFaults.applyBefore();
 			const listing = this.#readListing();
-			return ctx.json({generation: listing?.generation ?? 0, vms: listing?.vms ?? []});
+			const vms = listing?.vms ?? [];
+			const mapVms = this.#mapsByPort.get(ctx.env.incoming.socket.localPort ?? 0);
+			return ctx.json({generation: listing?.generation ?? 0, vms: mapVms?.(vms) ?? vms});
+		});
+		app.post('/vms/:vm/reboot', async ctx => {
+			await this.vmFaults.applyBefore();
+			const {token} = await ctx.req.json<{token: string}>();
+			this.rebootVm(ctx.req.param('vm'), token);
+			this.vmFaults.applyAfterWrite();
+			return ctx.body(null, 202);
 		});
 		app.post('/stand-in/vms', async ctx => {
 			this.putVms(await ctx.req.json<VmRecord[]>());
