Keep fast failures from drawing work, and bench retries

Change: the slot of a failed request is given back only after the usual time, and a failing worker that may not be set aside is chosen last.

--- a/packages/admission/src/borrowers.ts
+++ b/packages/admission/src/borrowers.ts
@@ -16,7 +16,7 @@
 	readonly pool: ResolvedPool;
 	readonly sendDemand: (to: EntryId, demand: PoolDemand) => void;
 	/** Gives the worker of a lent slot, or `undefined` when it may get no new work. */
-	readonly findWorker: (pool: ResolvedPool, vmId: string, isProbe: boolean) => VmRecord | undefined;
+	readonly findWorker: (pool: ResolvedPool, vmId: string) => VmRecord | undefined;
 	/** Called when a request starts, with the time it waited. */
 	readonly onStart: (request: SlotRequest, waitedMs: number) => void;
 	readonly onOutcome: (vmId: VmId, request: SlotRequest, outcome: DispatchOutcome) => void;
@@ -32,6 +32,9 @@
 const silenceLimitMs = 750;
 /** Slot time for which an entry may start further requests of the same flow on a slot. */
 const quantumMs = 100;
+const holdSmoothing = 0.05;
+/** Longest time for which the slot of a failed request is kept back, in milliseconds. */
+const maxCoolingMs = 1000;
 /** Requests of a flow from which on the home entry need not hear of each new one at once. */
 const backlogSize = 8;
 
@@ -74,6 +77,7 @@
 	readonly #sentAt = new Map<number, number>();
 	#pool: ResolvedPool;
 	#returned: ReturnedSlot[] = [];
+	#meanHoldMs = 0;
 	#home: EntryId | undefined;
 	#heardAt = 0;
 	#sequence = 0;
@@ -199,7 +203,7 @@
 	}
 
 	#startOn(slot: LentSlot, home: EntryId): boolean {
-		const vm = this.#options.findWorker(this.#pool, slot.vmId, slot.isProbe);
+		const vm = this.#options.findWorker(this.#pool, slot.vmId);
 		const flow = this.queue.getFlow(slot.flow);
 		if (vm === undefined || flow === undefined) {
 			return false;
@@ -237,6 +241,19 @@
 			return;
 		}
 
+		void this.#releaseSlot(held, outcome, now - requestAt);
+	}
+
+	/** Gives a slot back; one whose request failed only after the usual time, so that fast failures attract no work. */
+	async #releaseSlot({slot, startedAt, home}: Held, outcome: DispatchOutcome, requestMs: number): Promise<void> {
+		const {clock} = this.#options;
+		if (outcome === 'answered') {
+			this.#meanHoldMs += (requestMs - this.#meanHoldMs) * holdSmoothing;
+		} else if (outcome !== 'caller-gone' && requestMs < this.#meanHoldMs) {
+			await clock.sleep(Math.min(maxCoolingMs, this.#meanHoldMs - requestMs));
+		}
+
+		const usedMs = clock.readMonotonic() - startedAt;
 		this.#held.delete(slot.slotId);
 		this.#sendReturn(slot.slotId, Math.round(usedMs), home);
 		this.#scheduleFlush();
@@ -247,7 +264,7 @@
 			&& !slot.isProbe
 			&& usedMs < quantumMs
 			&& home === this.#home
-			&& this.#options.findWorker(this.#pool, vm.vmId, false) !== undefined;
+			&& this.#options.findWorker(this.#pool, vm.vmId) !== undefined;
 	}
 
 	#sendReturn(slotId: number, usedMs: number, home: EntryId): void {
--- a/packages/admission/src/brokers.ts
+++ b/packages/admission/src/brokers.ts
@@ -21,6 +21,9 @@
 	/** Lists the workers that may get new work, without those set aside. */
 	abstract listUsable(pool: ResolvedPool): readonly VmRecord[];
 
+	/** Tells whether a usable worker fails most of its work; it is chosen last. */
+	abstract isFailing(vmId: string): boolean;
+
 	/** Lists the workers set aside that may be probed by one request. */
 	abstract listProbes(pool: ResolvedPool, isIdempotent: boolean): readonly VmRecord[];
 
@@ -364,17 +367,20 @@
 		const fresh = usable.filter(vm => !demand.triedVms.includes(vm.vmId));
 		const candidates = (fresh.length === 0 ? usable : fresh).filter(vm => this.#countHeldBy(member, vm.vmId) < entryLimit);
 		let best: VmRecord[] = [];
-		let fewest = pool.slotsPerVm;
+		let least = Number.POSITIVE_INFINITY;
 		for (const vm of candidates) {
 			const inUse = this.#inUse.get(vm.vmId) ?? 0;
-			if (inUse < fewest) {
-				fewest = inUse;
-				best = [];
+			const load = inUse + (this.#options.workers.isFailing(vm.vmId) ? pool.slotsPerVm : 0);
+			if (inUse >= pool.slotsPerVm || load > least) {
+				continue;
 			}
 
-			if (inUse === fewest && inUse < pool.slotsPerVm) {
-				best.push(vm);
+			if (load < least) {
+				least = load;
+				best = [];
 			}
+
+			best.push(vm);
 		}
 
 		return this.#options.random.pickItem(best);
--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -72,6 +72,10 @@
 		return this.#listPresent(pool).filter(vm => !this.#health.isSetAside(vm.vmId));
 	}
 
+	override isFailing(vmId: string): boolean {
+		return this.#health.isFailing(vmId);
+	}
+
 	override listProbes(pool: ResolvedPool, isIdempotent: boolean): readonly VmRecord[] {
 		return this.#listPresent(pool).filter(vm => this.#health.isProbeDue(vm.vmId, isIdempotent));
 	}
@@ -237,7 +241,7 @@
 			sendDemand: (to, demand) => {
 				this.#sendDemand(to, demand);
 			},
-			findWorker: (current, vmId, isProbe) => this.#listPresent(current).find(vm => vm.vmId === vmId && (isProbe || !this.#health.isSetAside(vmId))),
+			findWorker: (current, vmId) => this.#listPresent(current).find(vm => vm.vmId === vmId),
 			onStart: ({workClass}, waitedMs) => {
 				this.#metrics.observeWait(pool.name, workClass, waitedMs);
 			},
--- a/packages/routing/src/healths.ts
+++ b/packages/routing/src/healths.ts
@@ -47,6 +47,7 @@
 	readonly #options: HealthTrackerOptions;
 	readonly #window = OutcomeWindow.create();
 	readonly #asides = new Map<string, Aside>();
+	readonly #failing = new Map<string, number>();
 	readonly #suspects = new Map<string, number>();
 	readonly #incarnations = new Map<string, string>();
 	readonly #pools = new Map<string, {readonly pool: PoolName; readonly maxAside: number}>();
@@ -79,6 +80,12 @@
 		return this.#asides.has(vmId);
 	}
 
+	/** Tells whether a VM fails most of its work, but may not be set aside with as many as are. */
+	isFailing(vmId: string): boolean {
+		const failedAt = this.#failing.get(vmId);
+		return failedAt !== undefined && this.#options.clock.readMonotonic() - failedAt < periodMs;
+	}
+
 	/** Counts the VMs of a pool that are set aside. */
 	countSetAside(pool: PoolName): number {
 		return [...this.#asides.values()].filter(aside => aside.pool === pool).length;
@@ -208,7 +215,7 @@
 
 	#checkEvidence(vmId: string): void {
 		const limits = this.#pools.get(vmId);
-		if (limits === undefined || this.countSetAside(limits.pool) >= limits.maxAside) {
+		if (limits === undefined) {
 			return;
 		}
 
@@ -221,7 +228,13 @@
 			}
 		}
 
-		if (weighed >= minWeighedFailures && weighed / (weighed + successes) >= minFailedPart) {
+		if (weighed < minWeighedFailures || weighed / (weighed + successes) < minFailedPart) {
+			return;
+		}
+
+		if (this.countSetAside(limits.pool) >= limits.maxAside) {
+			this.#failing.set(vmId, this.#options.clock.readMonotonic());
+		} else {
 			this.#asides.set(vmId, {
 				pool: limits.pool,
 				delayMs: firstProbeDelayMs,
@@ -240,6 +253,7 @@
 
 	#clearVm(vmId: string): void {
 		this.#asides.delete(vmId);
+		this.#failing.delete(vmId);
 		this.#window.removeVm(vmId);
 		this.#suspects.delete(`vm ${vmId}`);
 		this.#unsent.delete(vmId);
--- /dev/null
+++ b/packages/testing/src/bench-retries.ts
@@ -0,0 +1,167 @@
+/**
+ * `npm run bench -- retries [--seed N] [--seconds N]`: attempts a request and requests served while workers fail what they start, by
+ * the fair and the naive scheduler.
+ */
+import {parseArgs} from 'node:util';
+import {type CallerId} from '@tamarackwind/core';
+import {FairWay, NaiveWay, type SchedulerWay} from './fair-ways.js';
+import {
+	SlotWorld, drawRequests, printTable, runSimulation, type SimRequest,
+} from './slot-simulations.js';
+
+const poolSlots = 64;
+const meanServiceMs = 200;
+const load = 0.5;
+const callerCount = 20;
+const poisonCaller = 'poison' as CallerId;
+
+export type Outage = {
+	readonly name: string;
+	/** Workers of the pool that fail all that they start. */
+	readonly failingWorkers: number;
+	/** Part of the requests that fail on each worker. */
+	readonly poisonPart?: number;
+};
+
+export type OutageOptions = {
+	readonly seed: number;
+	readonly durationMs: number;
+	/** Time after which the workers begin to fail, in milliseconds. */
+	readonly failAtMs: number;
+	/** Time after which they are well again, in milliseconds. */
+	readonly healAtMs?: number;
+};
+
+export type OutageResult = {
+	readonly name: string;
+	readonly requests: readonly SimRequest[];
+	/** Requests that arrived while workers failed. */
+	readonly affected: readonly SimRequest[];
+	/** Attempts that failing workers started from 3 s after they began to fail. */
+	readonly lateFailures: number;
+	/** Most workers set aside at any entry. */
+	readonly maxSetAside: number;
+	/** Requests that each worker started in the last second. */
+	readonly lastStarts: readonly number[];
+};
+
+export const settleMs = 3000;
+const sampleMs = 250;
+
+async function countSetAside(way: SchedulerWay): Promise<number> {
+	if (!(way instanceof FairWay)) {
+		return 0;
+	}
+
+	const counts = await Promise.all(way.registries.map(async registry => {
+		const metric = await registry.getSingleMetric('tamarackwind_workers_set_aside')!.get();
+		return metric.values[0]?.value ?? 0;
+	}));
+	return Math.max(...counts);
+}
+
+/** Runs one pool at half its capacity while some of its workers fail. */
+export async function runOutage(createWay: (world: SlotWorld) => SchedulerWay, outage: Outage, options: OutageOptions): Promise<OutageResult> {
+	const {seed, durationMs, failAtMs, healAtMs = Number.POSITIVE_INFINITY} = options;
+	const world = new SlotWorld({seed, pools: 1});
+	const {clock} = world;
+	const pool = world.pools[0]!.name;
+	const workers = world.workers.get(pool)!;
+	const rate = load * poolSlots * 1000 / meanServiceMs;
+	const drawn = drawRequests(world, [{
+		group: 'usual', pool, workClass: 'interactive', callers: Array.from({length: callerCount}, (_, index) => `caller-${index + 1}`), readRate: () => rate, maxRate: rate, meanServiceMs,
+	}], durationMs);
+	const requests = drawn.map(request => {
+		const isPoison = world.random.readFraction() < (outage.poisonPart ?? 0);
+		return isPoison ? {...request, caller: poisonCaller, isPoison} : request;
+	});
+	const way = createWay(world);
+	const failing = workers.slice(0, outage.failingWorkers);
+	const countFailures = (): number => failing.reduce((sum, worker) => sum + worker.failures, 0);
+	let [earlyFailures, lateFailures, maxSetAside] = [0, 0, 0];
+	let startsBefore: number[] = [];
+	const setFailing = (isFailing: boolean): void => {
+		for (const worker of failing) {
+			worker.isFailing = isFailing;
+		}
+	};
+
+	const sample = async (): Promise<void> => {
+		maxSetAside = Math.max(maxSetAside, await countSetAside(way));
+		clock.schedule(sampleMs, () => {
+			void sample();
+		});
+	};
+
+	void sample();
+	clock.schedule(failAtMs, () => {
+		setFailing(true);
+	});
+	clock.schedule(failAtMs + settleMs, () => {
+		earlyFailures = countFailures();
+	});
+	clock.schedule(durationMs - 1000, () => {
+		startsBefore = workers.map(worker => worker.starts);
+	});
+	clock.schedule(durationMs, () => {
+		lateFailures = countFailures() - earlyFailures;
+	});
+	if (healAtMs < durationMs) {
+		clock.schedule(healAtMs, () => {
+			setFailing(false);
+		});
+	}
+
+	const result = await runSimulation(world, way, requests, {durationMs, drainMs: 30_000});
+	return {
+		name: way.name,
+		requests: result.requests,
+		affected: result.requests.filter(request => request.arrivedAt >= failAtMs && request.arrivedAt < healAtMs),
+		lateFailures,
+		maxSetAside,
+		lastStarts: workers.map((worker, index) => worker.starts - startsBefore[index]!),
+	};
+}
+
+/** Attempts a request, over the requests that were tried at all. */
+export function computeAttempts(requests: readonly SimRequest[]): number {
+	const tried = requests.filter(request => request.attempts > 0);
+	return tried.reduce((sum, request) => sum + request.attempts, 0) / Math.max(1, tried.length);
+}
+
+export async function runBench(args: readonly string[]): Promise<void> {
+	const {values} = parseArgs({
+		args: [...args],
+		options: {seed: {type: 'string', default: '1'}, seconds: {type: 'string', default: '20'}},
+	});
+	const failAtMs = 5000;
+	const seed = Number(values.seed);
+	const options: OutageOptions = {seed, durationMs: failAtMs + (Number(values.seconds) * 1000), failAtMs};
+	const outages: Outage[] = [
+		{name: 'none', failingWorkers: 0},
+		{name: 'one worker of 8', failingWorkers: 1},
+		{name: 'two workers of 8', failingWorkers: 2},
+		{name: 'four workers of 8', failingWorkers: 4},
+		{name: 'all workers', failingWorkers: 8},
+		{name: 'a tenth of the requests break any worker', failingWorkers: 0, poisonPart: 0.1},
+	];
+	const rows: Array<Record<string, string | number>> = [];
+	for (const outage of outages) {
+		for (const createWay of [(world: SlotWorld) => new NaiveWay(world, {seed}), (world: SlotWorld) => new FairWay(world, {seed})]) {
+			const result = await runOutage(createWay, outage, options);
+			const good = result.affected.filter(request => request.caller !== poisonCaller);
+			const served = good.filter(request => request.finishedAt !== undefined).length;
+			rows.push({
+				outage: outage.name,
+				scheduler: result.name === 'naive' ? 'naive' : 'fair',
+				'attempts a request': computeAttempts(result.affected).toFixed(3),
+				'good requests served': `${(100 * served / good.length).toFixed(1)} %`,
+				'failures after 3 s': result.lateFailures,
+				'most set aside': result.maxSetAside,
+			});
+		}
+	}
+
+	console.log(`seed ${seed}, 64 slots at half load, ${values.seconds} s of failures`);
+	printTable(rows);
+}
--- a/packages/testing/src/fair-ways.ts
+++ b/packages/testing/src/fair-ways.ts
@@ -94,6 +94,8 @@
 export class FairWay extends SchedulerWay {
 	override readonly name: string = 'd: asked of the pool\'s home entry';
 	readonly hub: MemoryPeerHub;
+	/** Metrics of each entry. */
+	readonly registries: Registry[] = [];
 
 	constructor(world: SlotWorld, options: SchedulerWayOptions) {
 		super(world, options);
@@ -109,12 +111,14 @@
 
 	/** Starts the scheduler of one entry, again after it was closed. */
 	createScheduler(index: number): FairScheduler {
+		const registry = new Registry();
+		this.registries[index] = registry;
 		return FairScheduler.create({
 			clock: this.world.clock,
 			random: SeededRandom.create(this.options.seed + index),
 			bus: this.hub.createBus(`entry-${index + 1}` as EntryId),
 			log: Log.createSilent(),
-			registry: new Registry(),
+			registry,
 			listWorkers: pool => this.world.listWorkers(pool),
 			listPools: () => this.world.pools,
 			countEntries: () => this.world.entryCount,
--- a/packages/testing/src/slot-simulations.ts
+++ b/packages/testing/src/slot-simulations.ts
@@ -26,6 +26,8 @@
 	/** Code with which it was refused. */
 	refusedAs?: string;
 	attempts: number;
+	/** Whether it fails on any worker. */
+	readonly isPoison?: boolean;
 };
 
 /** One worker: runs as many requests as it has slots and queues the rest. */
@@ -36,6 +38,7 @@
 	/** Whether every request fails at once. */
 	isFailing = false;
 	starts = 0;
+	failures = 0;
 	readonly #clock: SimulatedClock;
 	readonly #slots: number;
 	readonly #waiting: Array<() => void> = [];
@@ -57,7 +60,8 @@
 		const begin = (): void => {
 			this.starts++;
 			request.startedAt = this.#clock.readMonotonic();
-			const isSuccess = !this.isFailing;
+			const isSuccess = !this.isFailing && request.isPoison !== true;
+			this.failures += isSuccess ? 0 : 1;
 			this.#clock.schedule(isSuccess ? request.serviceMs : 1, () => {
 				this.inFlight--;
 				if (isSuccess) {
