--- a/packages/admission/src/brokers.ts
+++ b/packages/admission/src/brokers.ts
@@ -91,12 +91,15 @@
 	readonly #inUse = new Map<string, number>();
 	readonly #listenUntil: number;
 	#nextSlotId: number;
+	/** Last sequence of any loan; an entry that comes back never sees a lower one. */
+	#loanSequence: number;
 
 	private constructor(options: BrokerOptions) {
 		this.#options = options;
 		this.#ledger = ShareLedger.create(options.clock);
 		this.#listenUntil = options.clock.readMonotonic() + options.listenMs;
 		this.#nextSlotId = options.firstSlotId;
+		this.#loanSequence = options.firstSlotId;
 	}
 
 	/** Slots lent at this moment. */
@@ -136,6 +139,7 @@
 			this.#planRound(pool, countEntryLimit(), round);
 		}
 
+		this.#loanSequence += round.size > 0 ? 1 : 0;
 		for (const member of this.#members.values()) {
 			const slots = round.get(member) ?? [];
 			if (slots.length > 0 || member.mustAcknowledge) {
@@ -167,7 +171,7 @@
 		}
 
 		const member: Member = {
-			entryId, flows: new Map(), usualSlots: new Map(), lent: new Map(), heardAt: 0, demandSequence: 0, loanSequence: this.#options.firstSlotId, mustAcknowledge: false,
+			entryId, flows: new Map(), usualSlots: new Map(), lent: new Map(), heardAt: 0, demandSequence: 0, loanSequence: this.#loanSequence, mustAcknowledge: false,
 		};
 		this.#members.set(entryId, member);
 		return member;
@@ -303,7 +307,7 @@
 	#lend(flow: Flow, vm: VmRecord, isProbe: boolean, round: Round): void {
 		const {member} = flow;
 		const slotId = this.#nextSlotId++;
-		const loanSequence = member.loanSequence + 1;
+		const loanSequence = this.#loanSequence + 1;
 		const startedAt = this.#options.clock.readMonotonic();
 		if (isProbe) {
 			this.#options.workers.beginProbe(vm.vmId);
@@ -321,7 +325,7 @@
 	#sendLoan(member: Member, pool: ResolvedPool, slots: LentSlot[]): void {
 		member.mustAcknowledge = false;
 		if (slots.length > 0) {
-			member.loanSequence++;
+			member.loanSequence = this.#loanSequence;
 		}
 
 		this.#options.sendLoan(member.entryId, {
--- a/packages/peer/src/memories.ts
+++ b/packages/peer/src/memories.ts
@@ -60,7 +60,7 @@
 	}
 
 	async sendOver(from: MemoryPeerBus, to: EntryId, body: PeerBody): Promise<void> {
-		if (this.#cuts.has(`${from.self.entryId} ${to}`)) {
+		if (this.#buses.get(from.self.entryId) !== from || this.#cuts.has(`${from.self.entryId} ${to}`)) {
 			return;
 		}
 
