--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -1,7 +1,7 @@
 /**
  * The entry daemon: opens the ports, and closes them again.
  */
-import {NaiveScheduler} from '@tamarackwind/admission';
+import {FairScheduler} from '@tamarackwind/admission';
 import {type EntryId} from '@tamarackwind/core';
 import {CallerPort} from './callers.js';
 import {ClaimCleaner} from './claim-cleaners.js';
@@ -142,7 +142,16 @@
 	const upstreams = Upstreams.create(clock);
 	const fleetPart = FleetPart.create({
 		ctx,
-		scheduler: NaiveScheduler.create({random, listWorkers: pool => fleet.listWorkers(pool)}),
+		scheduler: FairScheduler.create({
+			clock,
+			random,
+			bus: ctx.bus,
+			log: ctx.log,
+			registry,
+			listWorkers: pool => fleet.listWorkers(pool),
+			listPools: () => ctx.settings.current?.pools.values() ?? [],
+			countEntries: () => fleet.listEntries().length,
+		}),
 		barrier: ctx.barrier,
 		listEntries: () => [ctx.bus.self.entryId, ...ctx.bus.listPeers().map(peer => peer.entryId)],
 		auditAction: async action => ctx.audit.createWrites(createFleetEntry(action)),
--- a/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
+++ b/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
@@ -122,6 +122,8 @@
   isIdempotent: boolean;
   /** Share of the caller against others of the class. */
   weight: number;
+  /** Slots that the caller and class have used at the sender on average over the last minutes. */
+  usualSlots: number;
 }
 
 export interface HeldSlot {
@@ -1387,7 +1389,17 @@
 };
 
 function createBaseFlowDemand(): FlowDemand {
-  return { flow: 0, caller: "", workClass: "", queued: 0, waitedMs: 0, triedVms: [], isIdempotent: false, weight: 0 };
+  return {
+    flow: 0,
+    caller: "",
+    workClass: "",
+    queued: 0,
+    waitedMs: 0,
+    triedVms: [],
+    isIdempotent: false,
+    weight: 0,
+    usualSlots: 0,
+  };
 }
 
 export const FlowDemand: MessageFns<FlowDemand> = {
@@ -1416,6 +1428,9 @@
     if (message.weight !== 0) {
       writer.uint32(65).double(message.weight);
     }
+    if (message.usualSlots !== 0) {
+      writer.uint32(77).float(message.usualSlots);
+    }
     return writer;
   },
 
@@ -1496,6 +1511,14 @@
             message.weight = reader.double();
             continue;
           }
+          case 9: {
+            if (tag !== 77) {
+              break;
+            }
+
+            message.usualSlots = reader.float();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1534,6 +1557,11 @@
         ? globalThis.Boolean(object.is_idempotent)
         : false,
       weight: isSet(object.weight) ? globalThis.Number(object.weight) : 0,
+      usualSlots: isSet(object.usualSlots)
+        ? globalThis.Number(object.usualSlots)
+        : isSet(object.usual_slots)
+        ? globalThis.Number(object.usual_slots)
+        : 0,
     };
   },
 
@@ -1563,6 +1591,9 @@
     if (message.weight !== 0) {
       obj.weight = floatToJson(message.weight);
     }
+    if (message.usualSlots !== 0) {
+      obj.usualSlots = floatToJson(message.usualSlots);
+    }
     return obj;
   },
 
@@ -1579,6 +1610,7 @@
     message.triedVms = object.triedVms?.map((e) => e) || [];
     message.isIdempotent = object.isIdempotent ?? false;
     message.weight = object.weight ?? 0;
+    message.usualSlots = object.usualSlots ?? 0;
     return message;
   },
 };
