--- a/packages/core/src/clocks.ts
+++ b/packages/core/src/clocks.ts
@@ -71,12 +71,20 @@
 		}
 
 		await new Promise<void>(resolve => {
-			const sleeper: Sleeper = {wakeAt: this.#now + ms, wake: resolve};
-			this.#sleepers.add(sleeper);
-			signal?.addEventListener('abort', () => {
+			const abort = (): void => {
 				this.#sleepers.delete(sleeper);
 				resolve();
-			}, {once: true});
+			};
+
+			const sleeper: Sleeper = {
+				wakeAt: this.#now + ms,
+				wake() {
+					signal?.removeEventListener('abort', abort);
+					resolve();
+				},
+			};
+			this.#sleepers.add(sleeper);
+			signal?.addEventListener('abort', abort, {once: true});
 		});
 	}
 
--- a/packages/fleet/src/planners.ts
+++ b/packages/fleet/src/planners.ts
@@ -71,6 +71,8 @@
 	readonly #probes: ProbeBook;
 	readonly #loop: Loop;
 	readonly #sightings = new Map<VmId, Sighting>();
+	/** Time since which no entry sends work to a draining VM. */
+	readonly #quietSince = new Map<VmId, Sighting>();
 	readonly #missingSince = new Map<VmId, number>();
 	readonly #rebootedAt = new Map<string, number>();
 	#passedVersion = 0;
@@ -117,6 +119,7 @@
 	/** Drops what was seen while the duty was held, since it may have changed unseen. */
 	#reset(): void {
 		this.#sightings.clear();
+		this.#quietSince.clear();
 		this.#missingSince.clear();
 		this.#probes.clear();
 		this.#passedVersion = 0;
@@ -126,7 +129,8 @@
 	async #observe(state: FleetState, work: FleetWork): Promise<void> {
 		const rows = [...state.vms.values()];
 		const now = this.#options.clock.readMonotonic();
-		this.#noteSightings(rows, now);
+		noteSightings(this.#sightings, rows, now);
+		noteSightings(this.#quietSince, rows.filter(row => row.state === 'draining' && (row.drainVersion ?? 0) <= this.#passedVersion), now);
 		if (rows.some(row => row.state === 'draining')) {
 			await this.#options.drains.refresh();
 			this.#waitForBarrier(rows);
@@ -140,15 +144,6 @@
 		}
 	}
 
-	#noteSightings(rows: readonly VmRow[], now: number): void {
-		for (const row of rows) {
-			const key = `${row.state} ${row.work?.id ?? ''} ${row.since}`;
-			if (this.#sightings.get(row.vmId)?.key !== key) {
-				this.#sightings.set(row.vmId, {key, at: now});
-			}
-		}
-	}
-
 	/** Waits in the background until no entry serves by a version before the draining VMs. */
 	#waitForBarrier(rows: readonly VmRow[]): void {
 		const version = Math.max(...rows.filter(row => row.state === 'draining').map(row => row.drainVersion ?? 0));
@@ -208,7 +203,7 @@
 			nextVersion: state.version + 1,
 			now: clock.readWall(),
 			heldVms: this.#heldVms,
-			isDrained: row => this.#isDrained(row, readAge(row), settings),
+			isDrained: row => this.#isDrained(row, settings, now),
 			isBack: row => this.#isBack(row, records.get(row.vmId)),
 			readAge,
 		};
@@ -226,10 +221,10 @@
 		return snapshot;
 	}
 
-	/** Work is over once every entry says so, or once no request can run any longer. */
-	#isDrained(row: VmRow, ageMs: number, settings: PlannerSettings): boolean {
-		const hasPassed = (row.drainVersion ?? 0) <= this.#passedVersion;
-		return hasPassed && (this.#options.drains.isReported(row) || ageMs > settings.readMaxRunMs(row.pool) + barrierTimeoutMs);
+	/** Work is over once every entry says so, or once no request that was sent can run any longer. */
+	#isDrained(row: VmRow, settings: PlannerSettings, now: number): boolean {
+		const quiet = this.#quietSince.get(row.vmId);
+		return quiet?.key === formatSightingKey(row) && (this.#options.drains.isReported(row) || now - quiet.at > settings.readMaxRunMs(row.pool));
 	}
 
 	#isBack(row: VmRow, record: VmRecord | undefined): boolean {
@@ -287,3 +282,17 @@
 		}
 	}
 }
+
+function formatSightingKey(row: VmRow): string {
+	return `${row.state} ${row.work?.id ?? ''} ${row.since}`;
+}
+
+/** Notes when each row was first seen as it is now. */
+function noteSightings(sightings: Map<VmId, Sighting>, rows: readonly VmRow[], now: number): void {
+	for (const row of rows) {
+		const key = formatSightingKey(row);
+		if (sightings.get(row.vmId)?.key !== key) {
+			sightings.set(row.vmId, {key, at: now});
+		}
+	}
+}
