--- a/packages/core/src/clocks.ts
+++ b/packages/core/src/clocks.ts
@@ -71,7 +71,7 @@
 		}
 
 		await new Promise<void>(resolve => {
-			const abort = (): void => {
+			const wakeEarly = (): void => {
 				this.#sleepers.delete(sleeper);
 				resolve();
 			};
@@ -79,12 +79,12 @@
 			const sleeper: Sleeper = {
 				wakeAt: this.#now + ms,
 				wake() {
-					signal?.removeEventListener('abort', abort);
+					signal?.removeEventListener('abort', wakeEarly);
 					resolve();
 				},
 			};
 			this.#sleepers.add(sleeper);
-			signal?.addEventListener('abort', abort, {once: true});
+			signal?.addEventListener('abort', wakeEarly, {once: true});
 		});
 	}
 
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -2,16 +2,20 @@
  * The metrics port: counters for monitoring, and health for the balancer.
  */
 import {Hono} from 'hono';
-import {collectDefaultMetrics} from 'prom-client';
+import {collectDefaultMetrics, Counter, type Registry} from 'prom-client';
 import {type EntryContext} from './contexts.js';
 
-/** Builds the app of the metrics port. */
-export function createMetricsApp({registry, settings, fleet}: EntryContext): Hono {
+/** Builds the app of the metrics port; `isDraining` tells whether the entry is about to stop. */
+export function createMetricsApp({registry, settings, fleet}: EntryContext, isDraining: () => boolean): Hono {
 	collectDefaultMetrics({register: registry});
 	const app = new Hono();
 	app.get('/metrics', async c => c.text(await registry.metrics(), 200, {'content-type': registry.contentType}));
 	app.get('/healthz', c => c.text('ok'));
 	app.get('/readyz', c => {
+		if (isDraining()) {
+			return c.text('entry is stopping', 503);
+		}
+
 		if (settings.current === undefined) {
 			return c.text('settings were not read yet', 503);
 		}
@@ -20,3 +24,16 @@
 	});
 	return app;
 }
+
+/** Registers a counter that is read when it is collected. */
+export function registerCounter(registry: Registry, name: string, help: string, readTotal: () => number): void {
+	registry.registerMetric(new Counter({
+		name,
+		help,
+		registers: [],
+		collect() {
+			this.reset();
+			this.inc(readTotal());
+		},
+	}));
+}
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -2,12 +2,14 @@
  * Stand-in of the platform: table service, object store, list of VMs, with switches for faults.
  */
 import {type Server} from 'node:http';
-import {serve} from '@hono/node-server';
-import {VerdictError} from '@tamarackwind/core';
+import {type AddressInfo} from 'node:net';
+import {serve, type HttpBindings} from '@hono/node-server';
+import {SystemClock, VerdictError} from '@tamarackwind/core';
 import {
 	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
 } from '@tamarackwind/platform';
 import {Hono, type Context} from 'hono';
+import {WorkerTasks, createTaskApp} from './tasks.js';
 
 export type PlatformStandInOptions = {
 	readonly port?: number;
@@ -29,19 +31,26 @@
 
 const defaultRebootMs = 500;
 
+/** Changes the list of VMs for those who ask on one port. */
+export type MapVms = (vms: readonly VmRecord[]) => readonly VmRecord[];
+
 type Listing = {readonly since: number; readonly generation: number; readonly vms: readonly VmRecord[]};
 
 /** The platform on one loopback port. */
 export class PlatformStandIn {
 	static async create(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
 		const standIn = new PlatformStandIn(options);
-		await standIn.#listen(options.port ?? 0);
+		standIn.#port = await standIn.#listen(options.port ?? 0);
 		return standIn;
 	}
 
 	readonly tables = MemoryTableService.create();
 	readonly objects = MemoryObjectStore.create();
 	readonly vmFaults = FaultSwitch.create();
+	readonly tasks = WorkerTasks.create({
+		clock: SystemClock.create(), objects: this.objects, checkpointIntervalMs: 500, usageLagMs: 500,
+	});
+
 	readonly #vms = new Map<string, VmRecord>();
 	/** Reboots so far, in order. */
 	readonly reboots: Array<{readonly vmId: string; readonly token: string}> = [];
@@ -53,7 +62,8 @@
 	readonly #rebootTimers = new Set<NodeJS.Timeout>();
 	readonly #listLagMs: number;
 	#listings: Listing[] = [{since: 0, generation: 0, vms: []}];
-	#server: Server | undefined;
+	readonly #servers: Server[] = [];
+	readonly #mapsByPort = new Map<number, MapVms>();
 	#port = 0;
 
 	private constructor({listLagMs, rebootMs}: PlatformStandInOptions) {
@@ -112,15 +122,22 @@
 		this.vmFaults.setFaults(vms ?? {});
 	}
 
+	/** Opens one more port, on which the list of VMs is changed by `mapVms`. */
+	async openPort(mapVms: MapVms): Promise<number> {
+		const port = await this.#listen(0);
+		this.#mapsByPort.set(port, mapVms);
+		return port;
+	}
+
 	async close(): Promise<void> {
 		for (const timer of this.#rebootTimers) {
 			clearTimeout(timer);
 		}
 
-		await new Promise(resolve => {
-			this.#server?.close(resolve);
-			this.#server?.closeAllConnections();
-		});
+		await Promise.all(this.#servers.map(async server => new Promise(resolve => {
+			server.close(resolve);
+			server.closeAllConnections();
+		})));
 	}
 
 	#recordListing(): void {
@@ -133,18 +150,17 @@
 		return this.#listings.findLast(listing => listing.since <= until);
 	}
 
-	async #listen(port: number): Promise<void> {
+	async #listen(port: number): Promise<number> {
 		const app = this.#createApp();
-		await new Promise<void>(resolve => {
-			this.#server = serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
-				this.#port = info.port;
-				resolve();
-			}) as Server;
+		return new Promise<number>(resolve => {
+			this.#servers.push(serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
+				resolve((info).port);
+			}) as Server);
 		});
 	}
 
-	#createApp(): Hono {
-		const app = new Hono();
+	#createApp(): Hono<{Bindings: HttpBindings}> {
+		const app = new Hono<{Bindings: HttpBindings}>();
 		app.onError((error, ctx) => answerError(error, ctx));
 		app.post('/tables/read', async ctx => {
 			const {keys} = await ctx.req.json<{keys: RowKey[]}>();
@@ -173,7 +189,9 @@
 		app.get('/vms', async ctx => {
 			await this.vmFaults.applyBefore();
 			const listing = this.#readListing();
-			return ctx.json({generation: listing?.generation ?? 0, vms: listing?.vms ?? []});
+			const vms = listing?.vms ?? [];
+			const mapVms = this.#mapsByPort.get(ctx.env.incoming.socket.localPort ?? 0);
+			return ctx.json({generation: listing?.generation ?? 0, vms: mapVms?.(vms) ?? vms});
 		});
 		app.post('/vms/:vm/reboot', async ctx => {
 			await this.vmFaults.applyBefore();
@@ -182,6 +200,7 @@
 			this.vmFaults.applyAfterWrite();
 			return ctx.body(null, 202);
 		});
+		app.route('/', createTaskApp(this.tasks));
 		app.post('/stand-in/vms', async ctx => {
 			this.putVms(await ctx.req.json<VmRecord[]>());
 			return ctx.body(null, 204);
