--- a/packages/fleet/src/moves.ts
+++ b/packages/fleet/src/moves.ts
@@ -21,7 +21,7 @@
 			takeNextVms(ctx, move, domains);
 		}
 
-		putMove(ctx, before, finishMove(ctx, move));
+		putMove(ctx, before, finishMove(ctx, move, domains));
 	}
 }
 
@@ -77,10 +77,11 @@
 		return candidates.find(row => move.vmIds.includes(row.vmId));
 	}
 
-	// VMs that other moves have taken count where they are going.
-	const staying = from.filter(row => row.work?.kind !== 'move');
+	// VMs that other moves have taken count where they are going; a spare pool, which runs no work of its own, needs no spread.
 	const arriving = snapshot.listBusy().filter(row => row.work?.kind === 'move' && row.work.to === move.to);
-	const pickFrom = (rows: readonly VmRow[]): VmRow | undefined => pickSpreadingVm(rows, staying, [...snapshot.listMembers(move.to), ...arriving], domains);
+	const staying = pool.isSpare ? [] : from.filter(row => row.work?.kind !== 'move');
+	const joined = pools.get(move.to)!.isSpare ? [] : [...snapshot.listMembers(move.to), ...arriving];
+	const pickFrom = (rows: readonly VmRow[]): VmRow | undefined => pickSpreadingVm(rows, staying, joined, domains);
 	if (move.cause === 'return') {
 		const lent = candidates.filter(row => row.home === move.to);
 		return pickFrom(lent) ?? lent[0];
@@ -89,7 +90,7 @@
 	return pickFrom(candidates);
 }
 
-function finishMove(ctx: PlanContext, move: MoveRow): MoveRow {
+function finishMove(ctx: PlanContext, move: MoveRow, domains: DomainCounts): MoveRow {
 	const isEmpty = listTaken(ctx, move.moveId).length === 0;
 	if (!isEmpty) {
 		return move;
@@ -100,9 +101,19 @@
 		return {...move, state: 'cancelled', finishedAt: ctx.now};
 	}
 
+	if (move.cause === 'need' && isBlockedBySpread(ctx, move, domains)) {
+		return {...move, state: 'cancelled', finishedAt: ctx.now};
+	}
+
 	return isComplete(ctx, move) ? {...move, state: 'done', finishedAt: ctx.now} : move;
 }
 
+/** Tells whether no VM can move without worsening the spread over zones, whatever the budget. */
+function isBlockedBySpread({snapshot, pools}: PlanContext, move: MoveRow, domains: DomainCounts): boolean {
+	const from = snapshot.listMembers(move.from);
+	return move.done.length < move.count && pickSpreadingVm(from, pools.get(move.from)?.isSpare ? [] : from, snapshot.listMembers(move.to), domains) === undefined;
+}
+
 /** Tells whether a move has moved all that it can; named VMs that left the fleet are not waited for. */
 function isComplete({snapshot}: PlanContext, move: MoveRow): boolean {
 	const gone = move.vmIds.filter(vmId => snapshot.getRow(vmId) === undefined && !move.done.includes(vmId));
--- a/packages/fleet/src/needs.ts
+++ b/packages/fleet/src/needs.ts
@@ -10,6 +10,7 @@
 import {
 	isMoveActive, type MoveCause, type MoveRow, type VmRow,
 } from './rows.js';
+import {countDomains, countSpreadingVms} from './spreads.js';
 
 /** Slots in use or waited for, in the mean over minutes, by pool. */
 export type Demand = ReadonlyMap<PoolName, number>;
@@ -22,8 +23,8 @@
 	readonly shortageMs?: number;
 	/** Time for which a surplus must last before VMs are given up, in milliseconds. */
 	readonly surplusMs?: number;
-	/** VMs beyond its need that a pool keeps when it gives some up. */
-	readonly hysteresisVms?: number;
+	/** Part by which demand may grow before a pool lacks a VM that it gives up. */
+	readonly hysteresis?: number;
 	/** Part of the fleet that moves by need in one hour at most; at least one VM does. */
 	readonly hourlyCap?: number;
 };
@@ -37,6 +38,8 @@
 	/** VMs of the pool that run, without those about to leave it. */
 	readonly capacity: number;
 	readonly need: number;
+	/** VMs that the pool keeps when it gives some up. */
+	readonly kept: number;
 };
 
 const hourMs = 3_600_000;
@@ -56,7 +59,7 @@
 
 	private constructor(options: NeedOptions) {
 		this.#options = {
-			utilization: 0.8, shortageMs: 5 * minuteMs, surplusMs: 30 * minuteMs, hysteresisVms: 1, hourlyCap: 0.1, ...options,
+			utilization: 0.8, shortageMs: 5 * minuteMs, surplusMs: 30 * minuteMs, hysteresis: 0.05, hourlyCap: 0.2, ...options,
 		};
 	}
 
@@ -74,11 +77,8 @@
 	#planByNeed(ctx: PlanContext, demand: Demand, active: readonly MoveRow[], monotonicNow: number): WantedMove[] {
 		const needs = this.#readNeeds(ctx, demand);
 		this.#noteDurations(needs, monotonicNow);
-		if (active.some(move => move.cause === 'need' || move.cause === 'return')) {
-			return [];
-		}
-
-		const wanted = this.#findLoan(needs, monotonicNow) ?? this.#findReturn(needs, monotonicNow);
+		const settled = needs.filter(({pool}) => !active.some(move => move.to === pool.name || (move.from === pool.name && !pool.isSpare)));
+		const wanted = this.#findLoan(settled, countPending(ctx, active), monotonicNow) ?? this.#findReturn(settled, monotonicNow);
 		const allowed = this.#applyCap(ctx, wanted, monotonicNow);
 		return allowed === undefined ? [] : [allowed];
 	}
@@ -87,21 +87,21 @@
 		return [...pools.values()].map(pool => {
 			const members = snapshot.listMembers(pool.name);
 			const capacity = members.filter(row => row.work?.kind !== 'move' && (row.state !== 'serving' || !snapshot.isOut(row))).length;
-			const need = Math.ceil((demand.get(pool.name) ?? 0) / (pool.slotsPerVm * this.#options.utilization));
+			const load = (demand.get(pool.name) ?? 0) / (pool.slotsPerVm * this.#options.utilization);
 			return {
-				pool, members, capacity, need,
+				pool, members, capacity, need: Math.ceil(load), kept: Math.ceil(load * (1 + this.#options.hysteresis)),
 			};
 		});
 	}
 
 	#noteDurations(needs: readonly PoolNeed[], now: number): void {
-		for (const {pool: {name}, capacity, need} of needs) {
+		for (const {pool: {name}, capacity, need, kept} of needs) {
 			setSince(this.#shortSince, name, need > capacity, now);
-			setSince(this.#surplusSince, name, capacity > need + this.#options.hysteresisVms, now);
+			setSince(this.#surplusSince, name, capacity > kept, now);
 		}
 	}
 
-	#findLoan(needs: readonly PoolNeed[], now: number): WantedMove | undefined {
+	#findLoan(needs: readonly PoolNeed[], pending: ReadonlyMap<PoolName, number>, now: number): WantedMove | undefined {
 		const short = needs
 			.filter(({pool}) => !pool.isSpare && hasLasted(this.#shortSince, pool.name, now, this.#options.shortageMs))
 			.toSorted((a, b) => (b.need - b.capacity) - (a.need - a.capacity))[0];
@@ -109,30 +109,37 @@
 			return undefined;
 		}
 
-		const donor = needs
-			.map(need => ({need, available: this.#countAvailable(need, now)}))
+		const domains = countDomains(needs.flatMap(({members}) => members));
+		const donors = needs
+			.map(need => ({need, available: this.#countAvailable(need, now) - (pending.get(need.pool.name) ?? 0)}))
 			.filter(({need, available}) => need.pool.name !== short.pool.name && available > 0)
-			.toSorted((a, b) => (Number(b.need.pool.isSpare) - Number(a.need.pool.isSpare)) || (b.available - a.available))[0];
-		return donor && {
-			from: donor.need.pool.name, to: short.pool.name, count: Math.min(short.need - short.capacity, donor.available), cause: 'need',
-		};
+			.toSorted((a, b) => (Number(b.need.pool.isSpare) - Number(a.need.pool.isSpare)) || (b.available - a.available));
+		for (const {need, available} of donors) {
+			const count = countSpreadingVms(need.members, need.pool.isSpare ? [] : need.members, short.members, domains, Math.min(short.need - short.capacity, available));
+			if (count > 0) {
+				return {
+					from: need.pool.name, to: short.pool.name, count, cause: 'need',
+				};
+			}
+		}
+
+		return undefined;
 	}
 
 	/** Counts the VMs that a pool can lend and still meet its own need and failures. */
-	#countAvailable({pool, capacity, need, members}: PoolNeed, now: number): number {
+	#countAvailable({pool, capacity, kept, members}: PoolNeed, now: number): number {
 		if (pool.isSpare) {
-			return capacity - need;
+			return capacity - kept;
 		}
 
 		const hasSurplus = hasLasted(this.#surplusSince, pool.name, now, this.#options.surplusMs);
-		const kept = need + this.#options.hysteresisVms + computeMaxUnavailable(pool.budget, members.length);
-		return hasSurplus ? capacity - kept : 0;
+		return hasSurplus ? capacity - kept - computeMaxUnavailable(pool.budget, members.length) : 0;
 	}
 
 	#findReturn(needs: readonly PoolNeed[], now: number): WantedMove | undefined {
-		for (const {pool, members, capacity, need} of needs) {
+		for (const {pool, members, capacity, kept} of needs) {
 			const lent = members.find(row => row.home !== pool.name && row.state === 'serving');
-			const surplus = capacity - need - this.#options.hysteresisVms;
+			const surplus = capacity - kept;
 			if (lent !== undefined && surplus > 0 && hasLasted(this.#surplusSince, pool.name, now, this.#options.surplusMs)) {
 				const count = members.filter(row => row.home === lent.home).length;
 				return {
@@ -172,6 +179,17 @@
 	return start !== undefined && now - start >= durationMs;
 }
 
+/** Counts the VMs that active moves have yet to take from each pool. */
+function countPending({snapshot}: PlanContext, active: readonly MoveRow[]): Map<PoolName, number> {
+	const pending = new Map<PoolName, number>();
+	for (const move of active) {
+		const taken = snapshot.listBusy().filter(row => row.work?.id === move.moveId).length;
+		pending.set(move.from, (pending.get(move.from) ?? 0) + move.count - move.done.length - taken);
+	}
+
+	return pending;
+}
+
 /** Counts the VMs that belong to each pool, lent ones at home, with the active moves done. */
 function countOwned({snapshot, pools}: PlanContext, active: readonly MoveRow[]): Map<PoolName, number> {
 	const owned = new Map([...pools.keys()].map(name => [name, 0]));
--- a/packages/fleet/src/spreads.ts
+++ b/packages/fleet/src/spreads.ts
@@ -55,3 +55,20 @@
 		.toSorted((a, b) => (a.change.zone - b.change.zone) || (a.change.rack - b.change.rack));
 	return ranked[0]?.vm;
 }
+
+/** Counts how many of `candidates` can move one after the other without worsening a pool's spread, at most `limit`. */
+export function countSpreadingVms<T extends FailureDomain>(candidates: readonly T[], from: readonly FailureDomain[], to: readonly FailureDomain[], domains: DomainCounts, limit: number): number {
+	let [rest, source, target] = [candidates, from, to];
+	for (let count = 0; count < limit; count++) {
+		const vm = pickSpreadingVm(rest, source, target, domains);
+		if (vm === undefined) {
+			return count;
+		}
+
+		rest = rest.filter(member => member !== vm);
+		source = source.filter(member => member !== vm);
+		target = [...target, vm];
+	}
+
+	return limit;
+}
