Serve jobs on entries: caller routes, operator routes, the job command

POST /jobs answers 202 once the row is durable; GET, DELETE, /result and /cancel follow it; /v1/jobs and the job command list, show, cancel and explain. The entry that holds the duty schedules; every entry serves the routes. Result: with three entries, SIGKILL of the entry that holds the duty, a restart of the build's worker and three lost answers of the table service, the build starts twice, the second time from its checkpoint, and its result is committed once and read whole through another entry.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,12 +6,14 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {entryCommand} from './entries.js';
+import {jobCommand} from './jobs.js';
 import {statusCommand} from './statuses.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('tamarackwind')
 	.env('TAMARACKWIND')
 	.command(entryCommand)
+	.command(jobCommand)
 	.command(statusCommand)
 	.demandCommand(1, 'a command is missing; see --help')
 	.strict()
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -20,6 +20,8 @@
 export type CallerPortOptions = KeyedParts & {
 	readonly log: Log;
 	readonly settings: SettingsView;
+	/** Routes of jobs; their first path segment is no service's. */
+	readonly jobs?: Hono;
 };
 
 /** Handles the requests of callers. */
@@ -37,6 +39,10 @@
 	private constructor(options: CallerPortOptions) {
 		this.#options = options;
 		this.app = new Hono<{Bindings: HttpBindings}>();
+		this.app.use('/jobs/*', async (c, next) => {
+			await this.#trackJobRequest(c.env.outgoing, next);
+		});
+		this.app.route('/jobs', options.jobs ?? new Hono());
 		this.app.all('*', async c => {
 			const {incoming, outgoing} = c.env;
 			const handled = this.#handle(incoming, outgoing);
@@ -69,6 +75,26 @@
 		}
 	}
 
+	/** Counts a request about jobs as in flight until its answer is out. */
+	async #trackJobRequest(response: ServerResponse, next: () => Promise<void>): Promise<void> {
+		const ended = waitForEnd(response);
+		this.#inFlight.add(ended);
+		if (this.#isClosing) {
+			response.setHeader('connection', 'close');
+		}
+
+		try {
+			await next();
+		} finally {
+			void this.#removeEnded(ended);
+		}
+	}
+
+	async #removeEnded(ended: Promise<void>): Promise<void> {
+		await ended;
+		this.#inFlight.delete(ended);
+	}
+
 	/** Handles one request to its end; never throws. */
 	async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {clock, metrics} = this.#options;
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -8,6 +8,8 @@
 import {ClaimStore} from './claims.js';
 import {type EntryConfig} from './configs.js';
 import {createEntryContext, type EntryContext} from './contexts.js';
+import {createJobRoutes} from './job-routes.js';
+import {JobService} from './jobs.js';
 import {Listener} from './listeners.js';
 import {createMetricsApp} from './metrics.js';
 import {createOperatorApp} from './operators.js';
@@ -39,6 +41,7 @@
 	readonly scheduler: Scheduler;
 	readonly upstreams: Upstreams;
 	readonly cleaner: ClaimCleaner;
+	readonly jobs: JobService;
 };
 
 /** Time between two looks for connections that have become idle, in milliseconds. */
@@ -57,10 +60,11 @@
 	static async create(config: EntryConfig): Promise<Entry> {
 		const receiptKey = config.receiptKeyFile === undefined ? undefined : await loadReceiptKey(config.receiptKeyFile);
 		const ctx = await createEntryContext(config);
-		const path = createDataPath(ctx, receiptKey);
+		const jobs = JobService.create(ctx);
+		const path = createDataPath(ctx, receiptKey, jobs);
 		const entry = new Entry(ctx, path, {
 			caller: await Listener.create(path.port.app, config.caller),
-			operator: await Listener.create(createOperatorApp(ctx), config.operator),
+			operator: await Listener.create(createOperatorApp(ctx, jobs), config.operator),
 			metrics: await Listener.create(createMetricsApp(ctx, () => path.port.isClosing), config.metrics),
 		});
 		addRefusals(entry.#listeners.caller.server);
@@ -97,6 +101,7 @@
 		const cutRequests = await this.#drainCallers(signal);
 		await this.#path.claims.close(claimFlushMs);
 		await this.#path.cleaner.close();
+		await this.#path.jobs.close();
 		await this.#path.scheduler.close();
 		await this.#path.upstreams.close();
 		await Promise.all([this.#listeners.operator.close(), this.#listeners.metrics.close()]);
@@ -130,7 +135,7 @@
 	}
 }
 
-function createDataPath(ctx: EntryContext, receiptKey: Uint8Array | undefined): DataPath {
+function createDataPath(ctx: EntryContext, receiptKey: Uint8Array | undefined, jobs: JobService): DataPath {
 	const {config, clock, random, platform, registry, fleet} = ctx;
 	const {tables, objects} = platform;
 	const metrics = RequestMetrics.create(registry);
@@ -152,9 +157,9 @@
 	const receipts = receiptKey === undefined ? undefined : ReceiptSigner.create(receiptKey, clock);
 	const countEntries = (): number => Math.max(1, fleet.listEntries().length);
 	const port = CallerPort.create({
-		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings,
+		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings, jobs: createJobRoutes(ctx, jobs),
 	});
 	return {
-		port, claims, metrics, scheduler, upstreams, cleaner,
+		port, claims, metrics, scheduler, upstreams, cleaner, jobs,
 	};
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -11,6 +11,8 @@
 export * from './dispatches.js';
 export * from './headers.js';
 export * from './identities.js';
+export * from './job-routes.js';
+export * from './jobs.js';
 export * from './keyed-requests.js';
 export * from './listeners.js';
 export * from './metrics.js';
--- /dev/null
+++ b/packages/entry/src/jobs.ts
@@ -0,0 +1,131 @@
+/**
+ * Jobs on an entry: what it does for callers and operators, and the scheduling while it holds the duty.
+ */
+import {Loop} from '@tamarackwind/core';
+import {
+	createNode, DutyLease, explainMisfit, JobController, JobDesk, type JobSpec,
+} from '@tamarackwind/jobs';
+import {type VmRecord} from '@tamarackwind/platform';
+import {Gauge} from 'prom-client';
+import {type EntryContext} from './contexts.js';
+import {registerCounter} from './metrics.js';
+
+const dutyName = 'jobs';
+const dutyIntervalMs = 500;
+const turnIntervalMs = 250;
+const renewIntervalMs = 1000;
+const listIntervalMs = 1000;
+
+/** The parts of an entry that deal with jobs. */
+export class JobService {
+	static create(ctx: EntryContext): JobService {
+		return new JobService(ctx);
+	}
+
+	readonly desk: JobDesk;
+	readonly controller: JobController;
+	readonly duty: DutyLease;
+	readonly #ctx: EntryContext;
+	readonly #loops: readonly Loop[];
+	#listed: readonly VmRecord[] = [];
+	#failedTurns = 0;
+
+	private constructor(ctx: EntryContext) {
+		const {
+			clock, random, log, platform, config, settings,
+		} = ctx;
+		const {tables, objects, tasks} = platform;
+		this.#ctx = ctx;
+		this.desk = JobDesk.create({
+			clock, random, tables, objects, explainMisfit: spec => this.#explainMisfit(spec),
+		});
+		this.duty = DutyLease.create({
+			clock, random, tables, name: dutyName, holder: config.entryId,
+		});
+		this.controller = JobController.create({
+			clock, random, log, tables, objects, tasks, duty: this.duty, listWorkers: () => this.#listWorkers(), readQuotas: () => settings.current?.teams ?? new Map(),
+		});
+		this.#registerMetrics();
+		this.#loops = [
+			this.#createLoop(listIntervalMs, async () => this.#refreshList()),
+			this.#createLoop(dutyIntervalMs, async () => this.duty.refresh()),
+			this.#createLoop(turnIntervalMs, async () => this.controller.runTurn()),
+			this.#createLoop(renewIntervalMs, async () => this.controller.renewRuns()),
+		];
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(this.#loops.map(async loop => loop.close()));
+	}
+
+	#createLoop(intervalMs: number, run: () => Promise<void>): Loop {
+		return Loop.create({
+			clock: this.#ctx.clock, intervalMs, run, onError: () => {
+				this.#failedTurns++;
+			},
+		});
+	}
+
+	async #refreshList(): Promise<void> {
+		const {vms} = await this.#ctx.platform.vmList.listVms();
+		this.#listed = vms.filter(vm => vm.kind === 'worker');
+	}
+
+	/** Workers of the list, with their pools as the fleet has them; one that the fleet gives no work counts as leaving. */
+	#listWorkers(): readonly VmRecord[] {
+		const {settings, fleet} = this.#ctx;
+		const pools = [...settings.current?.pools.keys() ?? []];
+		const working = new Map(pools.flatMap(pool => fleet.listWorkers(pool).map(worker => [worker.vmId as string, pool] as const)));
+		return this.#listed.map(vm => working.has(vm.vmId)
+			? {...vm, pool: working.get(vm.vmId)}
+			: {...vm, state: vm.state === 'live' ? 'leaving' : vm.state});
+	}
+
+	#explainMisfit(spec: JobSpec): string | undefined {
+		const workers = this.#listWorkers();
+		if (workers.length === 0) {
+			return undefined;
+		}
+
+		const size = {cores: spec.cores, memoryMb: spec.memoryMb, accelerators: spec.accelerators};
+		return explainMisfit({size, spec, excludedVms: new Set()}, workers.map(vm => createNode(vm)));
+	}
+
+	#registerMetrics(): void {
+		const {registry} = this.#ctx;
+		const counters = {
+			starts: 'Starts of jobs that were sent to workers',
+			evictions: 'Runs that were checkpointed and stopped to make room',
+			throttles: 'Runs whose processors were limited',
+			restarts: 'Runs that ended without a result and are followed by another',
+			mayHaveRun: 'Jobs that ended as may-have-run',
+			reads: 'Rows of jobs that were read from the table service',
+			commits: 'Transactions on jobs that were sent to the table service',
+			failedCalls: 'Calls to workers that failed',
+		} as const;
+		for (const [name, help] of Object.entries(counters) as Array<[keyof typeof counters, string]>) {
+			registerCounter(registry, `tamarackwind_jobs_${formatMetricName(name)}_total`, help, () => this.controller.counts[name]);
+		}
+
+		registerCounter(registry, 'tamarackwind_jobs_failed_turns_total', 'Turns of the jobs\' loops that failed', () => this.#failedTurns);
+		this.#registerGauge('tamarackwind_jobs_queued', 'Jobs that wait, on the entry that holds the duty', () => this.controller.counts.queued);
+		this.#registerGauge('tamarackwind_jobs_running', 'Runs that the entry looks after', () => this.controller.counts.running);
+		this.#registerGauge('tamarackwind_jobs_set_aside', 'Workers that get no jobs for their failures', () => this.controller.counts.setAside);
+		this.#registerGauge('tamarackwind_jobs_duty', 'Whether the entry schedules jobs', () => this.duty.isHeld() ? 1 : 0);
+	}
+
+	#registerGauge(name: string, help: string, read: () => number): void {
+		this.#ctx.registry.registerMetric(new Gauge({
+			name,
+			help,
+			registers: [],
+			collect() {
+				this.set(read());
+			},
+		}));
+	}
+}
+
+function formatMetricName(name: string): string {
+	return name.replaceAll(/[A-Z]/gv, letter => `_${letter.toLowerCase()}`);
+}
--- /dev/null
+++ b/packages/testing/tests/job-processes.test.ts
@@ -0,0 +1,101 @@
+import {execFile} from 'node:child_process';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import test from 'ava';
+import {type JobRow} from '@tamarackwind/jobs';
+import {request} from 'undici';
+import {
+	Cluster, checkTaskHistory, createWorkerRecord, waitUntil, type TaskScript,
+} from '../src/index.js';
+
+const mainFile = fileURLToPath(import.meta.resolve('tamarackwind/main'));
+const tree = {deployments: {fixture: {pools: {north: {services: {echo: {}}}}}}};
+const script: TaskScript = {runMs: 6000, usage: {cores: 2, memoryMb: 512, accelerators: 0}};
+
+const dayMs = 24 * 60 * 60 * 1000;
+
+async function submit(url: string, query: string, key: string, runMs = script.runMs): Promise<{status: number; job: JobRow}> {
+	const answer = await request(`${url}/jobs?${query}`, {method: 'POST', body: JSON.stringify({...script, runMs}), headers: {'idempotency-key': key}});
+	return {status: answer.statusCode, job: await answer.body.json() as JobRow};
+}
+
+async function readJob(url: string, jobId: string): Promise<JobRow> {
+	return await (await request(`${url}/jobs/${jobId}`)).body.json() as JobRow;
+}
+
+test('a build survives the kill of its scheduler entry and its worker, and is committed once', async t => {
+	const cluster = await Cluster.create({tree, workers: {north: 3}, entries: 3});
+	t.teardown(async () => cluster.close());
+	const [first] = cluster.entries;
+	const {status, job} = await submit(first!.getUrl('caller'), 'kind=build&cores=2', 'season');
+	t.is(status, 202);
+	t.is((await submit(first!.getUrl('caller'), 'kind=build&cores=2', 'season')).job.jobId, job.jobId);
+	await waitUntil(async () => (await readJob(first!.getUrl('caller'), job.jobId)).checkpoint !== undefined, 60_000);
+
+	const {vmId} = await readJob(first!.getUrl('caller'), job.jobId);
+	const duty = await cluster.platform.tables.getRow({table: 'duties', key: 'jobs'});
+	const {holder} = duty!.value as {holder: string};
+	const holderIndex = Number(holder.split('-')[1]) - 1;
+	cluster.entries[holderIndex]!.kill('SIGKILL');
+	await cluster.platform.tasks.restartWorker(vmId!);
+	cluster.platform.putVms([{...createWorkerRecord('north', Number(vmId!.split('-')[1]) - 1, 1), incarnation: '2'}]);
+	cluster.platform.setFaults({tables: {lostAnswers: 3}});
+
+	const url = cluster.entries[(holderIndex + 1) % 3]!.getUrl('caller');
+	await waitUntil(async () => (await readJob(url, job.jobId)).state === 'finished', 120_000);
+	const result = await request(`${url}/jobs/${job.jobId}/result`);
+	t.is(await result.body.text(), `result of ${job.jobId}`);
+	const starts = cluster.platform.tasks.history.filter(event => event.type === 'started');
+	t.is(starts.length, 2);
+	t.truthy(starts[1]!.checkpoint);
+	t.deepEqual(checkTaskHistory(cluster.platform.tasks), []);
+});
+
+test('callers are told what can\'t be accepted, and operators see the jobs', async t => {
+	const cluster = await Cluster.create({tree, workers: {north: 1}, entries: 1});
+	t.teardown(async () => cluster.close());
+	const entry = cluster.entries[0]!;
+	const url = entry.getUrl('caller');
+	await waitUntil(async () => (await submit(url, 'kind=build&cores=1000', 'too-big')).status === 422);
+	const refusals = [
+		{query: 'kind=dance', status: 400},
+		{query: 'kind=build&cores=1&zones=nowhere', status: 422},
+	];
+	for (const {query, status} of refusals) {
+		const answer = await request(`${url}/jobs?${query}`, {method: 'POST'});
+		t.is(answer.statusCode, status);
+		t.is(answer.headers['tamarackwind-verdict'], 'not-run');
+		await answer.body.dump();
+	}
+
+	cluster.platform.setFaults({objects: {isDown: true}});
+	const refused = await request(`${url}/jobs?kind=build`, {method: 'POST', body: 'x'});
+	t.is(refused.statusCode, 503);
+	t.is(refused.headers['tamarackwind-verdict'], 'not-run');
+	t.truthy(refused.headers['retry-after']);
+	await refused.body.dump();
+	cluster.platform.setFaults({});
+
+	const {job} = await submit(url, 'kind=kernel&cores=64', 'kernel', dayMs);
+	await waitUntil(async () => (await cluster.platform.tables.listRows('holds')).length === 1, 60_000);
+	const waiting = (await submit(url, 'kind=refresh&cores=8', 'refresh')).job;
+	const run = async (...args: string[]): Promise<string> => new Promise((resolve, reject) => {
+		execFile(process.execPath, [mainFile, 'job', ...args, '--entry', entry.getUrl('operator')], (error, stdout) => {
+			if (error) {
+				reject(error);
+			} else {
+				resolve(stdout);
+			}
+		});
+	});
+
+	t.regex(await run('list'), /kernel/v);
+	t.regex(await run('show', job.jobId), /running|starting/v);
+	t.regex(await run('explain', job.jobId), /best fit/v);
+	t.regex(await run('explain', waiting.jobId), /cores/v);
+	t.deepEqual(JSON.parse(await run('cancel', '--all', '--json')), [{accepted: true}]);
+	await waitUntil(async () => (await readJob(url, job.jobId)).state === 'cancelled' && (await readJob(url, waiting.jobId)).state === 'cancelled', 60_000);
+	t.deepEqual(await cluster.platform.tables.listRows('holds'), []);
+	const unknown = await t.throwsAsync(run('show', 'nothing'));
+	t.is((unknown as {code?: number}).code, 1);
+});
