--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,7 +7,11 @@
 import {hideBin} from 'yargs/helpers';
 import {entryCommand} from './entries.js';
 import {jobCommand} from './jobs.js';
+import {moveCommand} from './moves.js';
+import {poolCommand} from './pools.js';
 import {statusCommand} from './statuses.js';
+import {vmCommand} from './vms.js';
+import {waveCommand} from './waves.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('tamarackwind')
@@ -15,6 +19,10 @@
 	.command(entryCommand)
 	.command(jobCommand)
 	.command(statusCommand)
+	.command(poolCommand)
+	.command(vmCommand)
+	.command(waveCommand)
+	.command(moveCommand)
 	.demandCommand(1, 'a command is missing; see --help')
 	.strict()
 	.parseAsync();
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -1,13 +1,15 @@
 /**
  * The entry daemon: opens the ports, and closes them again.
  */
-import {NaiveScheduler, type Scheduler} from '@tamarackwind/admission';
+import {NaiveScheduler} from '@tamarackwind/admission';
 import {type EntryId} from '@tamarackwind/core';
+import {SoleEntryBarrier} from '@tamarackwind/peer';
 import {CallerPort} from './callers.js';
 import {ClaimCleaner} from './claim-cleaners.js';
 import {ClaimStore} from './claims.js';
 import {type EntryConfig} from './configs.js';
 import {createEntryContext, type EntryContext} from './contexts.js';
+import {FleetPart} from './fleets.js';
 import {createJobRoutes} from './job-routes.js';
 import {JobService} from './jobs.js';
 import {Listener} from './listeners.js';
@@ -38,7 +40,7 @@
 	readonly port: CallerPort;
 	readonly claims: ClaimStore;
 	readonly metrics: RequestMetrics;
-	readonly scheduler: Scheduler;
+	readonly fleetPart: FleetPart;
 	readonly upstreams: Upstreams;
 	readonly cleaner: ClaimCleaner;
 	readonly jobs: JobService;
@@ -64,7 +66,7 @@
 		const path = createDataPath(ctx, receiptKey, jobs);
 		const entry = new Entry(ctx, path, {
 			caller: await Listener.create(path.port.app, config.caller),
-			operator: await Listener.create(createOperatorApp(ctx, jobs), config.operator),
+			operator: await Listener.create(createOperatorApp(ctx, {fleetPart: path.fleetPart, jobs}), config.operator),
 			metrics: await Listener.create(createMetricsApp(ctx, () => path.port.isClosing), config.metrics),
 		});
 		addRefusals(entry.#listeners.caller.server);
@@ -97,13 +99,15 @@
 		const {config, clock, log} = this.#ctx;
 		log.info('entry stopping', {inFlight: this.#path.port.inFlight});
 		this.#path.port.drain();
+		await this.#path.fleetPart.closePlanner();
 		await clock.sleep(config.balancerDelayMs, signal);
 		const cutRequests = await this.#drainCallers(signal);
 		await this.#path.claims.close(claimFlushMs);
 		await this.#path.cleaner.close();
 		await this.#path.jobs.close();
-		await this.#path.scheduler.close();
+		await this.#path.fleetPart.scheduler.close();
 		await this.#path.upstreams.close();
+		await this.#path.fleetPart.close();
 		await Promise.all([this.#listeners.operator.close(), this.#listeners.metrics.close()]);
 		await this.#ctx.close();
 		log.info('entry stopped', {cutRequests});
@@ -140,7 +144,14 @@
 	const {tables, objects} = platform;
 	const metrics = RequestMetrics.create(registry);
 	const upstreams = Upstreams.create(clock);
-	const scheduler = NaiveScheduler.create({random, listWorkers: pool => fleet.listWorkers(pool)});
+	const fleetPart = FleetPart.create({
+		ctx,
+		scheduler: NaiveScheduler.create({random, listWorkers: pool => fleet.listWorkers(pool)}),
+		barrier: SoleEntryBarrier.create(ctx.versions),
+		listEntries: () => [ctx.bus.self.entryId, ...ctx.bus.listPeers().map(peer => peer.entryId)],
+		auditAction: async () => ({checks: [], writes: []}),
+	});
+	const {scheduler} = fleetPart;
 	const claims = ClaimStore.create({
 		clock,
 		random,
@@ -160,6 +171,6 @@
 		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings, jobs: createJobRoutes(ctx, jobs),
 	});
 	return {
-		port, claims, metrics, scheduler, upstreams, cleaner, jobs,
+		port, claims, metrics, fleetPart, upstreams, cleaner, jobs,
 	};
 }
--- a/packages/entry/src/job-routes.ts
+++ b/packages/entry/src/job-routes.ts
@@ -11,6 +11,7 @@
 import {Hono, type Context} from 'hono';
 import {type z} from 'zod';
 import {type EntryContext} from './contexts.js';
+import {requireFleetRight} from './fleets.js';
 import {headerNames} from './headers.js';
 import {Identities} from './identities.js';
 import {type JobService} from './jobs.js';
@@ -74,6 +75,7 @@
 	app.onError((error, c) => renderJobRefusal(error, c));
 	app.get('/', async c => c.json((await desk.listEveryJob(c.req.query('all') === 'true')).map(row => describeJob(row))));
 	app.post('/cancel', async c => {
+		requireFleetRight(ctx, c.req.header('authorization'));
 		await desk.cancelJobs(parseInput(cancelSelectorSchema, await c.req.json()));
 		return c.json({accepted: true}, 202);
 	});
--- a/packages/entry/src/jobs.ts
+++ b/packages/entry/src/jobs.ts
@@ -3,14 +3,13 @@
  */
 import {Loop} from '@tamarackwind/core';
 import {
-	createNode, DutyLease, explainMisfit, JobController, JobDesk, type JobSpec,
+	createNode, JobDuty, explainMisfit, JobController, JobDesk, type JobSpec,
 } from '@tamarackwind/jobs';
 import {type VmRecord} from '@tamarackwind/platform';
 import {Gauge} from 'prom-client';
 import {type EntryContext} from './contexts.js';
 import {registerCounter} from './metrics.js';
 
-const dutyName = 'jobs';
 const dutyIntervalMs = 500;
 const turnIntervalMs = 250;
 const renewIntervalMs = 1000;
@@ -24,7 +23,7 @@
 
 	readonly desk: JobDesk;
 	readonly controller: JobController;
-	readonly duty: DutyLease;
+	readonly duty: JobDuty;
 	readonly #ctx: EntryContext;
 	readonly #loops: readonly Loop[];
 	#listed: readonly VmRecord[] = [];
@@ -39,8 +38,8 @@
 		this.desk = JobDesk.create({
 			clock, random, tables, objects, explainMisfit: spec => this.#explainMisfit(spec),
 		});
-		this.duty = DutyLease.create({
-			clock, random, tables, name: dutyName, holder: config.entryId,
+		this.duty = JobDuty.create({
+			clock, random, tables, holder: config.entryId,
 		});
 		this.controller = JobController.create({
 			clock, random, log, tables, objects, tasks, duty: this.duty, listWorkers: () => this.#listWorkers(), readQuotas: () => settings.current?.teams ?? new Map(),
@@ -56,6 +55,16 @@
 
 	async close(): Promise<void> {
 		await Promise.all(this.#loops.map(async loop => loop.close()));
+		await this.#releaseDuty();
+	}
+
+	/** Gives the duty up; without the tables another entry takes it once its term has run out. */
+	async #releaseDuty(): Promise<void> {
+		try {
+			await this.duty.release();
+		} catch {
+			this.#failedTurns++;
+		}
 	}
 
 	#createLoop(intervalMs: number, run: () => Promise<void>): Loop {
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -3,13 +3,19 @@
  */
 import {Hono} from 'hono';
 import {type EntryContext} from './contexts.js';
+import {addFleetRoutes} from './fleet-routes.js';
+import {requireFleetRight, type FleetPart} from './fleets.js';
 import {createOperatorJobRoutes} from './job-routes.js';
 import {type JobService} from './jobs.js';
 
+/** Parts of an entry that have routes for operators. */
+export type OperatorParts = {readonly fleetPart: FleetPart; readonly jobs: JobService};
+
 /** Builds the app of the operator port; each concern adds its routes below /v1. */
-export function createOperatorApp(ctx: EntryContext, jobs: JobService): Hono {
+export function createOperatorApp(ctx: EntryContext, {fleetPart, jobs}: OperatorParts): Hono {
 	const app = new Hono();
 	app.get('/v1/status', c => c.json(describeStatus(ctx)));
+	addFleetRoutes(app, {ctx, declarations: fleetPart.declarations, authorizeChange: c => requireFleetRight(ctx, c.req.header('authorization'))});
 	app.route('/v1/jobs', createOperatorJobRoutes(ctx, jobs));
 	return app;
 }
--- a/packages/testing/tests/job-processes.test.ts
+++ b/packages/testing/tests/job-processes.test.ts
@@ -79,23 +79,19 @@
 	const {job} = await submit(url, 'kind=kernel&cores=64', 'kernel', dayMs);
 	await waitUntil(async () => (await cluster.platform.tables.listRows('holds')).length === 1, 60_000);
 	const waiting = (await submit(url, 'kind=refresh&cores=8', 'refresh')).job;
-	const run = async (...args: string[]): Promise<string> => new Promise((resolve, reject) => {
+	const run = async (...args: string[]): Promise<{code: unknown; stdout: string}> => new Promise(resolve => {
 		execFile(process.execPath, [mainFile, 'job', ...args, '--entry', entry.getUrl('operator')], (error, stdout) => {
-			if (error) {
-				reject(error);
-			} else {
-				resolve(stdout);
-			}
+			resolve({code: error?.code ?? 0, stdout});
 		});
 	});
 
-	t.regex(await run('list'), /kernel/v);
-	t.regex(await run('show', job.jobId), /running|starting/v);
-	t.regex(await run('explain', job.jobId), /best fit/v);
-	t.regex(await run('explain', waiting.jobId), /cores/v);
-	t.deepEqual(JSON.parse(await run('cancel', '--all', '--json')), [{accepted: true}]);
+	t.regex((await run('list')).stdout, /kernel/v);
+	t.regex((await run('show', job.jobId)).stdout, /running|starting/v);
+	t.regex((await run('explain', job.jobId)).stdout, /best fit/v);
+	t.regex((await run('explain', waiting.jobId)).stdout, /cores/v);
+	t.deepEqual(JSON.parse((await run('cancel', '--all', '--json')).stdout), [{accepted: true}]);
 	await waitUntil(async () => (await readJob(url, job.jobId)).state === 'cancelled' && (await readJob(url, waiting.jobId)).state === 'cancelled', 60_000);
 	t.deepEqual(await cluster.platform.tables.listRows('holds'), []);
-	const unknown = await t.throwsAsync(run('show', 'nothing'));
-	t.is((unknown as {code?: number}).code, 1);
+	t.is((await run('show', 'nothing')).code, 1);
+	t.is((await run('list')).code, 0);
 });
