--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,6 +6,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {entryCommand} from './entries.js';
+import {jobCommand} from './jobs.js';
 import {moveCommand} from './moves.js';
 import {poolCommand} from './pools.js';
 import {statusCommand} from './statuses.js';
@@ -16,6 +17,7 @@
 	.scriptName('tamarackwind')
 	.env('TAMARACKWIND')
 	.command(entryCommand)
+	.command(jobCommand)
 	.command(statusCommand)
 	.command(poolCommand)
 	.command(vmCommand)
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -8,13 +8,18 @@
 import {type EntryContext} from './contexts.js';
 import {addFleetRoutes} from './fleet-routes.js';
 import {type FleetPart} from './fleets.js';
+import {createOperatorJobRoutes} from './job-routes.js';
+import {type JobService} from './jobs.js';
 import {
 	createOperatorGuard, requireFleetRight, type OperatorContext, type OperatorEnv,
 } from './operator-identities.js';
 import {createSettingsRoutes} from './settings-routes.js';
 
+/** Parts of an entry that have routes for operators. */
+export type OperatorParts = {readonly fleetPart: FleetPart; readonly jobs: JobService};
+
 /** Builds the app of the operator port; each concern adds its routes below /v1. */
-export function createOperatorApp(ctx: EntryContext, fleetPart: FleetPart): Hono<OperatorEnv> {
+export function createOperatorApp(ctx: EntryContext, {fleetPart, jobs}: OperatorParts): Hono<OperatorEnv> {
 	const app = new Hono<OperatorEnv>();
 	app.onError((error, c) => sendError(error, c as OperatorContext));
 	app.use('/v1/*', createOperatorGuard({
@@ -23,6 +28,7 @@
 	app.get('/v1/status', c => c.json(describeStatus(ctx)));
 	app.route('/v1', createSettingsRoutes({store: ctx.settingsStore, changes: ctx.settingsChanges, audit: ctx.audit}));
 	addFleetRoutes(app, {ctx, declarations: fleetPart.declarations, authorizeChange: () => requireFleetRight(ctx.config.deployment)});
+	app.route('/v1/jobs', createOperatorJobRoutes(ctx, jobs));
 	return app;
 }
 
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,5 +1,6 @@
 export * from './balancers.js';
 export * from './clusters.js';
+export * from './commands.js';
 export * from './demo-callers.js';
 export * from './demo-works.js';
 export * from './demos.js';
