--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -146,7 +146,7 @@
 		const value = this.#createRow(request);
 		let version: number | undefined = request.mayInsert ? absentVersion : undefined;
 		let isUncertain = false;
-		let isKnownOpen = false;
+		let isHeldElsewhere = false;
 		for (let pollMs = minPollMs; ; pollMs = Math.min(pollMs * 2, maxPollMs)) {
 			const step = await this.#takeStep(request, value, version);
 			if (step.status === 'written') {
@@ -156,7 +156,7 @@
 			if (step.status === 'unavailable') {
 				isUncertain ||= step.isUncertain;
 				if (this.#hasPassed(request.availableBy) || request.signal.aborted) {
-					return isKnownOpen ? {status: 'open'} : {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
+					return isHeldElsewhere ? {status: 'open'} : {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
 				}
 			} else {
 				const decision = resolveClaim(step.row, request, value.token);
@@ -165,7 +165,7 @@
 				}
 
 				version = decision;
-				isKnownOpen = decision === undefined;
+				isHeldElsewhere = version === undefined;
 			}
 
 			if (version === undefined && (this.#hasPassed(request.finishBy) || request.signal.aborted)) {
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -1,13 +1,15 @@
 /**
  * The entry daemon: opens the ports, and closes them again.
  */
-import {NaiveScheduler, type Scheduler} from '@tamarackwind/admission';
+import {NaiveScheduler} from '@tamarackwind/admission';
 import {type EntryId} from '@tamarackwind/core';
+import {SoleEntryBarrier} from '@tamarackwind/peer';
 import {CallerPort} from './callers.js';
 import {ClaimCleaner} from './claim-cleaners.js';
 import {ClaimStore} from './claims.js';
 import {type EntryConfig} from './configs.js';
 import {createEntryContext, type EntryContext} from './contexts.js';
+import {FleetPart} from './fleets.js';
 import {Listener} from './listeners.js';
 import {createMetricsApp} from './metrics.js';
 import {createOperatorApp} from './operators.js';
@@ -17,7 +19,7 @@
 import {Upstreams} from './upstreams.js';
 
 /** Ports that an entry listens on. */
-export type EntryPorts = {readonly caller: number; readonly operator: number; readonly metrics: number};
+export type EntryPorts = {readonly caller: number; readonly operator: number; readonly peer: number; readonly metrics: number};
 
 export type CloseOptions = {
 	/** Aborts the wait for requests in flight, which are then cut. */
@@ -36,7 +38,7 @@
 	readonly port: CallerPort;
 	readonly claims: ClaimStore;
 	readonly metrics: RequestMetrics;
-	readonly scheduler: Scheduler;
+	readonly fleetPart: FleetPart;
 	readonly upstreams: Upstreams;
 	readonly cleaner: ClaimCleaner;
 };
@@ -56,11 +58,11 @@
 export class Entry {
 	static async create(config: EntryConfig): Promise<Entry> {
 		const receiptKey = config.receiptKeyFile === undefined ? undefined : await loadReceiptKey(config.receiptKeyFile);
-		const ctx = createEntryContext(config);
+		const ctx = await createEntryContext(config);
 		const path = createDataPath(ctx, receiptKey);
 		const entry = new Entry(ctx, path, {
 			caller: await Listener.create(path.port.app, config.caller),
-			operator: await Listener.create(createOperatorApp(ctx), config.operator),
+			operator: await Listener.create(createOperatorApp(ctx, path.fleetPart), config.operator),
 			metrics: await Listener.create(createMetricsApp(ctx, () => path.port.isClosing), config.metrics),
 		});
 		addRefusals(entry.#listeners.caller.server);
@@ -80,7 +82,9 @@
 
 	get ports(): EntryPorts {
 		const {caller, operator, metrics} = this.#listeners;
-		return {caller: caller.port, operator: operator.port, metrics: metrics.port};
+		return {
+			caller: caller.port, operator: operator.port, peer: this.#ctx.bus.port, metrics: metrics.port,
+		};
 	}
 
 	/**
@@ -91,12 +95,14 @@
 		const {config, clock, log} = this.#ctx;
 		log.info('entry stopping', {inFlight: this.#path.port.inFlight});
 		this.#path.port.drain();
+		await this.#path.fleetPart.closePlanner();
 		await clock.sleep(config.balancerDelayMs, signal);
 		const cutRequests = await this.#drainCallers(signal);
 		await this.#path.claims.close(claimFlushMs);
 		await this.#path.cleaner.close();
-		await this.#path.scheduler.close();
+		await this.#path.fleetPart.scheduler.close();
 		await this.#path.upstreams.close();
+		await this.#path.fleetPart.close();
 		await Promise.all([this.#listeners.operator.close(), this.#listeners.metrics.close()]);
 		await this.#ctx.close();
 		log.info('entry stopped', {cutRequests});
@@ -133,7 +139,14 @@
 	const {tables, objects} = platform;
 	const metrics = RequestMetrics.create(registry);
 	const upstreams = Upstreams.create(clock);
-	const scheduler = NaiveScheduler.create({random, listWorkers: pool => fleet.listWorkers(pool)});
+	const fleetPart = FleetPart.create({
+		ctx,
+		scheduler: NaiveScheduler.create({random, listWorkers: pool => fleet.listWorkers(pool)}),
+		barrier: SoleEntryBarrier.create(ctx.versions),
+		listEntries: () => [ctx.bus.self.entryId, ...ctx.bus.listPeers().map(peer => peer.entryId)],
+		auditAction: async () => ({checks: [], writes: []}),
+	});
+	const {scheduler} = fleetPart;
 	const claims = ClaimStore.create({
 		clock,
 		random,
@@ -153,6 +166,6 @@
 		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings,
 	});
 	return {
-		port, claims, metrics, scheduler, upstreams, cleaner,
+		port, claims, metrics, fleetPart, upstreams, cleaner,
 	};
 }
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -2,11 +2,11 @@
  * The metrics port: counters for monitoring, and health for the balancer.
  */
 import {Hono} from 'hono';
-import {collectDefaultMetrics} from 'prom-client';
+import {collectDefaultMetrics, Counter, type Registry} from 'prom-client';
 import {type EntryContext} from './contexts.js';
 
 /** Builds the app of the metrics port; `isDraining` tells whether the entry is about to stop. */
-export function createMetricsApp({registry, settings}: EntryContext, isDraining: () => boolean): Hono {
+export function createMetricsApp({registry, settings, fleet}: EntryContext, isDraining: () => boolean): Hono {
 	collectDefaultMetrics({register: registry});
 	const app = new Hono();
 	app.get('/metrics', async c => c.text(await registry.metrics(), 200, {'content-type': registry.contentType}));
@@ -16,7 +16,24 @@
 			return c.text('entry is stopping', 503);
 		}
 
-		return settings.current === undefined ? c.text('settings were not read yet', 503) : c.text('ok');
+		if (settings.current === undefined) {
+			return c.text('settings were not read yet', 503);
+		}
+
+		return fleet.isLoaded ? c.text('ok') : c.text('the fleet was not read yet', 503);
 	});
 	return app;
 }
+
+/** Registers a counter that is read when it is collected. */
+export function registerCounter(registry: Registry, name: string, help: string, readTotal: () => number): void {
+	registry.registerMetric(new Counter({
+		name,
+		help,
+		registers: [],
+		collect() {
+			this.reset();
+			this.inc(readTotal());
+		},
+	}));
+}
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -2,43 +2,68 @@
  * Stand-in of the platform: table service, object store, list of VMs, with switches for faults.
  */
 import {type Server} from 'node:http';
-import {serve} from '@hono/node-server';
-import {VerdictError} from '@tamarackwind/core';
+import {type AddressInfo} from 'node:net';
+import {serve, type HttpBindings} from '@hono/node-server';
+import {SystemClock, VerdictError} from '@tamarackwind/core';
 import {
 	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
 } from '@tamarackwind/platform';
 import {Hono, type Context} from 'hono';
+import {Listings, type MapVms} from './listings.js';
+import {WorkerTasks, createTaskApp} from './tasks.js';
 
 export type PlatformStandInOptions = {
 	readonly port?: number;
 	/** Time by which the list of VMs lags behind. */
 	readonly listLagMs?: number;
+	/** Time that a reboot takes. */
+	readonly rebootMs?: number;
+};
+
+/** How a VM comes back from its next reboots. */
+export type RebootBehavior = {
+	readonly afterMs?: number;
+	/** The VM never comes back. */
+	readonly isLost?: boolean;
 };
 
 /** Switches of the stand-in's parts. */
 export type PlatformFaults = {readonly tables?: Faults; readonly objects?: Faults; readonly vms?: Faults};
 
-type Listing = {readonly since: number; readonly generation: number; readonly vms: readonly VmRecord[]};
+const defaultRebootMs = 500;
 
 /** The platform on one loopback port. */
 export class PlatformStandIn {
 	static async create(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
 		const standIn = new PlatformStandIn(options);
-		await standIn.#listen(options.port ?? 0);
+		standIn.#port = await standIn.#listen(options.port ?? 0);
 		return standIn;
 	}
 
 	readonly tables = MemoryTableService.create();
 	readonly objects = MemoryObjectStore.create();
 	readonly vmFaults = FaultSwitch.create();
+	readonly tasks = WorkerTasks.create({
+		clock: SystemClock.create(), objects: this.objects, checkpointIntervalMs: 500, usageLagMs: 500,
+	});
+
 	readonly #vms = new Map<string, VmRecord>();
-	readonly #listLagMs: number;
-	#listings: Listing[] = [{since: 0, generation: 0, vms: []}];
-	#server: Server | undefined;
+	/** Reboots so far, in order. */
+	readonly reboots: Array<{readonly vmId: string; readonly token: string}> = [];
+	/** Called when a VM stops for a reboot and when it runs again. */
+	onReboot: (vmId: string, isRunning: boolean) => void = () => {};
+	readonly #rebootMs: number;
+	readonly #rebootBehaviors = new Map<string, RebootBehavior>();
+	readonly #rebootTokens = new Set<string>();
+	readonly #rebootTimers = new Set<NodeJS.Timeout>();
+	readonly #listings: Listings;
+	readonly #servers: Server[] = [];
+	readonly #mapsByPort = new Map<number, MapVms>();
 	#port = 0;
 
-	private constructor({listLagMs}: PlatformStandInOptions) {
-		this.#listLagMs = listLagMs ?? 0;
+	private constructor({listLagMs, rebootMs}: PlatformStandInOptions) {
+		this.#listings = Listings.create(listLagMs ?? 0);
+		this.#rebootMs = rebootMs ?? defaultRebootMs;
 	}
 
 	get url(): string {
@@ -51,12 +76,39 @@
 			this.#vms.set(vm.vmId, vm);
 		}
 
-		this.#recordListing();
+		this.#listings.record([...this.#vms.values()]);
 	}
 
 	removeVm(vmId: string): void {
 		this.#vms.delete(vmId);
-		this.#recordListing();
+		this.#listings.record([...this.#vms.values()]);
+	}
+
+	/** Sets how a VM comes back from its next reboots. */
+	setRebootBehavior(vmId: string, behavior: RebootBehavior): void {
+		this.#rebootBehaviors.set(vmId, behavior);
+	}
+
+	/** Starts a reboot; a token that was seen before starts none. */
+	rebootVm(vmId: string, token: string): void {
+		const vm = this.#vms.get(vmId);
+		if (vm === undefined || this.#rebootTokens.has(token)) {
+			return;
+		}
+
+		this.#rebootTokens.add(token);
+		this.reboots.push({vmId, token});
+		this.onReboot(vmId, false);
+		this.putVms([{...vm, state: 'rebooting'}]);
+		const {afterMs = this.#rebootMs, isLost = false} = this.#rebootBehaviors.get(vmId) ?? {};
+		if (!isLost) {
+			const timer = setTimeout(() => {
+				this.#rebootTimers.delete(timer);
+				this.onReboot(vmId, true);
+				this.putVms([{...vm, incarnation: `${Number(vm.incarnation) + 1}`, state: 'live'}]);
+			}, afterMs);
+			this.#rebootTimers.add(timer);
+		}
 	}
 
 	setFaults({tables, objects, vms}: PlatformFaults): void {
@@ -65,35 +117,35 @@
 		this.vmFaults.setFaults(vms ?? {});
 	}
 
-	async close(): Promise<void> {
-		await new Promise(resolve => {
-			this.#server?.close(resolve);
-			this.#server?.closeAllConnections();
-		});
+	/** Opens one more port, on which the list of VMs is changed by `mapVms`. */
+	async openPort(mapVms: MapVms): Promise<number> {
+		const port = await this.#listen(0);
+		this.#mapsByPort.set(port, mapVms);
+		return port;
 	}
 
-	#recordListing(): void {
-		const generation = (this.#listings.at(-1)?.generation ?? 0) + 1;
-		this.#listings = [...this.#listings.slice(-200), {since: Date.now(), generation, vms: [...this.#vms.values()]}];
-	}
+	async close(): Promise<void> {
+		for (const timer of this.#rebootTimers) {
+			clearTimeout(timer);
+		}
 
-	#readListing(): Listing | undefined {
-		const until = Date.now() - this.#listLagMs;
-		return this.#listings.findLast(listing => listing.since <= until);
+		await Promise.all(this.#servers.map(async server => new Promise(resolve => {
+			server.close(resolve);
+			server.closeAllConnections();
+		})));
 	}
 
-	async #listen(port: number): Promise<void> {
+	async #listen(port: number): Promise<number> {
 		const app = this.#createApp();
-		await new Promise<void>(resolve => {
-			this.#server = serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
-				this.#port = info.port;
-				resolve();
-			}) as Server;
+		return new Promise<number>(resolve => {
+			this.#servers.push(serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
+				resolve((info).port);
+			}) as Server);
 		});
 	}
 
-	#createApp(): Hono {
-		const app = new Hono();
+	#createApp(): Hono<{Bindings: HttpBindings}> {
+		const app = new Hono<{Bindings: HttpBindings}>();
 		app.onError((error, ctx) => answerError(error, ctx));
 		app.post('/tables/read', async ctx => {
 			const {keys} = await ctx.req.json<{keys: RowKey[]}>();
@@ -121,9 +173,23 @@
 		app.get('/objects', async ctx => ctx.json({names: await this.objects.listObjects(ctx.req.query('prefix') ?? '')}));
 		app.get('/vms', async ctx => {
 			await this.vmFaults.applyBefore();
-			const listing = this.#readListing();
-			return ctx.json({generation: listing?.generation ?? 0, vms: listing?.vms ?? []});
+			const mapVms = this.#mapsByPort.get(ctx.env.incoming.socket.localPort ?? 0);
+			if (mapVms !== undefined) {
+				const {generation, vms} = this.#listings.read();
+				return ctx.json({generation, vms: mapVms(vms)});
+			}
+
+			const since = ctx.req.query('since');
+			return ctx.json(since === undefined ? this.#listings.read() : this.#listings.readChange(Number(since)));
+		});
+		app.post('/vms/:vm/reboot', async ctx => {
+			await this.vmFaults.applyBefore();
+			const {token} = await ctx.req.json<{token: string}>();
+			this.rebootVm(ctx.req.param('vm'), token);
+			this.vmFaults.applyAfterWrite();
+			return ctx.body(null, 202);
 		});
+		app.route('/', createTaskApp(this.tasks));
 		app.post('/stand-in/vms', async ctx => {
 			this.putVms(await ctx.req.json<VmRecord[]>());
 			return ctx.body(null, 204);
