--- a/packages/entry/src/batches.ts
+++ b/packages/entry/src/batches.ts
@@ -19,11 +19,13 @@
 	readonly intervalMs?: number;
 	/** Most rows of a transaction. */
 	readonly maxRows?: number;
+	/** Most transactions that wait for their answers at once. */
+	readonly maxCommitsInFlight?: number;
 };
 
 const defaultIntervalMs = 25;
 const defaultMaxRows = 128;
-const maxCommitsInFlight = 8;
+const defaultMaxCommitsInFlight = 8;
 
 type PendingWrite = {
 	readonly write: RowWrite;
@@ -47,15 +49,17 @@
 	readonly #tables: TableService;
 	readonly #intervalMs: number;
 	readonly #maxRows: number;
+	readonly #maxCommitsInFlight: number;
 	readonly #commits = new Set<Promise<void>>();
 	#pending: PendingWrite[] = [];
 	#isRunning = false;
 
-	private constructor({clock, tables, intervalMs, maxRows}: RowBatcherOptions) {
+	private constructor({clock, tables, intervalMs, maxRows, maxCommitsInFlight}: RowBatcherOptions) {
 		this.#clock = clock;
 		this.#tables = tables;
 		this.#intervalMs = intervalMs ?? defaultIntervalMs;
 		this.#maxRows = maxRows ?? defaultMaxRows;
+		this.#maxCommitsInFlight = maxCommitsInFlight ?? defaultMaxCommitsInFlight;
 	}
 
 	/**
@@ -79,7 +83,7 @@
 			this.#commits.add(commit);
 			void commit.then(() => this.#commits.delete(commit));
 			await this.#clock.sleep(this.#intervalMs);
-			if (this.#commits.size >= maxCommitsInFlight) {
+			if (this.#commits.size >= this.#maxCommitsInFlight) {
 				await Promise.race(this.#commits);
 			}
 		}
--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -20,6 +20,8 @@
 /** Largest answer body that is kept, in bytes. */
 export const maxKeptBytes = 4 * 1024 * 1024;
 
+/** Least time between two transactions that write ends of claims, in milliseconds. */
+const endIntervalMs = 100;
 const minPollMs = 50;
 const maxPollMs = 500;
 const maxLateRetryMs = 5000;
@@ -109,7 +111,10 @@
 	readonly tables: TableService;
 	readonly objects: ObjectStore;
 	readonly entryId: EntryId;
+	/** Writes claims. */
 	readonly batcher?: RowBatcher;
+	/** Writes the ends of claims, for which nobody waits. */
+	readonly endBatcher?: RowBatcher;
 	/** Called when a run turns out to have been claimed by another. */
 	readonly onDoubled?: () => void;
 };
@@ -127,6 +132,7 @@
 
 	readonly #options: ClaimStoreOptions;
 	readonly #batcher: RowBatcher;
+	readonly #endBatcher: RowBatcher;
 	readonly #lateWrites = new Set<Promise<void>>();
 	readonly #closing = new AbortController();
 	#lateBytes = 0;
@@ -134,6 +140,7 @@
 	private constructor(options: ClaimStoreOptions) {
 		this.#options = options;
 		this.#batcher = options.batcher ?? RowBatcher.create(options);
+		this.#endBatcher = options.endBatcher ?? RowBatcher.create({...options, intervalMs: endIntervalMs});
 	}
 
 	/** Claims whose end was not written yet. */
@@ -314,7 +321,7 @@
 	async #tryWriteEnd(claim: Claim, createValue: () => Promise<ClaimRow>, version: number): Promise<number | 'done' | undefined> {
 		try {
 			const value = await createValue();
-			const outcome = await this.#batcher.submit({...claim.key, version, value});
+			const outcome = await this.#endBatcher.submit({...claim.key, version, value});
 			return outcome.status === 'committed' ? 'done' : await this.#findEndVersion(claim);
 		} catch {
 			return undefined;
