--- a/packages/testing/src/commands.ts
+++ b/packages/testing/src/commands.ts
@@ -23,9 +23,9 @@
 export async function runCommandLine(entry: EntryProcess, args: readonly string[], token = operatorToken): Promise<CommandResult> {
 	const tokenFile = path.join(await mkdtemp(path.join(tmpdir(), 'tamarackwind-')), 'token');
 	await writeFile(tokenFile, token);
-	const env = {...process.env, TAMARACKWIND_ENTRY: entry.getUrl('operator'), TAMARACKWIND_TOKEN_FILE: tokenFile};
+	const connection = ['--entry', entry.getUrl('operator'), '--token-file', tokenFile];
 	return new Promise(resolve => {
-		execFile(process.execPath, [mainFile, ...args], {env}, (error, stdout, stderr) => {
+		execFile(process.execPath, [mainFile, ...args, ...connection], (error, stdout, stderr) => {
 			resolve({code: typeof error?.code === 'number' ? error.code : 0, stdout, stderr});
 		});
 	});
