--- a/packages/cli/src/clients.ts
+++ b/packages/cli/src/clients.ts
@@ -4,7 +4,7 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {
-	IssuesError, VerdictError, createIssuesError, readErrorMessage, type Issue,
+	IssuesError, VerdictError, createIssuesError, readErrorMessage, type Issue, type Verdict,
 } from '@tamarackwind/core';
 import {request} from 'undici';
 import {type Argv} from 'yargs';
@@ -29,7 +29,7 @@
 export type OperatorAnswer<T> = {readonly status: number; readonly body: T};
 
 /** Body of a refusal by the operator port. */
-export type OperatorRefusal = {readonly code: string; readonly message: string; readonly issues?: readonly Issue[]};
+export type OperatorRefusal = {readonly code: string; readonly message: string; readonly issues?: readonly Issue[]; readonly verdict?: Verdict};
 
 /**
  * Sends one call to the operator port.
@@ -44,12 +44,20 @@
 		return answer.body;
 	}
 
-	const {code, message, issues} = answer.body as OperatorRefusal;
+	const {code, message, issues, verdict} = answer.body as OperatorRefusal;
 	if (issues !== undefined) {
 		throw createIssuesError(issues);
 	}
 
-	throw new VerdictError(message, {verdict: 'not-run', code: answer.status === 409 ? 'conflict' : code});
+	throw new VerdictError(message, {verdict: answer.status >= 500 ? verdict ?? 'may-have-run' : 'not-run', code: readRefusalCode(answer.status, code)});
+}
+
+function readRefusalCode(status: number, code: string): string {
+	if (status === 409) {
+		return 'conflict';
+	}
+
+	return status >= 500 ? 'unavailable' : code;
 }
 
 async function sendCall<T>(entry: string, token: string | undefined, {method, path, json}: {readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE'; readonly path: string; readonly json: unknown}): Promise<OperatorAnswer<T>> {
--- a/packages/cli/src/exits.ts
+++ b/packages/cli/src/exits.ts
@@ -8,4 +8,6 @@
 	conflict: 3,
 	/** The entry or the platform could not be reached. */
 	unavailable: 4,
+	/** A change was accepted and is not yet in force everywhere. */
+	pending: 5,
 } as const;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,9 +5,11 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {auditCommand} from './audits.js';
 import {entryCommand} from './entries.js';
 import {moveCommand} from './moves.js';
 import {poolCommand} from './pools.js';
+import {settingsCommand} from './settings.js';
 import {statusCommand} from './statuses.js';
 import {vmCommand} from './vms.js';
 import {waveCommand} from './waves.js';
@@ -16,6 +18,8 @@
 	.scriptName('tamarackwind')
 	.env('TAMARACKWIND')
 	.command(entryCommand)
+	.command(settingsCommand)
+	.command(auditCommand)
 	.command(statusCommand)
 	.command(poolCommand)
 	.command(vmCommand)
--- /dev/null
+++ b/packages/cli/src/settings.ts
@@ -0,0 +1,209 @@
+/**
+ * `tamarackwind settings`: the tree of settings, from a directory in version control to a version in force.
+ */
+import {randomUUID} from 'node:crypto';
+import process from 'node:process';
+import {VerdictError} from '@tamarackwind/core';
+import {
+	diffTrees, formatTreePath, safeLoadTree, type PlacedTree, type TreeChange,
+} from '@tamarackwind/settings';
+import {type Argv, type CommandModule} from 'yargs';
+import {
+	callOperatorPort, printRows, runCommand, withOperatorOptions, type OperatorOptions,
+} from './clients.js';
+import {exitCodes} from './exits.js';
+
+type Command<T> = CommandModule<Record<string, unknown>, T>;
+type StoredTree = {readonly version: number; readonly tree: unknown};
+type Outcome = {readonly status: 'in-force' | 'pending' | 'checked'; readonly changeId: string; readonly version: number; readonly paths: readonly string[]};
+type HistoryRow = {readonly version: number; readonly at: number; readonly operator: string; readonly changeId: string; readonly paths: readonly string[]; readonly why?: string};
+type ChangeOptions = OperatorOptions & {readonly base: number; readonly change?: string; readonly why?: string; readonly dryRun?: boolean};
+
+type ApplyOptions = ChangeOptions & {readonly directory: string; readonly rebase?: boolean};
+type ShowOptions = OperatorOptions & {readonly atVersion?: number; readonly change?: string};
+type ExplainedValue = {readonly path: string; readonly value: unknown; readonly from: string; readonly file?: string; readonly line?: number; readonly operator?: string; readonly version?: number};
+
+/** Tries of a change whose answer was lost; they all carry one change id. */
+const maxTries = 3;
+
+async function loadTree(directory: string): Promise<PlacedTree> {
+	const result = await safeLoadTree(directory);
+	if (!result.success) {
+		throw result.error;
+	}
+
+	return result.data;
+}
+
+function withDirectory<T>(yargs: Argv<T>): Argv<T & {directory: string}> {
+	return yargs.positional('directory', {type: 'string', demandOption: true, describe: 'Directory of settings files, or one file'});
+}
+
+function withChangeOptions<T>(yargs: Argv<T>): Argv<T & ChangeOptions> {
+	return withOperatorOptions(yargs)
+		.option('base', {type: 'number', demandOption: true, describe: 'Version that the change was made from; see "settings show"'})
+		.option('change', {type: 'string', describe: 'Id of the change; the same id makes it only once'})
+		.option('why', {type: 'string', describe: 'Reason, for the audit trail'})
+		.option('dry-run', {type: 'boolean', describe: 'Check the change and do not make it'});
+}
+
+function printJson(value: unknown): void {
+	process.stdout.write(`${JSON.stringify(value, undefined, 2)}\n`);
+}
+
+function printChanges(changes: readonly TreeChange[], options: OperatorOptions): void {
+	printRows(changes.map(({path, before, after}) => ({path: formatTreePath(path), before, after})), options);
+}
+
+function printOutcome(outcome: Outcome, options: OperatorOptions): void {
+	if (options.json) {
+		printJson(outcome);
+	} else {
+		process.stdout.write(`change ${outcome.changeId}: ${outcome.status}, version ${outcome.version}\n${outcome.paths.map(path => `  ${path}\n`).join('')}`);
+	}
+
+	if (outcome.status === 'pending') {
+		process.stderr.write(`the change is accepted and not yet in force on every entry; see: settings show --change ${outcome.changeId}\n`);
+		process.exitCode = exitCodes.pending;
+	}
+}
+
+/** Sends a change; one whose answer was lost is sent again under the same id. */
+async function sendChange(options: ChangeOptions, method: 'PUT' | 'POST', path: string, body: Record<string, unknown>): Promise<void> {
+	const changeId = options.change ?? randomUUID();
+	const json = {
+		...body, changeId, baseVersion: options.base, why: options.why, isDryRun: options.dryRun,
+	};
+	for (let tries = 1; ; tries++) {
+		try {
+			printOutcome(await callOperatorPort<Outcome>(options, method, path, json), options);
+			return;
+		} catch (error) {
+			const isLost = error instanceof VerdictError && error.verdict === 'may-have-run';
+			if (!isLost || tries === maxTries) {
+				throw isLost ? new VerdictError(`${error.message}; look for it later by: settings show --change ${changeId}`, {verdict: error.verdict, code: error.code}) : error;
+			}
+		}
+	}
+}
+
+const checkCommand: Command<{directory: string}> = {
+	command: 'check <directory>',
+	describe: 'Check settings files without an entry',
+	builder: yargs => withDirectory(yargs)
+		.example('$0 settings check settings', 'Check schema, references, budgets and shares'),
+	async handler({directory}) {
+		await runCommand(async () => {
+			const {places} = await loadTree(directory);
+			process.stdout.write(`${Object.keys(places).length} keys are in order\n`);
+		});
+	},
+};
+
+const applyCommand: Command<ApplyOptions> = {
+	command: 'apply <directory>',
+	describe: 'Put settings files in force',
+	builder: yargs => withChangeOptions(withDirectory(yargs))
+		.option('rebase', {type: 'boolean', describe: 'Keep what others changed elsewhere in the tree since the base version'})
+		.example('$0 settings apply settings --base 41 --why "more retries"', 'Apply what was made from version 41')
+		.example('$0 settings apply settings --base 41 --dry-run', 'Only check it against the tree in force') as unknown as Argv<ApplyOptions>,
+	async handler(options) {
+		await runCommand(async () => {
+			const {tree, places} = await loadTree(options.directory);
+			await sendChange(options, 'PUT', '/v1/settings', {tree, places, isRebased: options.rebase});
+		});
+	},
+};
+
+const showCommand: Command<ShowOptions> = {
+	command: 'show',
+	describe: 'Show the tree in force, an earlier one, or a change',
+	builder: yargs => withOperatorOptions(yargs)
+		.option('at-version', {type: 'number', describe: 'Version to show; the one in force by default'})
+		.option('change', {type: 'string', conflicts: 'at-version', describe: 'Change to look for'})
+		.example('$0 settings show', 'Show the tree in force with its version')
+		.example('$0 settings show --change c-17', 'Tell whether a change was accepted and is in force') as unknown as Argv<ShowOptions>,
+	async handler(options) {
+		await runCommand(async () => {
+			if (options.change !== undefined) {
+				printOutcome(await callOperatorPort<Outcome>(options, 'GET', `/v1/settings/changes/${encodeURIComponent(options.change)}`), options);
+				return;
+			}
+
+			const path = options.atVersion === undefined ? '/v1/settings' : `/v1/settings/versions/${options.atVersion}`;
+			printJson(await callOperatorPort<StoredTree>(options, 'GET', path));
+		});
+	},
+};
+
+const diffCommand: Command<OperatorOptions & {directory: string}> = {
+	command: 'diff <directory>',
+	describe: 'Compare settings files with the tree in force',
+	builder: yargs => withOperatorOptions(withDirectory(yargs))
+		.example('$0 settings diff settings', 'List the values that applying the files would change'),
+	async handler(options) {
+		await runCommand(async () => {
+			const {tree} = await loadTree(options.directory);
+			const current = await callOperatorPort<StoredTree>(options, 'GET', '/v1/settings');
+			printChanges(diffTrees(current.tree, tree), options);
+		});
+	},
+};
+
+const explainCommand: Command<OperatorOptions & {path: string}> = {
+	command: 'explain <path>',
+	describe: 'Show where the values at a path come from',
+	builder: yargs => withOperatorOptions(yargs)
+		.positional('path', {type: 'string', demandOption: true, describe: 'Path such as deployments.fixture.pools.north'})
+		.example('$0 settings explain deployments.fixture.pools.north.services.redraw', 'Show the file, line, operator and version of each value of a service') as unknown as Argv<OperatorOptions & {path: string}>,
+	async handler(options) {
+		await runCommand(async () => {
+			const values = await callOperatorPort<ExplainedValue[]>(options, 'GET', `/v1/settings/explain?path=${encodeURIComponent(options.path)}`);
+			printRows(values.map(({path, value, from, file, line, operator, version}) => ({
+				path, value, from, file: file === undefined ? '' : `${file}:${line}`, operator: operator ?? '', version: version ?? '',
+			})), options);
+		});
+	},
+};
+
+const historyCommand: Command<OperatorOptions & {limit: number}> = {
+	command: 'history',
+	describe: 'List accepted changes, the newest first',
+	builder: yargs => withOperatorOptions(yargs)
+		.option('limit', {type: 'number', default: 20, describe: 'Most changes to list'})
+		.example('$0 settings history --limit 5', 'List the last five changes') as unknown as Argv<OperatorOptions & {limit: number}>,
+	async handler(options) {
+		await runCommand(async () => {
+			const rows = await callOperatorPort<HistoryRow[]>(options, 'GET', `/v1/settings/history?limit=${options.limit}`);
+			printRows(rows.map(({version, at, operator, changeId, paths, why}) => ({
+				version, at: new Date(at).toISOString(), operator, change: changeId, paths: paths.length, why: why ?? '',
+			})), options);
+		});
+	},
+};
+
+const rollbackCommand: Command<ChangeOptions & {toVersion: number}> = {
+	command: 'rollback <to-version>',
+	describe: 'Put the tree of an earlier version in force as a new version',
+	builder: yargs => withChangeOptions(yargs)
+		.positional('to-version', {type: 'number', demandOption: true, describe: 'Version whose tree to take'})
+		.example('$0 settings rollback 40 --base 41 --why "undo the retries"', 'Make version 42 out of version 40') as unknown as Argv<ChangeOptions & {toVersion: number}>,
+	async handler(options) {
+		await runCommand(async () => sendChange(options, 'POST', '/v1/settings/rollback', {toVersion: options.toVersion}));
+	},
+};
+
+export const settingsCommand: CommandModule = {
+	command: 'settings',
+	describe: 'Check, apply and explain the tree of settings',
+	builder: yargs => yargs
+		.command(checkCommand)
+		.command(applyCommand)
+		.command(showCommand)
+		.command(diffCommand)
+		.command(explainCommand)
+		.command(historyCommand)
+		.command(rollbackCommand)
+		.demandCommand(1, 'a command is missing; see settings --help'),
+	handler() {},
+};
--- a/packages/settings/src/files.ts
+++ b/packages/settings/src/files.ts
@@ -8,7 +8,8 @@
 import {type z} from 'zod';
 import {describeSchemaIssues} from './checks.js';
 
-function countLine(text: string, offset: number): number {
+/** Counts the line of an offset, from 1. */
+export function countLine(text: string, offset: number): number {
 	let line = 1;
 	for (let index = 0; index < offset; index++) {
 		if (text[index] === '\n') {
