--- a/packages/entry/tests/attempts.test.ts
+++ b/packages/entry/tests/attempts.test.ts
@@ -111,7 +111,7 @@
 		};
 		try {
 			await forwardRequest({
-				clock, random: SeededRandom.create(1), lease, scheduler, upstreams, metrics: RequestMetrics.create(new Registry()), countEntries: () => 1,
+				clock, random: SeededRandom.create(1), lease, scheduler, upstreams, metrics: RequestMetrics.create(new Registry()), countEntries: () => 1, settings: {current: settings},
 			}, options);
 		} catch (error_) {
 			error = error_ as VerdictError;
