--- a/packages/admission/src/retry-budgets.ts
+++ b/packages/admission/src/retry-budgets.ts
@@ -7,6 +7,9 @@
 	readonly burst: number;
 };
 
+/** What sums of fractions may fall short by. */
+const roundingError = 1e-9;
+
 /** A bucket of tokens, one for each retry. */
 export class RetryBudget {
 	static create(options: RetryBudgetOptions): RetryBudget {
@@ -23,7 +26,7 @@
 
 	/** Tells whether a retry can be paid. */
 	hasToken(): boolean {
-		return this.#tokens >= 1;
+		return this.#tokens >= 1 - roundingError;
 	}
 
 	/** Earns `ratio` tokens for a first attempt. */
