--- /dev/null
+++ b/packages/testing/tests/schedulers.test.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+import {request} from 'undici';
+import {
+	Cluster, createWorkerRecord, waitUntil, type EntryProcess, type WorkerRun,
+} from '../src/index.js';
+
+const tree = {deployments: {fixture: {pools: {north: {services: {echo: {}}}}}}};
+const slotsPerVm = 8;
+
+async function waitForPeers(entry: EntryProcess, count: number): Promise<void> {
+	await waitUntil(async () => {
+		const {body} = await request(`${entry.getUrl('metrics')}/metrics`);
+		return (await body.text()).includes(`tamarackwind_peers_live ${count}\n`);
+	});
+}
+
+async function sendAll(entries: readonly EntryProcess[], count: number): Promise<number[]> {
+	return Promise.all(Array.from({length: count}, async (_, index) => {
+		const {statusCode, body} = await request(`${entries[index % entries.length]!.getUrl('caller')}/echo/sleep/100`);
+		await body.dump();
+		return statusCode;
+	}));
+}
+
+/** Most requests that ran on one worker at once. */
+function countMostAtOnce(runs: readonly WorkerRun[]): number {
+	const changes = runs.flatMap(run => [{at: run.startedAt, by: 1}, {at: run.finishedAt ?? Number.POSITIVE_INFINITY, by: -1}]);
+	let [most, running] = [0, 0];
+	for (const {by} of changes.toSorted((a, b) => a.at - b.at || a.by - b.by)) {
+		running += by;
+		most = Math.max(most, running);
+	}
+
+	return most;
+}
+
+test('entries in processes of their own share the slots of a worker, also when one is killed and replaced', async t => {
+	const cluster = await Cluster.create({tree, workers: {north: 1}, entries: 3});
+	t.teardown(async () => cluster.close());
+	await Promise.all(cluster.entries.map(async entry => waitForPeers(entry, 2)));
+	t.deepEqual(new Set(await sendAll(cluster.entries, 120)), new Set([200]));
+
+	cluster.entries[2]!.kill('SIGKILL');
+	t.deepEqual(new Set(await sendAll(cluster.entries.slice(0, 2), 60)), new Set([200]));
+	await cluster.restartEntry(2);
+	await Promise.all(cluster.entries.map(async entry => waitForPeers(entry, 2)));
+	t.deepEqual(new Set(await sendAll(cluster.entries, 120)), new Set([200]));
+	t.true(countMostAtOnce(cluster.workers[0]!.runs) <= slotsPerVm);
+});
+
+test('a worker that the platform lists as leaving gets no new work after 3 seconds', async t => {
+	const cluster = await Cluster.create({tree, workers: {north: 2}, entries: 3});
+	t.teardown(async () => cluster.close());
+	await Promise.all(cluster.entries.map(async entry => waitForPeers(entry, 2)));
+	await sendAll(cluster.entries, 40);
+	const [leaving, other] = cluster.workers;
+	t.true(leaving!.runs.length > 0);
+	const leftAt = Date.now();
+	cluster.platform.putVms([{...createWorkerRecord('north', 0, leaving!.port), state: 'leaving'}]);
+	while (Date.now() < leftAt + 5000) {
+		t.deepEqual(new Set(await sendAll(cluster.entries, 12)), new Set([200]));
+	}
+
+	t.deepEqual(leaving!.runs.filter(run => run.startedAt > leftAt + 3000), []);
+	t.true(other!.runs.some(run => run.startedAt > leftAt + 3000));
+});
