--- a/packages/fleet/src/needs.ts
+++ b/packages/fleet/src/needs.ts
@@ -104,21 +104,28 @@
 	#findLoan(needs: readonly PoolNeed[], pending: ReadonlyMap<PoolName, number>, now: number): WantedMove | undefined {
 		const short = needs
 			.filter(({pool}) => !pool.isSpare && hasLasted(this.#shortSince, pool.name, now, this.#options.shortageMs))
-			.toSorted((a, b) => (b.need - b.capacity) - (a.need - a.capacity))[0];
-		if (short === undefined) {
-			return undefined;
+			.toSorted((a, b) => (b.need - b.capacity) - (a.need - a.capacity));
+		for (const taker of short) {
+			const loan = this.#findLoanFor(taker, needs, pending, now);
+			if (loan !== undefined) {
+				return loan;
+			}
 		}
 
+		return undefined;
+	}
+
+	#findLoanFor(taker: PoolNeed, needs: readonly PoolNeed[], pending: ReadonlyMap<PoolName, number>, now: number): WantedMove | undefined {
 		const domains = countDomains(needs.flatMap(({members}) => members));
 		const donors = needs
 			.map(need => ({need, available: this.#countAvailable(need, now) - (pending.get(need.pool.name) ?? 0)}))
-			.filter(({need, available}) => need.pool.name !== short.pool.name && available > 0)
+			.filter(({need, available}) => need.pool.name !== taker.pool.name && available > 0)
 			.toSorted((a, b) => (Number(b.need.pool.isSpare) - Number(a.need.pool.isSpare)) || (b.available - a.available));
 		for (const {need, available} of donors) {
-			const count = countSpreadingVms(need.members, need.pool.isSpare ? [] : need.members, short.members, domains, Math.min(short.need - short.capacity, available));
+			const count = countSpreadingVms(need.members, need.pool.isSpare ? [] : need.members, taker.members, domains, Math.min(taker.need - taker.capacity, available));
 			if (count > 0) {
 				return {
-					from: need.pool.name, to: short.pool.name, count, cause: 'need',
+					from: need.pool.name, to: taker.pool.name, count, cause: 'need',
 				};
 			}
 		}
