--- a/packages/entry/src/fleet-routes.ts
+++ b/packages/entry/src/fleet-routes.ts
@@ -41,11 +41,11 @@
 	readonly ctx: EntryContext;
 	readonly declarations: Declarations;
 	/** Names the operator of a call that may change the fleet; throws when it may not. */
-	readonly authorizeChange: (c: Context) => OperatorId;
+	readonly authorizeChange: () => OperatorId;
 };
 
 /** Adds the fleet's routes to the app of the operator port. */
-export function addFleetRoutes(app: Hono, options: FleetRoutesOptions): void {
+export function addFleetRoutes(app: Pick<Hono<any>, 'route'>, options: FleetRoutesOptions): void {
 	const routes = new Hono();
 	routes.onError((error, c) => sendError(error, c));
 	addPoolRoutes(routes, options);
@@ -104,7 +104,7 @@
 
 		return c.json(vm);
 	});
-	routes.post('/vms/:vm/release', async c => c.json(await declarations.releaseVm(c.req.param('vm') as VmId, authorizeChange(c))));
+	routes.post('/vms/:vm/release', async c => c.json(await declarations.releaseVm(c.req.param('vm') as VmId, authorizeChange())));
 }
 
 function addWaveRoutes(routes: Hono, {ctx, declarations, authorizeChange}: FleetRoutesOptions): void {
@@ -118,14 +118,14 @@
 		return c.json({...describeWave(ctx, wave), vms: listVms(ctx).filter(vm => vm.work?.id === wave.waveId)});
 	});
 	routes.post('/waves', async c => {
-		const operator = authorizeChange(c);
+		const operator = authorizeChange();
 		const spec = await parseBody(waveSpecSchema, c);
 		const wave = await declarations.startWave({...spec, waveId: parseNewId<WaveId>(spec.waveId, 'waveId')}, operator);
 		return c.json(describeWave(ctx, wave), 201);
 	});
 	for (const verb of ['pause', 'resume', 'cancel'] as const) {
 		routes.post(`/waves/:wave/${verb}`, async c => {
-			const wave = await declarations.setWaveState(c.req.param('wave') as WaveId, verb, authorizeChange(c));
+			const wave = await declarations.setWaveState(c.req.param('wave') as WaveId, verb, authorizeChange());
 			return c.json(describeWave(ctx, wave));
 		});
 	}
@@ -142,14 +142,14 @@
 		return c.json(move);
 	});
 	routes.post('/moves', async c => {
-		const operator = authorizeChange(c);
+		const operator = authorizeChange();
 		const spec = await parseBody(moveSpecSchema, c);
 		const move = await declarations.startMove({
 			...spec, moveId: parseNewId<MoveId>(spec.moveId, 'moveId'), from: spec.from as PoolName, to: spec.to as PoolName, vms: spec.vms as VmId[] | undefined,
 		}, operator);
 		return c.json(move, 201);
 	});
-	routes.post('/moves/:move/cancel', async c => c.json(await declarations.cancelMove(c.req.param('move') as MoveId, authorizeChange(c))));
+	routes.post('/moves/:move/cancel', async c => c.json(await declarations.cancelMove(c.req.param('move') as MoveId, authorizeChange())));
 }
 
 type VmDescription = VmRow & {readonly listed: string; readonly address?: string};
--- a/packages/entry/src/fleets.ts
+++ b/packages/entry/src/fleets.ts
@@ -1,11 +1,8 @@
 /**
  * The fleet's part of an entry: its planner, its reports, and the operator routes of pools, VMs, waves and moves.
  */
-import {createHash} from 'node:crypto';
 import {type Scheduler} from '@tamarackwind/admission';
-import {
-	VerdictError, type EntryId, type OperatorId, type PoolName,
-} from '@tamarackwind/core';
+import {type EntryId, type PoolName} from '@tamarackwind/core';
 import {
 	Declarations, DemandReporter, DrainReporter, FleetPlanner, NeedPlanner, ReportedDemand, ReportedDrains, TcpProbe, type AuditRows, type FleetAction, type PlannerSettings,
 } from '@tamarackwind/fleet';
@@ -27,8 +24,6 @@
 /** Name of the duty that carries out waves and moves. */
 export const fleetDuty = 'fleet';
 
-const anonymousOperator = 'anonymous' as OperatorId;
-
 /** What an entry runs for the fleet. */
 export class FleetPart {
 	static create(options: FleetPartOptions): FleetPart {
@@ -82,29 +77,6 @@
 	}
 }
 
-/**
- * Names the operator behind an `Authorization` field who may change the fleet of the deployment. A tree without
- * operators lets everyone who reaches the port do so.
- *
- * @throws {VerdictError} with code `forbidden`.
- */
-export function requireFleetRight({settings, config}: EntryContext, authorization: string | undefined): OperatorId {
-	const operators = [...settings.current?.operators.values() ?? []];
-	if (operators.length === 0) {
-		return anonymousOperator;
-	}
-
-	const token = /^Bearer (?<token>.+)$/v.exec(authorization ?? '')?.groups!.token ?? '';
-	const hash = `sha256:${createHash('sha256').update(token).digest('hex')}`;
-	const operator = operators.find(({tokenHashes}) => tokenHashes.includes(hash));
-	const path = `deployments.${config.deployment}`;
-	if (!operator?.rights.some(right => right === '' || path === right || path.startsWith(`${right}.`))) {
-		throw new VerdictError(`no right to change the fleet of deployment "${config.deployment}"`, {verdict: 'not-run', code: 'forbidden'});
-	}
-
-	return operator.id;
-}
-
 function readPlannerSettings({settings}: EntryContext): PlannerSettings | undefined {
 	const {current} = settings;
 	return current && {
--- a/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
+++ b/packages/peer/src/gen/tamarackwind/peer/v1/peer.ts
@@ -122,6 +122,8 @@
   isIdempotent: boolean;
   /** Share of the caller against others of the class. */
   weight: number;
+  /** Slots that the caller and class have used at the sender on average over the last minutes. */
+  usualSlots: number;
 }
 
 export interface HeldSlot {
@@ -171,6 +173,7 @@
 export interface FetchSettingsRequest {
   /** Version that the caller already has. */
   knownVersion: number;
+  knownFleetVersion: number;
 }
 
 export interface FetchSettingsReply {
@@ -181,6 +184,9 @@
   membersVersion: number;
   /** The members as JSON. */
   membersJson: string;
+  fleetVersion: number;
+  /** The VM rows and the list as JSON; empty when known_fleet_version is current. */
+  fleetJson: string;
 }
 
 function createBasePeerMessage(): PeerMessage {
@@ -1383,7 +1389,17 @@
 };
 
 function createBaseFlowDemand(): FlowDemand {
-  return { flow: 0, caller: "", workClass: "", queued: 0, waitedMs: 0, triedVms: [], isIdempotent: false, weight: 0 };
+  return {
+    flow: 0,
+    caller: "",
+    workClass: "",
+    queued: 0,
+    waitedMs: 0,
+    triedVms: [],
+    isIdempotent: false,
+    weight: 0,
+    usualSlots: 0,
+  };
 }
 
 export const FlowDemand: MessageFns<FlowDemand> = {
@@ -1412,6 +1428,9 @@
     if (message.weight !== 0) {
       writer.uint32(65).double(message.weight);
     }
+    if (message.usualSlots !== 0) {
+      writer.uint32(77).float(message.usualSlots);
+    }
     return writer;
   },
 
@@ -1492,6 +1511,14 @@
             message.weight = reader.double();
             continue;
           }
+          case 9: {
+            if (tag !== 77) {
+              break;
+            }
+
+            message.usualSlots = reader.float();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1530,6 +1557,11 @@
         ? globalThis.Boolean(object.is_idempotent)
         : false,
       weight: isSet(object.weight) ? globalThis.Number(object.weight) : 0,
+      usualSlots: isSet(object.usualSlots)
+        ? globalThis.Number(object.usualSlots)
+        : isSet(object.usual_slots)
+        ? globalThis.Number(object.usual_slots)
+        : 0,
     };
   },
 
@@ -1559,6 +1591,9 @@
     if (message.weight !== 0) {
       obj.weight = floatToJson(message.weight);
     }
+    if (message.usualSlots !== 0) {
+      obj.usualSlots = floatToJson(message.usualSlots);
+    }
     return obj;
   },
 
@@ -1575,6 +1610,7 @@
     message.triedVms = object.triedVms?.map((e) => e) || [];
     message.isIdempotent = object.isIdempotent ?? false;
     message.weight = object.weight ?? 0;
+    message.usualSlots = object.usualSlots ?? 0;
     return message;
   },
 };
@@ -2286,7 +2322,7 @@
 };
 
 function createBaseFetchSettingsRequest(): FetchSettingsRequest {
-  return { knownVersion: 0 };
+  return { knownVersion: 0, knownFleetVersion: 0 };
 }
 
 export const FetchSettingsRequest: MessageFns<FetchSettingsRequest> = {
@@ -2294,6 +2330,9 @@
     if (message.knownVersion !== 0) {
       writer.uint32(8).uint64(message.knownVersion);
     }
+    if (message.knownFleetVersion !== 0) {
+      writer.uint32(16).uint64(message.knownFleetVersion);
+    }
     return writer;
   },
 
@@ -2318,6 +2357,14 @@
             message.knownVersion = longToNumber(reader.uint64());
             continue;
           }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.knownFleetVersion = longToNumber(reader.uint64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2337,6 +2384,11 @@
         : isSet(object.known_version)
         ? globalThis.Number(object.known_version)
         : 0,
+      knownFleetVersion: isSet(object.knownFleetVersion)
+        ? globalThis.Number(object.knownFleetVersion)
+        : isSet(object.known_fleet_version)
+        ? globalThis.Number(object.known_fleet_version)
+        : 0,
     };
   },
 
@@ -2345,6 +2397,9 @@
     if (message.knownVersion !== 0) {
       obj.knownVersion = Math.round(message.knownVersion);
     }
+    if (message.knownFleetVersion !== 0) {
+      obj.knownFleetVersion = Math.round(message.knownFleetVersion);
+    }
     return obj;
   },
 
@@ -2354,12 +2409,21 @@
   fromPartial<I extends Exact<DeepPartial<FetchSettingsRequest>, I>>(object: I): FetchSettingsRequest {
     const message = createBaseFetchSettingsRequest();
     message.knownVersion = object.knownVersion ?? 0;
+    message.knownFleetVersion = object.knownFleetVersion ?? 0;
     return message;
   },
 };
 
 function createBaseFetchSettingsReply(): FetchSettingsReply {
-  return { version: 0, treeJson: "", contentHash: "", membersVersion: 0, membersJson: "" };
+  return {
+    version: 0,
+    treeJson: "",
+    contentHash: "",
+    membersVersion: 0,
+    membersJson: "",
+    fleetVersion: 0,
+    fleetJson: "",
+  };
 }
 
 export const FetchSettingsReply: MessageFns<FetchSettingsReply> = {
@@ -2379,6 +2443,12 @@
     if (message.membersJson !== "") {
       writer.uint32(42).string(message.membersJson);
     }
+    if (message.fleetVersion !== 0) {
+      writer.uint32(48).uint64(message.fleetVersion);
+    }
+    if (message.fleetJson !== "") {
+      writer.uint32(58).string(message.fleetJson);
+    }
     return writer;
   },
 
@@ -2435,6 +2505,22 @@
             message.membersJson = reader.string();
             continue;
           }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.fleetVersion = longToNumber(reader.uint64());
+            continue;
+          }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.fleetJson = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2470,6 +2556,16 @@
         : isSet(object.members_json)
         ? globalThis.String(object.members_json)
         : "",
+      fleetVersion: isSet(object.fleetVersion)
+        ? globalThis.Number(object.fleetVersion)
+        : isSet(object.fleet_version)
+        ? globalThis.Number(object.fleet_version)
+        : 0,
+      fleetJson: isSet(object.fleetJson)
+        ? globalThis.String(object.fleetJson)
+        : isSet(object.fleet_json)
+        ? globalThis.String(object.fleet_json)
+        : "",
     };
   },
 
@@ -2490,6 +2586,12 @@
     if (message.membersJson !== "") {
       obj.membersJson = message.membersJson;
     }
+    if (message.fleetVersion !== 0) {
+      obj.fleetVersion = Math.round(message.fleetVersion);
+    }
+    if (message.fleetJson !== "") {
+      obj.fleetJson = message.fleetJson;
+    }
     return obj;
   },
 
@@ -2503,6 +2605,8 @@
     message.contentHash = object.contentHash ?? "";
     message.membersVersion = object.membersVersion ?? 0;
     message.membersJson = object.membersJson ?? "";
+    message.fleetVersion = object.fleetVersion ?? 0;
+    message.fleetJson = object.fleetJson ?? "";
     return message;
   },
 };
@@ -2520,7 +2624,7 @@
     responseSerialize: (value: PeerMessage): Buffer => Buffer.from(PeerMessage.encode(value).finish()),
     responseDeserialize: (value: Buffer): PeerMessage => PeerMessage.decode(value),
   },
-  /** Reads the settings tree and the members that the peer works by. */
+  /** Reads the settings tree, the fleet and the members that the peer works by. */
   fetchSettings: {
     path: "/tamarackwind.peer.v1.PeerService/FetchSettings" as const,
     requestStream: false as const,
@@ -2535,7 +2639,7 @@
 export interface PeerServiceServer extends UntypedServiceImplementation {
   /** Carries deltas both ways; each side sends a Hello first. */
   exchange: handleBidiStreamingCall<PeerMessage, PeerMessage>;
-  /** Reads the settings tree and the members that the peer works by. */
+  /** Reads the settings tree, the fleet and the members that the peer works by. */
   fetchSettings: handleUnaryCall<FetchSettingsRequest, FetchSettingsReply>;
 }
 
@@ -2544,7 +2648,7 @@
   exchange(): ClientDuplexStream<PeerMessage, PeerMessage>;
   exchange(options: Partial<CallOptions>): ClientDuplexStream<PeerMessage, PeerMessage>;
   exchange(metadata: Metadata, options?: Partial<CallOptions>): ClientDuplexStream<PeerMessage, PeerMessage>;
-  /** Reads the settings tree and the members that the peer works by. */
+  /** Reads the settings tree, the fleet and the members that the peer works by. */
   fetchSettings(
     request: FetchSettingsRequest,
     callback: (error: ServiceError | null, response: FetchSettingsReply) => void,
