Drive the demo by the command line, with a season build as a job

Cause: the demo wrote settings and leaving VMs into the stand-in by itself, and had no job. Change: settings apply and wave start go through the command; a season build runs as a job, its scheduler entry is killed and its worker loses it. Conclusion: the demo shows the product from outside.

--- a/packages/testing/src/demos.ts
+++ b/packages/testing/src/demos.ts
@@ -1,22 +1,28 @@
 /**
  * The run of a demo: processes, load, events and checks.
  */
-import {createHash} from 'node:crypto';
-import {readFile} from 'node:fs/promises';
+import {mkdtemp, readFile, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {SeededRandom, type RandomSource} from '@tamarackwind/core';
+import {hashToken} from '@tamarackwind/entry';
 import {type VmRecord} from '@tamarackwind/platform';
 import {
 	mergeValues, parseJsonc, settingsTreeSchema, type SettingsTree,
 } from '@tamarackwind/settings';
 import {request} from 'undici';
 import {Balancer} from './balancers.js';
-import {createWorkerRecord} from './clusters.js';
+import {createEntryRecord, createWorkerRecord} from './clusters.js';
+import {runCommandLine} from './commands.js';
 import {DemoCaller, type DemoOutcome} from './demo-callers.js';
+import {DemoJob} from './demo-jobs.js';
 import {type DemoWork} from './demo-works.js';
 import {PlatformStandIn} from './platforms.js';
-import {EntryProcess, createLoopbackConfig, waitUntil} from './processes.js';
+import {
+	EntryProcess, createLoopbackConfig, operatorToken, waitUntil,
+} from './processes.js';
 import {WorkerProcess} from './worker-processes.js';
 import {type WorkerRun} from './workers.js';
 
@@ -24,8 +30,6 @@
 const workersPerPool = 4;
 const sessionsPerCaller = 4;
 const seed = 20_261;
-/** Time after which a leaving worker must get no new work. */
-const leavingBoundMs = 3000;
 const examplesFolder = fileURLToPath(new URL('../../../../examples/settings/', import.meta.url));
 
 type Check = {readonly name: string; readonly found: number; readonly allowed: number};
@@ -39,8 +43,9 @@
 }
 
 function withTokens(tree: SettingsTree, deployment: string, tokens: ReadonlyMap<string, string>): SettingsTree {
-	const callers = Object.fromEntries([...tokens].map(([id, token]) => [id, {tokenHashes: [`sha256:${createHash('sha256').update(token).digest('hex')}`]}]));
-	return mergeValues(tree, {deployments: {[deployment]: {callers}}}) as SettingsTree;
+	const callers = Object.fromEntries([...tokens].map(([id, token]) => [id, {tokenHashes: [hashToken(token)]}]));
+	const operators = {'platform-team': {tokenHashes: [hashToken(operatorToken)]}};
+	return mergeValues(tree, {operators, deployments: {[deployment]: {callers}}}) as SettingsTree;
 }
 
 /** One run of the demo of a deployment. */
@@ -61,6 +66,8 @@
 	readonly #workers: VmRecord[] = [];
 	readonly #startedAt = Date.now();
 	#tree: SettingsTree = {deployments: {}};
+	#settingsVersion = 0;
+	#stopped: EntryProcess | undefined;
 	#drained: {readonly vmId: string; readonly since: number} | undefined;
 
 	private constructor(work: DemoWork, platform: PlatformStandIn) {
@@ -77,14 +84,19 @@
 		const sessions = callers.flatMap(({id, caller}) => Array.from({length: sessionsPerCaller}, async () => this.#work.runSession({
 			caller, callerId: id, random: this.#random, signal: load.signal,
 		})));
-		await this.#runEvents(durationMs);
+		const pickUrl = (): string => balancer.pickUrl() ?? this.#entries[0]!.getUrl('caller');
+		await this.#runOperatorEvents(durationMs / 2);
+		const job = await DemoJob.create({platform: this.#platform, token: this.#tokens.get(this.#work.callerIds[0]!)!, pickUrl});
+		this.#print('a season build is accepted as a job');
+		await this.#runFaults(durationMs / 2, job);
 		load.abort();
 		await Promise.all(sessions);
 		this.#print('sessions ended');
+		const jobFaults = await job.findFaults();
 		await balancer.close();
 		await Promise.all(callers.map(async ({caller}) => caller.close()));
 		this.#print('load ended');
-		return this.#report(callers.flatMap(({caller}) => caller.outcomes), await this.#readRuns());
+		return this.#report(callers.flatMap(({caller}) => caller.outcomes), await this.#readRuns(), jobFaults);
 	}
 
 	/** Ends every process. */
@@ -104,46 +116,75 @@
 		}
 
 		this.#platform.putVms(this.#workers);
-		await this.#putTree(1);
 		this.#print(`${this.#workers.length} workers run in ${this.#workerProcesses.length} processes`);
-		const starts = Array.from({length: entryCount}, async (_, index) => EntryProcess.create({
-			...createLoopbackConfig(`entry-${index + 1}`, this.#platform.url), deployment,
-		}));
-		this.#entries.push(...await Promise.all(starts));
+		await Promise.all(Array.from({length: entryCount}, async (_, index) => this.#startEntry(`entry-${index + 1}`, index)));
+		await this.#applySettings('first settings');
 		await Promise.all(this.#entries.map(async entry => waitUntil(async () => entry.isReady())));
 		this.#print(`${entryCount} entries are ready`);
 	}
 
-	async #putTree(version: number): Promise<void> {
-		await this.#platform.tables.commit({checks: [], writes: [{table: 'settings', key: 'current', value: {version, tree: this.#tree}}]});
+	async #startEntry(entryId: string, index: number): Promise<void> {
+		const entry = await EntryProcess.create({...createLoopbackConfig(entryId, this.#platform.url), deployment: this.#work.deployment});
+		this.#entries[index] = entry;
+		this.#platform.putVms([createEntryRecord(entryId, entry)]);
 	}
 
-	async #runEvents(durationMs: number): Promise<void> {
-		const pause = durationMs / 5;
-		await delay(pause);
-		await this.#changeSettings();
-		await delay(pause);
-		this.#drainWorker();
-		await delay(pause);
-		this.#print('entry-2 gets SIGTERM');
-		this.#entries[1]!.kill('SIGTERM');
-		await delay(pause);
-		this.#print('entry-3 gets SIGKILL');
-		this.#entries[2]!.kill('SIGKILL');
-		await delay(pause);
+	async #applySettings(why: string): Promise<void> {
+		const folder = await mkdtemp(path.join(tmpdir(), 'tamarackwind-'));
+		await writeFile(path.join(folder, 'settings.jsonc'), JSON.stringify(this.#tree));
+		await this.#runCommand(['settings', 'apply', folder, '--base', String(this.#settingsVersion), '--why', why]);
+		this.#settingsVersion++;
+		this.#print(`settings version ${this.#settingsVersion} is in force: ${why}`);
+	}
+
+	async #runCommand(args: readonly string[]): Promise<string> {
+		const {code, stdout, stderr} = await runCommandLine(this.#entries[0]!, args);
+		if (code !== 0) {
+			throw new Error(`tamarackwind ${args.join(' ')} ended with ${code}: ${stderr}`);
+		}
+
+		return stdout;
 	}
 
-	async #changeSettings(): Promise<void> {
+	async #runOperatorEvents(durationMs: number): Promise<void> {
+		await delay(durationMs / 2);
 		this.#tree = mergeValues(this.#tree, {service: {maxAttempts: 2}}) as SettingsTree;
-		await this.#putTree(2);
-		this.#print('settings version 2 is written');
+		await this.#applySettings('fewer attempts');
+		await this.#drainWorker();
+		await delay(durationMs / 2);
+	}
+
+	async #runFaults(durationMs: number, job: DemoJob): Promise<void> {
+		const vmId = await job.waitForCheckpoint();
+		const holder = await this.#findJobHolder();
+		const stopped = this.#entries.findIndex((_, index) => index !== 0 && index !== holder);
+		this.#stopped = this.#entries[stopped];
+		this.#print(`entry-${stopped + 1} gets SIGTERM`);
+		this.#stopped!.kill('SIGTERM');
+		await delay(durationMs / 4);
+		this.#print(`entry-${holder + 1}, which schedules the jobs, gets SIGKILL; ${vmId} loses the season build`);
+		this.#entries[holder]!.kill('SIGKILL');
+		await this.#platform.tasks.restartWorker(vmId);
+		await delay(durationMs / 4);
+	}
+
+	/** Finds the entry that schedules jobs. */
+	async #findJobHolder(): Promise<number> {
+		const row = await this.#platform.tables.getRow({table: 'duties', key: 'jobs'});
+		const {holder} = row!.value as {readonly holder: string};
+		return this.#entries.findIndex((_, index) => holder === `entry-${index + 1}`);
 	}
 
-	#drainWorker(): void {
-		const vm = this.#workers[1]!;
-		this.#platform.putVms([{...vm, state: 'leaving'}]);
-		this.#drained = {vmId: vm.vmId, since: Date.now()};
-		this.#print(`worker ${vm.vmId} is leaving`);
+	async #drainWorker(): Promise<void> {
+		const {vmId} = this.#workers[1]!;
+		await this.#runCommand(['wave', 'start', '--vm', vmId, '--action', 'drain', '--id', 'demo-drain']);
+		this.#print(`a wave drains worker ${vmId}`);
+		await waitUntil(async () => {
+			const vms = JSON.parse(await this.#runCommand(['vm', 'list', '--json'])) as Array<{readonly vmId: string; readonly state: string}>;
+			return vms.some(vm => vm.vmId === vmId && vm.state === 'out');
+		});
+		this.#drained = {vmId, since: Date.now()};
+		this.#print(`worker ${vmId} is out`);
 	}
 
 	async #readRuns(): Promise<WorkerRun[]> {
@@ -154,15 +195,16 @@
 		return histories.flat();
 	}
 
-	async #report(outcomes: readonly DemoOutcome[], runs: readonly WorkerRun[]): Promise<boolean> {
-		const exitCode = await this.#entries[1]!.waitForExit();
+	async #report(outcomes: readonly DemoOutcome[], runs: readonly WorkerRun[], jobFaults: readonly string[]): Promise<boolean> {
+		const exitCode = await this.#stopped!.waitForExit();
 		const checks = [
 			{name: 'answers that fail their check', found: this.#countFaults(outcomes), allowed: 0},
 			{name: 'keys of non-idempotent work that ran twice', found: this.#countDoubles(runs), allowed: 0},
 			{name: 'calls told not-run that ran', found: countFalseNotRun(outcomes, runs), allowed: 0},
 			{name: 'calls refused until their caller gave up', found: outcomes.filter(outcome => outcome.verdict === 'not-run').length, allowed: 0},
 			{name: 'idempotent calls without an answer', found: outcomes.filter(outcome => outcome.call.isIdempotent && outcome.verdict !== 'ran').length, allowed: 0},
-			{name: 'runs on the leaving worker after 3 s', found: this.#countLateRuns(runs), allowed: 0},
+			{name: 'runs on the drained worker once it was out', found: this.#countLateRuns(runs), allowed: 0},
+			{name: 'faults of the season build that lost its scheduler and worker', found: jobFaults.length, allowed: 0},
 			{name: 'exit code of the entry that was stopped', found: exitCode ?? -1, allowed: 0},
 		];
 		printOutcomes(outcomes);
@@ -192,7 +234,7 @@
 
 	#countLateRuns(runs: readonly WorkerRun[]): number {
 		const drained = this.#drained;
-		return drained === undefined ? -1 : runs.filter(run => run.vmId === drained.vmId && run.startedAt > drained.since + leavingBoundMs).length;
+		return drained === undefined ? -1 : runs.filter(run => run.vmId === drained.vmId && run.startedAt > drained.since).length;
 	}
 
 	#print(message: string): void {
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -2,6 +2,7 @@
 export * from './clusters.js';
 export * from './commands.js';
 export * from './demo-callers.js';
+export * from './demo-jobs.js';
 export * from './demo-works.js';
 export * from './demos.js';
 export * from './histories.js';
--- a/packages/testing/src/tasks.ts
+++ b/packages/testing/src/tasks.ts
@@ -6,6 +6,7 @@
 	TaskControl, type ObjectStore, type TaskResources, type TaskRun, type TaskStart, type TaskStatus,
 } from '@tamarackwind/platform';
 import {Hono} from 'hono';
+import {buildSeason, type SeasonRequest} from './leagues.js';
 
 /** What a task does on a worker. */
 export type TaskScript = {
@@ -14,6 +15,8 @@
 	readonly usage: TaskResources;
 	/** Whether it fails on every worker. */
 	readonly fails?: boolean;
+	/** Season that the task builds as its result. */
+	readonly season?: SeasonRequest;
 };
 
 /** One event of the history. */
@@ -246,7 +249,7 @@
 		const {taskId, epoch} = task.start;
 		const result = `results/${taskId}/${epoch}`;
 		try {
-			await this.#options.objects.putObject(result, Buffer.from(`result of ${taskId}`));
+			await this.#options.objects.putObject(result, Buffer.from(createResult(task)));
 		} catch {
 			return;
 		}
@@ -358,3 +361,7 @@
 	});
 	return app;
 }
+
+function createResult({start, script: {season}}: Task): string {
+	return season === undefined ? `result of ${start.taskId}` : JSON.stringify(buildSeason(season));
+}
