--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -153,7 +153,7 @@
 		const value = this.#createRow(request);
 		let version: number | undefined = request.mayInsert ? absentVersion : undefined;
 		let isUncertain = false;
-		let isHeldElsewhere = false;
+		let isKnownOpen = false;
 		for (let pollMs = minPollMs; ; pollMs = Math.min(pollMs * 2, maxPollMs)) {
 			const step = await this.#takeStep(request, value, version);
 			if (step.status === 'written') {
@@ -163,7 +163,7 @@
 			if (step.status === 'unavailable') {
 				isUncertain ||= step.isUncertain;
 				if (this.#hasPassed(request.availableBy) || request.signal.aborted) {
-					return isHeldElsewhere ? {status: 'open'} : {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
+					return isKnownOpen ? {status: 'open'} : {status: 'unavailable', claim: {key: createRowKey(request.claimKey), version: absentVersion, value}, isUncertain};
 				}
 			} else {
 				const decision = resolveClaim(step.row, request, value.token);
@@ -172,7 +172,7 @@
 				}
 
 				version = decision;
-				isHeldElsewhere = version === undefined;
+				isKnownOpen = decision === undefined;
 			}
 
 			if (version === undefined && (this.#hasPassed(request.finishBy) || request.signal.aborted)) {
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -3,7 +3,6 @@
  */
 import {NaiveScheduler} from '@tamarackwind/admission';
 import {type EntryId} from '@tamarackwind/core';
-import {SoleEntryBarrier} from '@tamarackwind/peer';
 import {CallerPort} from './callers.js';
 import {ClaimCleaner} from './claim-cleaners.js';
 import {ClaimStore} from './claims.js';
@@ -11,6 +10,7 @@
 import {createEntryContext, type EntryContext} from './contexts.js';
 import {FleetPart} from './fleets.js';
 import {Listener} from './listeners.js';
+import {createFleetEntry} from './operator-identities.js';
 import {createMetricsApp} from './metrics.js';
 import {createOperatorApp} from './operators.js';
 import {ReceiptSigner, loadReceiptKey} from './receipts.js';
@@ -95,6 +95,7 @@
 		const {config, clock, log} = this.#ctx;
 		log.info('entry stopping', {inFlight: this.#path.port.inFlight});
 		this.#path.port.drain();
+		this.#ctx.markStopping();
 		await this.#path.fleetPart.closePlanner();
 		await clock.sleep(config.balancerDelayMs, signal);
 		const cutRequests = await this.#drainCallers(signal);
@@ -142,9 +143,9 @@
 	const fleetPart = FleetPart.create({
 		ctx,
 		scheduler: NaiveScheduler.create({random, listWorkers: pool => fleet.listWorkers(pool)}),
-		barrier: SoleEntryBarrier.create(ctx.versions),
+		barrier: ctx.barrier,
 		listEntries: () => [ctx.bus.self.entryId, ...ctx.bus.listPeers().map(peer => peer.entryId)],
-		auditAction: async () => ({checks: [], writes: []}),
+		auditAction: async action => ctx.audit.createWrites(createFleetEntry(action)),
 	});
 	const {scheduler} = fleetPart;
 	const claims = ClaimStore.create({
--- /dev/null
+++ b/packages/testing/src/bench-freezes.ts
@@ -0,0 +1,72 @@
+/**
+ * `npm run bench -- freezes [--freeze-seconds S]`: entries that are frozen for long, killed and replaced while callers send
+ * their keys again over the others; prints what the history checker finds.
+ */
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {setTimeout as delay} from 'node:timers/promises';
+import {SeededRandom} from '@tamarackwind/core';
+import {Cluster} from './clusters.js';
+import {findViolations} from './histories.js';
+import {runStorm} from './storms.js';
+
+const seed = 21;
+
+async function disturb(cluster: Cluster, freezeMs: number): Promise<void> {
+	for (const victim of cluster.entries.slice(0, 2)) {
+		await delay(500);
+		victim.kill('SIGSTOP');
+		await delay(freezeMs);
+		victim.kill('SIGCONT');
+	}
+
+	cluster.entries[2]!.kill('SIGKILL');
+	await cluster.addEntry();
+}
+
+/** Runs the bench and prints its table; exits 1 when a promise was broken. */
+export async function runBench(args: readonly string[]): Promise<void> {
+	const {values} = parseArgs({args: [...args], options: {'freeze-seconds': {type: 'string', default: '20'}}});
+	const freezeMs = Number(values['freeze-seconds']) * 1000;
+	const random = SeededRandom.create(seed);
+	const cluster = await Cluster.create({
+		tree: {service: {requestIdEcho: 'required'}, deployments: {fixture: {pools: {north: {services: {work: {}}}}}}},
+		workers: {north: 3},
+		entries: 4,
+	});
+	for (const worker of cluster.workers) {
+		worker.faults = {
+			random, rate: 0.1, answers: ['reset', 'cut-close', 'crossed'], maxDelayMs: 200,
+		};
+	}
+
+	const storm = runStorm({
+		listUrls: () => cluster.entries.map(entry => entry.getUrl('caller')),
+		random,
+		path: 'work/echo',
+		callers: 24,
+		keysPerCaller: 20 + Math.round(freezeMs / 200),
+		idempotentRate: 0.4,
+		maxAttempts: 8,
+		deadlineMs: 1000,
+		patienceMs: 2000,
+	});
+	await disturb(cluster, freezeMs);
+	const attempts = await storm;
+	const runs = cluster.workers.flatMap(worker => worker.runs);
+	const violations = findViolations(runs, attempts);
+	console.table([{
+		attempts: attempts.length,
+		runs: runs.length,
+		answered: attempts.filter(({seen}) => seen === 'ran').length,
+		'not-run': attempts.filter(({seen}) => seen === 'not-run').length,
+		unknown: attempts.filter(({seen}) => seen === 'unknown').length,
+		violations: violations.length,
+	}]);
+	for (const {message} of violations) {
+		console.log(message);
+	}
+
+	await cluster.close();
+	process.exitCode = violations.length === 0 ? 0 : 1;
+}
