--- a/packages/entry/src/claim-cleaners.ts
+++ b/packages/entry/src/claim-cleaners.ts
@@ -6,7 +6,7 @@
 } from '@tamarackwind/core';
 import {type ObjectStore, type Row, type TableService} from '@tamarackwind/platform';
 import {Counter, type Registry} from 'prom-client';
-import {claimTable, type ClaimRow} from './claims.js';
+import {claimTable, type ClaimRow} from './claim-rows.js';
 
 export type ClaimCleanerOptions = {
 	readonly clock: Clock;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,6 +5,7 @@
 export * from './bodies.js';
 export * from './callers.js';
 export * from './claim-cleaners.js';
+export * from './claim-rows.js';
 export * from './claims.js';
 export * from './configs.js';
 export * from './contexts.js';
--- a/packages/entry/src/keyed-requests.ts
+++ b/packages/entry/src/keyed-requests.ts
@@ -7,8 +7,9 @@
 import {AnswerWriter, type StoredAnswer} from './answers.js';
 import {forwardRequest, type AttemptParts, type ForwardOptions} from './attempts.js';
 import {
-	hashParts, type Claim, type ClaimRequest, type ClaimRow, type ClaimStore, type ClaimSubject,
-} from './claims.js';
+	hashParts, type Claim, type ClaimRequest, type ClaimRow, type ClaimSubject,
+} from './claim-rows.js';
+import {type ClaimStore} from './claims.js';
 import {headerNames, type HeaderFields} from './headers.js';
 import {type ReceiptSigner, type ReceiptSubject} from './receipts.js';
 import {type CallerRequest} from './requests.js';
