--- a/packages/admission/src/borrowers.ts
+++ b/packages/admission/src/borrowers.ts
@@ -8,6 +8,7 @@
 import {type VmRecord} from '@tamarackwind/platform';
 import {type ResolvedPool} from '@tamarackwind/settings';
 import {RequestQueue, type RequestFlow, type Waiter} from './request-queues.js';
+import {UsageHistory} from './usages.js';
 import {SlotGrant, type DispatchOutcome, type SlotRequest} from './schedulers.js';
 
 export type BorrowerOptions = {
@@ -15,7 +16,7 @@
 	readonly pool: ResolvedPool;
 	readonly sendDemand: (to: EntryId, demand: PoolDemand) => void;
 	/** Gives the worker of a lent slot, or `undefined` when it may get no new work. */
-	readonly findWorker: (pool: ResolvedPool, vmId: string, isProbe: boolean) => VmRecord | undefined;
+	readonly findWorker: (pool: ResolvedPool, vmId: string) => VmRecord | undefined;
 	/** Called when a request starts, with the time it waited. */
 	readonly onStart: (request: SlotRequest, waitedMs: number) => void;
 	readonly onOutcome: (vmId: VmId, request: SlotRequest, outcome: DispatchOutcome) => void;
@@ -31,6 +32,9 @@
 const silenceLimitMs = 750;
 /** Slot time for which an entry may start further requests of the same flow on a slot. */
 const quantumMs = 100;
+const holdSmoothing = 0.05;
+/** Longest time for which the slot of a failed request is kept back, in milliseconds. */
+const maxCoolingMs = 1000;
 /** Requests of a flow from which on the home entry need not hear of each new one at once. */
 const backlogSize = 8;
 
@@ -67,11 +71,13 @@
 
 	readonly queue: RequestQueue<SlotGrant>;
 	readonly #options: BorrowerOptions;
+	readonly #usages: UsageHistory;
 	readonly #held = new Map<number, Held>();
 	readonly #loanSequences = new Map<EntryId, number>();
 	readonly #sentAt = new Map<number, number>();
 	#pool: ResolvedPool;
 	#returned: ReturnedSlot[] = [];
+	#meanHoldMs = 0;
 	#home: EntryId | undefined;
 	#heardAt = 0;
 	#sequence = 0;
@@ -86,6 +92,7 @@
 		this.#options = options;
 		this.#pool = options.pool;
 		this.queue = RequestQueue.create(options.clock);
+		this.#usages = UsageHistory.create(options.clock);
 	}
 
 	/** Requests in flight. */
@@ -170,6 +177,7 @@
 
 	/** Renews what is held and waited for; call it several times a second. */
 	renew(): void {
+		this.#usages.trim();
 		const intervalMs = this.queue.size > 0 ? waitingSyncMs : holdingSyncMs;
 		const isDue = this.#options.clock.readMonotonic() - this.#syncedAt >= intervalMs;
 		if (isDue && (!this.#isIdle() || !this.#isIdleTold)) {
@@ -195,7 +203,7 @@
 	}
 
 	#startOn(slot: LentSlot, home: EntryId): boolean {
-		const vm = this.#options.findWorker(this.#pool, slot.vmId, slot.isProbe);
+		const vm = this.#options.findWorker(this.#pool, slot.vmId);
 		const flow = this.queue.getFlow(slot.flow);
 		if (vm === undefined || flow === undefined) {
 			return false;
@@ -218,19 +226,34 @@
 		this.#held.set(slot.slotId, held);
 		this.#options.onStart(waiter.request, now - waiter.since);
 		waiter.accept(new LentGrant(vm, outcome => {
-			this.#finish(held, waiter.request, outcome);
+			this.#finish(held, waiter.request, now, outcome);
 		}));
 		return true;
 	}
 
-	#finish(held: Held, request: SlotRequest, outcome: DispatchOutcome): void {
+	#finish(held: Held, request: SlotRequest, requestAt: number, outcome: DispatchOutcome): void {
 		const {slot, vm, startedAt, home} = held;
 		this.#options.onOutcome(vm.vmId as VmId, request, outcome);
-		const usedMs = this.#options.clock.readMonotonic() - startedAt;
+		const now = this.#options.clock.readMonotonic();
+		const usedMs = now - startedAt;
+		this.#usages.addUse(held.flow.usageKey, now - requestAt);
 		if (this.#isReusable(held, outcome, usedMs) && this.#startNext(held)) {
 			return;
 		}
 
+		void this.#releaseSlot(held, outcome, now - requestAt);
+	}
+
+	/** Gives a slot back; one whose request failed only after the usual time, so that fast failures attract no work. */
+	async #releaseSlot({slot, startedAt, home}: Held, outcome: DispatchOutcome, requestMs: number): Promise<void> {
+		const {clock} = this.#options;
+		if (outcome === 'answered') {
+			this.#meanHoldMs += (requestMs - this.#meanHoldMs) * holdSmoothing;
+		} else if (outcome !== 'caller-gone' && requestMs < this.#meanHoldMs) {
+			await clock.sleep(Math.min(maxCoolingMs, this.#meanHoldMs - requestMs));
+		}
+
+		const usedMs = clock.readMonotonic() - startedAt;
 		this.#held.delete(slot.slotId);
 		this.#sendReturn(slot.slotId, Math.round(usedMs), home);
 		this.#scheduleFlush();
@@ -241,7 +264,7 @@
 			&& !slot.isProbe
 			&& usedMs < quantumMs
 			&& home === this.#home
-			&& this.#options.findWorker(this.#pool, vm.vmId, false) !== undefined;
+			&& this.#options.findWorker(this.#pool, vm.vmId) !== undefined;
 	}
 
 	#sendReturn(slotId: number, usedMs: number, home: EntryId): void {
@@ -281,7 +304,7 @@
 			this.#mustSync = false;
 		}
 
-		const demand = {...this.#buildDemand(this.#home, isComplete), flows: this.queue.collectDemand(isComplete), returned: this.#returned};
+		const demand = {...this.#buildDemand(this.#home, isComplete), flows: this.queue.collectDemand(isComplete, this.#usages), returned: this.#returned};
 		this.#returned = [];
 		this.#options.sendDemand(this.#home, demand);
 	}
--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -72,6 +72,10 @@
 		return this.#listPresent(pool).filter(vm => !this.#health.isSetAside(vm.vmId));
 	}
 
+	override isFailing(vmId: string): boolean {
+		return this.#health.isFailing(vmId);
+	}
+
 	override listProbes(pool: ResolvedPool, isIdempotent: boolean): readonly VmRecord[] {
 		return this.#listPresent(pool).filter(vm => this.#health.isProbeDue(vm.vmId, isIdempotent));
 	}
@@ -237,7 +241,7 @@
 			sendDemand: (to, demand) => {
 				this.#sendDemand(to, demand);
 			},
-			findWorker: (current, vmId, isProbe) => this.#listPresent(current).find(vm => vm.vmId === vmId && (isProbe || !this.#health.isSetAside(vmId))),
+			findWorker: (current, vmId) => this.#listPresent(current).find(vm => vm.vmId === vmId),
 			onStart: ({workClass}, waitedMs) => {
 				this.#metrics.observeWait(pool.name, workClass, waitedMs);
 			},
@@ -254,8 +258,7 @@
 		return desk;
 	}
 
-	#noteOutcome(vmId: VmId, {pool, caller}: SlotRequest, outcome: DispatchOutcome): void {
-		this.#metrics.countOutcome(pool.name, outcome);
+	#noteOutcome(vmId: VmId, {caller}: SlotRequest, outcome: DispatchOutcome): void {
 		const isSuccess = match(outcome)
 			.with('answered', () => true)
 			.with('error-answer', 'unsent', 'failed', 'timed-out', () => false)
@@ -344,7 +347,7 @@
 	}
 
 	#lendSlots({pool, broker}: Desk): void {
-		broker?.lendSlots(pool, () => Math.min(pool.slotsPerVm, Math.max(1, Math.floor(pool.connectionsPerVm / this.#countEntries()))));
+		broker?.lendSlots(pool, () => Math.min(pool.slotsPerVm, Math.max(1, Math.floor(pool.connectionsPerVm / (this.#countEntries() + 1)))));
 	}
 
 	#receiveDemand(from: EntryId, demand: PoolDemand): void {
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,5 +1,6 @@
 export * from './balancers.js';
 export * from './clusters.js';
+export * from './commands.js';
 export * from './demo-callers.js';
 export * from './demo-works.js';
 export * from './demos.js';
@@ -7,6 +8,10 @@
 export * from './http-calls.js';
 export * from './job-worlds.js';
 export * from './league-checks.js';
+export * from './fleet-checkers.js';
+export * from './fleet-fakes.js';
+export * from './fleet-scenarios.js';
+export * from './fleet-simulations.js';
 export * from './leagues.js';
 export * from './listings.js';
 export * from './metric-readers.js';
--- a/packages/testing/src/job-worlds.ts
+++ b/packages/testing/src/job-worlds.ts
@@ -5,7 +5,7 @@
 	Log, ManualClock, SeededRandom, type RandomSource,
 } from '@tamarackwind/core';
 import {
-	DutyLease, JobController, JobDesk, explainMisfit, createNode, jobTables, type JobControllerOptions, type JobRow, type JobSpec, type Submission,
+	JobDuty, JobController, JobDesk, explainMisfit, createNode, jobTables, type JobControllerOptions, type JobRow, type JobSpec, type Submission,
 } from '@tamarackwind/jobs';
 import {
 	MemoryObjectStore, MemoryTableService, TableService, TaskControl, type CommitOutcome, type Row, type RowKey, type ScanOptions, type TaskRun, type TaskStart, type TaskStatus, type Transaction, type VmRecord,
@@ -114,7 +114,7 @@
 export type WorldEntry = {
 	readonly name: string;
 	readonly gate: FreezeGate;
-	readonly duty: DutyLease;
+	readonly duty: JobDuty;
 	readonly controller: JobController;
 	readonly busy: Set<string>;
 };
@@ -172,8 +172,8 @@
 		const name = `entry-${this.entries.length + 1}`;
 		const tables = new GatedTables(this.tables, gate);
 		const tasks = new GatedTasks(MemoryTaskControl.create(this.tasks), gate);
-		const duty = DutyLease.create({
-			clock: this.clock, random: this.random, tables, name: 'jobs', holder: name, offlineMs: this.#options.offlineMs ?? 10_000,
+		const duty = JobDuty.create({
+			clock: this.clock, random: this.random, tables, holder: name, offlineMs: this.#options.offlineMs ?? 10_000,
 		});
 		const controller = JobController.create({
 			clock: this.clock,
