--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -116,17 +116,18 @@
 	}
 }
 
+/** Only what the worker itself did counts as evidence on it. */
 function toDispatchOutcome(error: unknown): DispatchOutcome {
 	if (!(error instanceof VerdictError)) {
 		return 'failed';
 	}
 
-	if (error.code === 'caller_gone' || error.code === 'view_stale' || error.code === 'body_too_large') {
-		return 'caller-gone';
+	if (error.verdict === 'not-run') {
+		return error.code === 'connect_failed' ? 'unsent' : 'caller-gone';
 	}
 
-	if (error.verdict === 'not-run') {
-		return 'unsent';
+	if (error.code === 'caller_gone' || error.code === 'body_too_large') {
+		return 'caller-gone';
 	}
 
 	return error.code === 'deadline_exceeded' ? 'timed-out' : 'failed';
