Bound the overload by parts that can't hear each other, and prove it with a frozen home entry

A home entry of a minority lent all slots, up to twice the workers' slots in sum. Change: a test with a frozen home entry that is still listed; a home entry that hears the minority lends only their part.

--- a/packages/admission/src/brokers.ts
+++ b/packages/admission/src/brokers.ts
@@ -39,8 +39,8 @@
 	readonly firstSlotId: number;
 	/** Time for which a new broker only listens, so that entries can tell what they hold. */
 	readonly listenMs: number;
-	/** Slots that may be in use in sum; all of the pool's when left out. */
-	readonly maxInUse?: number;
+	/** Counts the slots that may be in use in sum, of the `total` of the pool. */
+	readonly limitSlots: (total: number) => number;
 	/** Sends a loan to a borrower. */
 	readonly sendLoan: (to: EntryId, loan: SlotLoan) => void;
 };
@@ -342,7 +342,7 @@
 			free += Math.max(0, pool.slotsPerVm - inUse);
 		}
 
-		return Math.min(free, (this.#options.maxInUse ?? Number.POSITIVE_INFINITY) - used);
+		return Math.min(free, this.#options.limitSlots(usable.length * pool.slotsPerVm) - used);
 	}
 
 	/** Lists the flow that has waited longest at each caller and class, of those that wait for a slot. */
--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -306,7 +306,7 @@
 		const home = chooseHome(desk.pool.name, [self, ...bus.listPeers().map(peer => peer.entryId)])!;
 		if (home === self) {
 			if (desk.broker === undefined || desk.isAlone) {
-				desk.broker = this.#createBroker(bus.listPeers().length === 0 ? 0 : listenMs);
+				desk.broker = this.#createBroker(bus.listPeers().length === 0 ? 0 : listenMs, total => this.#countHomePart(total));
 			}
 
 			desk.isAlone = false;
@@ -315,7 +315,7 @@
 			return;
 		} else if (desk.borrower.home === home && desk.borrower.isHomeSilent()) {
 			desk.isAlone = true;
-			desk.broker = this.#createBroker(0, this.#countOwnPart(desk.pool));
+			desk.broker = this.#createBroker(0, total => this.#countOwnPart(total));
 		} else {
 			desk.broker = undefined;
 		}
@@ -327,19 +327,26 @@
 		return Math.max(1 + this.#options.bus.listPeers().length, this.#options.countEntries());
 	}
 
-	#countOwnPart(pool: ResolvedPool): number {
-		const slots = this.#listPresent(pool).length * pool.slotsPerVm;
-		return Math.max(1, Math.floor(slots / this.#countEntries()));
+	/** Slots of a pool that fall to one entry. */
+	#countOwnPart(total: number): number {
+		return Math.max(1, Math.floor(total / this.#countEntries()));
 	}
 
-	#createBroker(quietMs: number, maxInUse?: number): Broker {
+	/** Slots that a home entry lends: all, or the part of the entries that it hears while they are the minority of those listed. */
+	#countHomePart(total: number): number {
+		const heard = 1 + this.#options.bus.listPeers().length;
+		const listed = this.#countEntries();
+		return heard * 2 < listed ? Math.ceil(total * heard / listed) : total;
+	}
+
+	#createBroker(quietMs: number, limitSlots: (total: number) => number): Broker {
 		return Broker.create({
 			clock: this.#options.clock,
 			random: this.#options.random,
 			workers: this.#workers,
 			firstSlotId: (Math.floor(this.#options.clock.readWall() / secondMs) * slotIdsPerSecond) + this.#options.random.pickIndex(slotIdsPerSecond),
 			listenMs: quietMs,
-			maxInUse,
+			limitSlots,
 			sendLoan: (to, loan) => {
 				this.#sendLoan(to, loan);
 			},
--- a/packages/admission/src/request-queues.ts
+++ b/packages/admission/src/request-queues.ts
@@ -137,7 +137,7 @@
 		const now = this.#clock.readMonotonic();
 		const ahead = flow.waiters.length + 1;
 		if (flow.starts >= minStarts) {
-			return ahead * Math.max(flow.meanGapMs, (now - flow.lastStartAt) / 2);
+			return (ahead * flow.meanGapMs) + (now - flow.lastStartAt);
 		}
 
 		return this.#gap.starts < minStarts ? 0 : ahead * this.#gap.meanMs * this.#countBacklogged();
--- a/packages/peer/src/memories.ts
+++ b/packages/peer/src/memories.ts
@@ -16,6 +16,7 @@
 	readonly #delayMs: number;
 	readonly #buses = new Map<EntryId, MemoryPeerBus>();
 	readonly #cuts = new Set<string>();
+	readonly #silent = new Set<EntryId>();
 	#messageCount = 0;
 	#byteCount = 0;
 
@@ -51,6 +52,15 @@
 		}
 	}
 
+	/** Drops the messages of an entry, which its peers go on listing: it is frozen and they have not noticed yet. */
+	setSilent(entryId: EntryId, isSilent: boolean): void {
+		if (isSilent) {
+			this.#silent.add(entryId);
+		} else {
+			this.#silent.delete(entryId);
+		}
+	}
+
 	listPeersOf(entryId: EntryId): PeerInfo[] {
 		const heardAt = this.#clock.readMonotonic();
 		return [...this.#buses.values()]
@@ -60,7 +70,7 @@
 	}
 
 	async sendOver(from: MemoryPeerBus, to: EntryId, body: PeerBody): Promise<void> {
-		if (this.#buses.get(from.self.entryId) !== from || this.#cuts.has(`${from.self.entryId} ${to}`)) {
+		if (this.#buses.get(from.self.entryId) !== from || this.#silent.has(from.self.entryId) || this.#silent.has(to) || this.#cuts.has(`${from.self.entryId} ${to}`)) {
 			return;
 		}
 
--- a/packages/testing/tests/floods.test.ts
+++ b/packages/testing/tests/floods.test.ts
@@ -1,7 +1,7 @@
 import {workClasses} from '@tamarackwind/settings';
 import test from 'ava';
 import {
-	computeKept, runFlood, type FloodOptions, type FloodResult,
+	computeKept, runBursts, runFlood, type FloodOptions, type FloodResult,
 } from '../src/bench-flood.js';
 import {FairWay} from '../src/fair-ways.js';
 import {computeQuantile, listWaits} from '../src/slot-simulations.js';
@@ -38,6 +38,13 @@
 	}
 }
 
+test('a burst of urgent work starts in time into a flood of batch work of 20 s each', async t => {
+	const result = await runBursts(world => new FairWay(world, options), options);
+	const urgent = result.requests.filter(({group}) => group === 'urgent');
+	t.is(listWaits(urgent).length, 16);
+	t.true(computeQuantile(listWaits(urgent), 1) <= 4300);
+});
+
 test('urgent work starts soon though batch work of 20 s each floods the pool', async t => {
 	const flooded = await runFlood(world => new FairWay(world, options), {workClass: 'batch', callers: 1, meanServiceMs: 20_000}, options);
 	const urgent = flooded.requests.filter(({group}) => group === 'urgent');
--- a/packages/testing/tests/slots.test.ts
+++ b/packages/testing/tests/slots.test.ts
@@ -1,4 +1,5 @@
 import {type EntryId} from '@tamarackwind/core';
+import {chooseHome} from '@tamarackwind/routing';
 import test from 'ava';
 import {runSlots} from '../src/bench-slots.js';
 import {FairWay} from '../src/fair-ways.js';
@@ -89,6 +90,39 @@
 	}
 }
 
+test('two halves that can\'t hear each other overload workers by no more than the part of the smaller one', async t => {
+	const world = new SlotWorld({seed: 7, pools: 1});
+	const way = new FairWay(world, {seed: 7});
+	world.clock.schedule(4000, () => {
+		for (let one = 0; one < 4; one++) {
+			for (let other = 4; other < 9; other++) {
+				way.hub.setCut(`entry-${one + 1}` as EntryId, `entry-${other + 1}` as EntryId, true);
+			}
+		}
+	});
+	const result = await runSimulation(world, way, drawSteady(world, 1.5, 10_000), {durationMs: 10_000, drainMs: 40_000});
+	t.true(result.maxInFlight <= slotsPerVm + Math.ceil(slotsPerVm * 4 / 9));
+	t.true(result.requests.every(({finishedAt}) => finishedAt !== undefined));
+});
+
+test('work goes on while the home entry of a pool is frozen and nobody has noticed', async t => {
+	const world = new SlotWorld({seed: 8, pools: 1});
+	const way = new FairWay(world, {seed: 8});
+	const entries = Array.from({length: 9}, (_, index) => `entry-${index + 1}` as EntryId);
+	const home = chooseHome(world.pools[0]!.name, entries)!;
+	world.clock.schedule(4000, () => {
+		way.hub.setSilent(home, true);
+	});
+	world.clock.schedule(12_000, () => {
+		way.hub.setSilent(home, false);
+	});
+	const requests = drawSteady(world, 0.7, 15_000).filter(({entry}) => entries[entry] !== home);
+	const result = await runSimulation(world, way, requests, {durationMs: 15_000, drainMs: 40_000});
+	t.true(result.requests.every(({finishedAt}) => finishedAt !== undefined));
+	t.true(computeQuantile(listWaits(result.requests), 1) <= 4300);
+	t.true(result.maxInFlight <= 2 * slotsPerVm);
+});
+
 test('slots of an entry that is gone are lent again once the term is over', async t => {
 	const world = new SlotWorld({seed: 4, pools: 1, entries: 2});
 	const way = new FairWay(world, {seed: 4});
