--- a/packages/testing/src/bench-flood.ts
+++ b/packages/testing/src/bench-flood.ts
@@ -88,6 +88,7 @@
 
 const burstSlots = 16;
 const burstGapMs = 30_000;
+const burstServiceMs = 5000;
 const longServiceMs = 20_000;
 
 /** A burst of urgent work, then a flood of long batch work, then the same burst again; gives the second burst with the flood. */
@@ -99,7 +100,7 @@
 	const flood = drawRequests(world, [planFlood(world, {workClass: 'batch', callers: 1, meanServiceMs: longServiceMs}, options)], durationMs - floodMs)
 		.map(request => ({...request, arrivedAt: request.arrivedAt + floodMs}));
 	const bursts = [firstMs, firstMs + burstGapMs].flatMap(arrivedAt => Array.from({length: burstSlots}, (_, index): SimRequest => ({
-		...flood[0]!, arrivedAt, entry: index % world.entryCount, serviceMs: options.meanServiceMs, workClass: 'urgent', caller: 'urgent-1' as SimRequest['caller'], group: 'urgent',
+		...flood[0]!, arrivedAt, entry: index % world.entryCount, serviceMs: burstServiceMs, workClass: 'urgent', caller: 'urgent-1' as SimRequest['caller'], group: 'urgent',
 	})));
 	const way = createWay(world);
 	const requests = [...flood, ...bursts].toSorted((a, b) => a.arrivedAt - b.arrivedAt);
@@ -155,7 +156,7 @@
 
 	const bursts = await runBursts(world => new FairWay(world, options), options);
 	const burstWaits = listWaits(bursts.requests.filter(request => request.group === 'urgent'));
-	console.log(`a burst of ${burstSlots} urgent requests into a flood of batch work of ${longServiceMs / 1000} s each, ${burstGapMs / 1000} s after the last burst:`
+	console.log(`a burst of ${burstSlots} urgent requests of ${burstServiceMs / 1000} s each into a flood of batch work of ${longServiceMs / 1000} s each, ${burstGapMs / 1000} s after the last burst:`
 		+ ` longest wait ${computeQuantile(burstWaits, 1).toFixed(0)} ms, slots idle while batch work waits ${formatPart(bursts.idlePart)}`);
 	console.log(`seed ${options.seed}, 64 slots, mean service ${options.meanServiceMs} ms, ${options.usualMs / 1000} s of usual work, ${(options.durationMs - options.usualMs) / 1000} s of flood, start within ${options.startWithinMs / 1000} s`);
 	printTable(rows);
