--- a/packages/jobs/src/controllers.ts
+++ b/packages/jobs/src/controllers.ts
@@ -6,7 +6,7 @@
 	type ObjectStore, type TableService, type TaskControl, type TaskResources, type VmRecord,
 } from '@tamarackwind/platform';
 import {WorkerActions} from './actions.js';
-import {type DutyLease} from './duties.js';
+import {type JobDuty} from './duties.js';
 import {WorkerEvidence} from './evidences.js';
 import {explainRow} from './explains.js';
 import {FleetSnapshot} from './snapshots.js';
@@ -31,7 +31,7 @@
 	readonly tables: TableService;
 	readonly objects: ObjectStore;
 	readonly tasks: TaskControl;
-	readonly duty: DutyLease;
+	readonly duty: JobDuty;
 	/** Workers of the platform's list, whatever their state; empty while none was read. */
 	readonly listWorkers: () => readonly VmRecord[];
 	/** Quotas by team; without any, every job runs by right. */
--- a/packages/jobs/src/ledgers.ts
+++ b/packages/jobs/src/ledgers.ts
@@ -5,7 +5,7 @@
 import {
 	absentVersion, type Check, type RowKey, type TableService, type Transaction, type Write,
 } from '@tamarackwind/platform';
-import {type DutyLease} from './duties.js';
+import {type JobDuty} from './duties.js';
 import {buildJobKey, jobTables} from './rows.js';
 import {isFinal, type JobRow} from './schemas.js';
 
@@ -19,7 +19,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly tables: TableService;
-	readonly duty: DutyLease;
+	readonly duty: JobDuty;
 };
 
 type LedgerEntry = {readonly row: JobRow; readonly version: number; readonly insertedVersion: number};
@@ -186,7 +186,7 @@
 	#noteConflict(conflicts: readonly RowKey[]): void {
 		const {table, key} = this.#options.duty.fence;
 		if (conflicts.some(conflict => conflict.table === table && conflict.key === key)) {
-			this.#options.duty.release();
+			this.#options.duty.noteLost();
 		}
 	}
 }
--- a/packages/jobs/src/runs.ts
+++ b/packages/jobs/src/runs.ts
@@ -5,7 +5,7 @@
 import {
 	type TaskControl, type TaskResources, type TaskRun, type TaskStatus,
 } from '@tamarackwind/platform';
-import {type DutyLease} from './duties.js';
+import {type JobDuty} from './duties.js';
 import {type JobRow} from './schemas.js';
 import {groupByKey} from './groups.js';
 
@@ -49,7 +49,7 @@
 export type RunKeeperOptions = {
 	readonly clock: Clock;
 	readonly tasks: TaskControl;
-	readonly duty: DutyLease;
+	readonly duty: JobDuty;
 	/** Term of a task's lease, in milliseconds. */
 	readonly leaseMs: number;
 	/** Largest difference between the clocks of two VMs, in milliseconds. */
