--- a/packages/testing/src/fleet-checkers.ts
+++ b/packages/testing/src/fleet-checkers.ts
@@ -9,6 +9,8 @@
 	readonly budgets: ReadonlyMap<PoolName, Budget>;
 	/** Tells whether a VM has been down for so long that any planner must know. */
 	readonly isKnownDown: (vmId: VmId) => boolean;
+	/** Reads which incarnation of a VM really runs. */
+	readonly readIncarnation: (vmId: VmId) => string;
 };
 
 type InFlight = Map<VmId, Map<PoolName, number>>;
@@ -45,6 +47,10 @@
 			if (before !== undefined && before.pool !== row.pool && this.countInFlight(row.vmId) > 0) {
 				this.violations.push(`VM ${row.vmId} moved from ${before.pool} to ${row.pool} with work in flight`);
 			}
+
+			if (before?.state === 'out' && row.state === 'serving' && before.incarnation === this.#options.readIncarnation(row.vmId)) {
+				this.violations.push(`VM ${row.vmId} was put back to service before it had rebooted`);
+			}
 		}
 
 		this.#rows = new Map(rows);
--- a/packages/testing/src/fleet-simulations.ts
+++ b/packages/testing/src/fleet-simulations.ts
@@ -214,6 +214,7 @@
 		this.checker = new FleetChecker({
 			budgets: new Map(options.pools.map(pool => [pool.name, pool.budget])),
 			isKnownDown: vmId => this.#isKnownDown(vmId),
+			readIncarnation: vmId => String(this.vms.vms.get(vmId)!.incarnation),
 		});
 		this.vms = new SimulatedVms({
 			clock: this.clock,
--- a/packages/testing/tests/fleet-scenarios.test.ts
+++ b/packages/testing/tests/fleet-scenarios.test.ts
@@ -83,6 +83,19 @@
 	await simulation.close();
 });
 
+test('a VM is not put back to service by a list that lags behind its reboot', async t => {
+	const simulation = createSimulation();
+	simulation.vms.listLagMs = 20_000;
+	await simulation.run(40_000);
+	await simulation.entries[1]!.declarations.startWave({
+		waveId: 'wave-1' as WaveId, selector: {pools: ['north']}, action: 'reboot', maxNotBack: 1, returnTimeoutMs: 120_000, includesHeld: false,
+	}, operator);
+	await simulation.run(400_000);
+	t.is(simulation.vms.rebootCount, 8);
+	t.deepEqual(simulation.checker.violations, []);
+	await simulation.close();
+});
+
 test('a wave goes around a VM that holds a kernel until the hold ends', async t => {
 	const simulation = createSimulation();
 	await simulation.run(20_000);
