--- a/packages/jobs/src/actions.ts
+++ b/packages/jobs/src/actions.ts
@@ -3,14 +3,14 @@
  */
 import {VerdictError, type Clock} from '@tamarackwind/core';
 import {type TaskControl, type TaskResources} from '@tamarackwind/platform';
-import {type DutyLease} from './duties.js';
+import {type JobDuty} from './duties.js';
 import {type Run} from './runs.js';
 import {type JobRow} from './schemas.js';
 
 export type WorkerActionsOptions = {
 	readonly clock: Clock;
 	readonly tasks: TaskControl;
-	readonly duty: DutyLease;
+	readonly duty: JobDuty;
 	readonly leaseMs: number;
 };
 
