--- a/packages/entry/src/fleet-routes.ts
+++ b/packages/entry/src/fleet-routes.ts
@@ -183,15 +183,20 @@
 }
 
 /** Describes a wave with its progress and the end that its pace so far lets expect. */
-function describeWave({fleet, clock}: EntryContext, wave: WaveRow): Record<string, unknown> {
+function describeWave({fleet, clock, settings}: EntryContext, wave: WaveRow): Record<string, unknown> {
 	const rows = [...fleet.state?.vms.values() ?? []];
 	const done = wave.doneCount ?? rows.filter(row => row.doneWaves !== undefined && isDoneWith(row, wave.waveId)).length;
 	const out = rows.filter(row => row.work?.id === wave.waveId).length;
+	const blockedPools = [...settings.current?.pools.values() ?? []]
+		.filter(pool => computeMaxUnavailable(pool.budget, rows.filter(row => row.pool === pool.name).length) === 0)
+		.map(pool => pool.name);
 	const elapsedMs = clock.readWall() - wave.createdAt;
 	const isMoving = wave.state === 'running' && done > 0;
 	const expectedEnd = isMoving ? new Date(wave.createdAt + (elapsedMs * wave.total / done)).toISOString() : undefined;
 	return {
 		waveId: wave.waveId, state: wave.state, action: wave.action, done, out, total: wave.total, notBack: wave.notBack,
+		/** Pools of the fleet whose budgets let no VM out at all. */
+		blockedPools,
 		startedAt: new Date(wave.createdAt).toISOString(),
 		expectedEnd: wave.finishedAt === undefined ? expectedEnd ?? '' : new Date(wave.finishedAt).toISOString(),
 		deadline: wave.deadline === undefined ? '' : new Date(wave.deadline).toISOString(),
--- a/packages/testing/src/fleet-scenarios.ts
+++ b/packages/testing/src/fleet-scenarios.ts
@@ -5,7 +5,7 @@
 	VerdictError, type MoveId, type OperatorId, type PoolName, type RandomSource, type VmId, type WaveId,
 } from '@tamarackwind/core';
 import {
-	fleetTables, isMoveActive, isWaveActive, type MoveRow, type VmRow, type WaveRow,
+	computeMaxUnavailable, fleetTables, isMoveActive, isWaveActive, type MoveRow, type VmRow, type WaveRow,
 } from '@tamarackwind/fleet';
 import {resolveSettings, type ResolvedPool, type SettingsTree} from '@tamarackwind/settings';
 import {type VmRecord} from '@tamarackwind/platform';
@@ -236,11 +236,17 @@
 	}
 
 	async #listUnfinished(): Promise<string[]> {
-		const waves = (await this.simulation.readTable<WaveRow>(fleetTables.waves)).filter(wave => isWaveActive(wave));
-		const moves = (await this.simulation.readTable<MoveRow>(fleetTables.moves)).filter(move => isMoveActive(move) && move.vmIds.length > 0);
+		const rows = await this.simulation.readTable<VmRow>(fleetTables.vms);
+		const waves = (await this.simulation.readTable<WaveRow>(fleetTables.waves)).filter(wave => isWaveActive(wave) && !this.#isOverBudget(rows));
+		const moves = (await this.simulation.readTable<MoveRow>(fleetTables.moves)).filter(move => isMoveActive(move) && move.vmIds.length > 0 && !this.#isOverBudget(rows));
 		return [...waves.map(wave => `${wave.waveId} ${wave.state}`), ...moves.map(move => `${move.moveId} ${move.state}`)];
 	}
 
+	/** Tells whether a pool has become so small that its budget lets no VM out, so that nothing there can end. */
+	#isOverBudget(rows: readonly VmRow[]): boolean {
+		return this.simulation.options.pools.some(pool => computeMaxUnavailable(pool.budget, rows.filter(row => row.pool === pool.name).length) === 0);
+	}
+
 	/** Two operators move the same VM to different pools through different entries at the same moment. */
 	async #runRace(choice: number): Promise<void> {
 		const rows = (await this.simulation.readTable<VmRow>(fleetTables.vms)).filter(row => row.reservedBy === undefined && row.work?.kind !== 'move');
