Test jobs by sequences of faults and by holders frozen at their commits and starts

Not shown by any test: row versions, the fence of starts, the time limit of renewals, and the read-back of lost answers, each of which another mechanism backs up.

--- a/packages/testing/src/job-worlds.ts
+++ b/packages/testing/src/job-worlds.ts
@@ -19,6 +19,10 @@
 		return new FreezeGate();
 	}
 
+	/** Freezes the process right before it sends a transaction that this accepts. */
+	freezeAtCommit: ((transaction: Transaction) => boolean) | undefined;
+	/** Freezes the process right before it sends a start that this accepts. */
+	freezeAtStart: ((start: TaskStart) => boolean) | undefined;
 	#frozen: {readonly done: Promise<void>; readonly thaw: () => void} | undefined;
 
 	get isFrozen(): boolean {
@@ -34,6 +38,8 @@
 	}
 
 	thaw(): void {
+		this.freezeAtCommit = undefined;
+		this.freezeAtStart = undefined;
 		this.#frozen?.thaw();
 		this.#frozen = undefined;
 	}
@@ -67,6 +73,10 @@
 	}
 
 	override async commit(transaction: Transaction): Promise<CommitOutcome> {
+		if (this.#gate.freezeAtCommit?.(transaction)) {
+			this.#gate.freeze();
+		}
+
 		return this.#gate.run(async () => this.#inner.commit(transaction));
 	}
 
@@ -84,6 +94,10 @@
 	}
 
 	override async startTask(start: TaskStart): Promise<boolean> {
+		if (this.#gate.freezeAtStart?.(start)) {
+			this.#gate.freeze();
+		}
+
 		return this.#gate.run(async () => this.#inner.startTask(start));
 	}
 
--- /dev/null
+++ b/packages/testing/tests/job-sequences.test.ts
@@ -0,0 +1,128 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {type JobRow} from '@tamarackwind/jobs';
+import {match} from 'ts-pattern';
+import {JobWorld, checkTaskHistory} from '../src/index.js';
+
+const minuteMs = 60_000;
+const kinds = ['build', 'refit', 'refresh', 'kernel'] as const;
+const finalStates = new Set(['finished', 'failed', 'cancelled', 'may-have-run']);
+
+const steps = fc.oneof(
+	fc.record({type: fc.constant('submit' as const), kind: fc.constantFrom(...kinds), cores: fc.integer({min: 1, max: 40})}),
+	fc.record({type: fc.constant('cancel' as const), pick: fc.nat(20)}),
+	fc.record({type: fc.constant('freeze' as const), pick: fc.nat(2), turns: fc.integer({min: 1, max: 60})}),
+	fc.record({type: fc.constant('kill' as const)}),
+	fc.record({type: fc.constant('lose' as const), tables: fc.integer({min: 1, max: 3})}),
+	fc.record({type: fc.constant('loseTasks' as const), vm: fc.integer({min: 1, max: 3}), count: fc.integer({min: 1, max: 3})}),
+	fc.record({type: fc.constant('unreachable' as const), vm: fc.integer({min: 1, max: 3}), seconds: fc.integer({min: 5, max: 90})}),
+	fc.record({type: fc.constant('reboot' as const), vm: fc.integer({min: 1, max: 3})}),
+	fc.record({type: fc.constant('down' as const), seconds: fc.integer({min: 1, max: 60})}),
+	fc.record({type: fc.constant('wait' as const), seconds: fc.integer({min: 1, max: 20})}),
+);
+
+type Step = typeof steps extends fc.Arbitrary<infer T> ? T : never;
+type Cancelled = {readonly jobId: string; readonly epoch: number};
+
+async function submitJob(world: JobWorld, kind: JobRow['spec']['kind'], cores: number, jobs: JobRow[]): Promise<void> {
+	const submitted = world.submit({kind, cores});
+	await world.run(500);
+	const [row] = await Promise.allSettled([submitted]);
+	jobs.push(...row.status === 'fulfilled' ? [row.value] : []);
+}
+
+async function cancelJob(world: JobWorld, jobId: string, cancelled: Cancelled[]): Promise<void> {
+	const done = world.desk.cancelJobs({jobIds: [jobId]}, 'caller-1');
+	await world.clock.advance(400);
+	const [outcome] = await Promise.allSettled([done]);
+	const row = (await world.tables.getRow({table: 'jobs', key: jobId}))!.value as JobRow;
+	cancelled.push(...outcome.status === 'fulfilled' ? [{jobId, epoch: row.epoch}] : []);
+}
+
+/** Freezes an entry in the middle of a turn, with calls under way. */
+async function freezeEntry(world: JobWorld, pick: number, ms: number): Promise<void> {
+	const entry = world.entries[pick % world.entries.length]!;
+	void Promise.allSettled([entry.controller.runTurn()]);
+	entry.gate.freeze();
+	await world.run(ms);
+	entry.gate.thaw();
+}
+
+async function runStep(world: JobWorld, step: Step, jobs: JobRow[], cancelled: Cancelled[]): Promise<void> {
+	await match(step)
+		.with({type: 'submit'}, async ({kind, cores}) => submitJob(world, kind, cores, jobs))
+		.with({type: 'cancel'}, async ({pick}) => jobs.length === 0 ? undefined : cancelJob(world, jobs[pick % jobs.length]!.jobId, cancelled))
+		.with({type: 'freeze'}, async ({pick, turns}) => freezeEntry(world, pick, turns * 250))
+		.with({type: 'kill'}, async () => {
+			if (world.holder !== undefined) {
+				world.killEntry(world.holder);
+				world.addEntry();
+			}
+		})
+		.with({type: 'lose'}, async ({tables}) => {
+			world.tables.faults.setFaults({lostAnswers: tables});
+		})
+		.with({type: 'loseTasks'}, async ({vm, count}) => {
+			world.tasks.setFaults(`north-${vm}`, {lostAnswers: count});
+		})
+		.with({type: 'unreachable'}, async ({vm, seconds}) => {
+			world.tasks.setFaults(`north-${vm}`, {isUnreachable: true});
+			await world.run(seconds * 1000);
+			world.tasks.setFaults(`north-${vm}`, {});
+		})
+		.with({type: 'reboot'}, async ({vm}) => world.rebootWorker(`north-${vm}`))
+		.with({type: 'down'}, async ({seconds}) => {
+			world.tables.faults.setFaults({isDown: true});
+			await world.run(seconds * 1000);
+			world.tables.faults.setFaults({});
+		})
+		.with({type: 'wait'}, async ({seconds}) => world.run(seconds * 1000))
+		.exhaustive();
+	await world.run(250);
+}
+
+/** Runs of a job that started with a number above the one that its row had when its cancellation was answered. */
+function listLateStarts(world: JobWorld, cancelled: readonly Cancelled[]): unknown[] {
+	return cancelled.flatMap(({jobId, epoch}) => world.tasks.history.filter(event => event.type === 'started' && event.taskId === jobId && event.epoch > epoch));
+}
+
+/** Everything that is wrong after a sequence, once all faults have ended and time has passed. */
+async function findFaults(world: JobWorld, jobs: readonly JobRow[], cancelled: readonly Cancelled[]): Promise<unknown[]> {
+	world.tables.faults.setFaults({});
+	for (const {vmId} of world.vms) {
+		world.tasks.setFaults(vmId, {});
+	}
+
+	await world.runUntil(async () => (await world.readJobs()).every(row => finalStates.has(row.state)), 20 * minuteMs);
+	const rows = await world.readJobs();
+	for (const {vmId} of world.vms) {
+		await world.tasks.list(vmId);
+	}
+
+	const results = new Set(world.tasks.history.filter(event => event.state === 'finished').map(event => `results/${event.taskId}/${event.epoch}`));
+	return [
+		...rows.filter(row => !finalStates.has(row.state)).map(row => ['has not ended', row.spec.kind, row.state, row.reason]),
+		...checkTaskHistory(world.tasks),
+		...listLateStarts(world, cancelled),
+		...jobs.filter(job => !rows.some(row => row.jobId === job.jobId)).map(job => ['accepted and lost', job.jobId]),
+		...rows.filter(row => row.state === 'finished' && !results.has(row.result ?? '')).map(row => ['no such result', row.result]),
+	];
+}
+
+test('sequences of faults: one run at a time, refreshes once, cancelled jobs start no more, every job ends', async t => {
+	await t.notThrowsAsync(fc.assert(fc.asyncProperty(fc.array(steps, {minLength: 5, maxLength: 25}), fc.integer(), async (sequence, seed) => {
+		const world = JobWorld.create({
+			seed, workers: 3, entries: 3, readScript: () => ({runMs: 20_000, usage: {cores: 1, memoryMb: 256, accelerators: 0}}),
+		});
+		const jobs: JobRow[] = [];
+		const cancelled: Cancelled[] = [];
+		for (const step of sequence) {
+			await runStep(world, step, jobs, cancelled);
+		}
+
+		const faults = await findFaults(world, jobs, cancelled);
+		if (faults.length > 0) {
+			throw new Error(JSON.stringify(faults));
+		}
+	}), {seed: 20_261_204, numRuns: 100, includeErrorInReport: true}));
+});
