Serve any port over TLS, peers with mutual TLS, and take replaced certificates

Change: a port whose settings name a certificate speaks TLS; one that names an authority too asks for the other side's certificate, which the peer port always does. Certificates are read again when their files change.

Tried: the certificate provider of grpc-js that watches files; while only the key of a pair had been replaced, the entry's connections were reset in the test, so certificates are now checked as a pair before they come into force.

Result: a process test joins two entries by mutual TLS, refuses a stranger and a client without a certificate, and sees the replaced certificate on both ports of the same process.

--- a/packages/cli/src/clients.ts
+++ b/packages/cli/src/clients.ts
@@ -6,7 +6,7 @@
 import {
 	IssuesError, VerdictError, createIssuesError, readErrorMessage, type Issue, type Verdict,
 } from '@tamarackwind/core';
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import {type Argv} from 'yargs';
 import {exitCodes} from './exits.js';
 
@@ -14,6 +14,7 @@
 export type OperatorOptions = {
 	readonly entry: string;
 	readonly tokenFile?: string;
+	readonly caFile?: string;
 	readonly json?: boolean;
 };
 
@@ -22,6 +23,7 @@
 	return yargs
 		.option('entry', {type: 'string', demandOption: true, describe: 'URL of an entry\'s operator port; TAMARACKWIND_ENTRY'})
 		.option('token-file', {type: 'string', describe: 'File that holds the operator\'s bearer token; TAMARACKWIND_TOKEN_FILE'})
+		.option('ca-file', {type: 'string', describe: 'File of the authority behind the entry\'s certificate; TAMARACKWIND_CA_FILE'})
 		.option('json', {type: 'boolean', describe: 'Print JSON'});
 }
 
@@ -39,7 +41,10 @@
  */
 export async function callOperatorPort<T>(options: OperatorOptions, method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, json?: unknown): Promise<T> {
 	const token = options.tokenFile === undefined ? undefined : (await readFile(options.tokenFile, 'utf8')).trim();
-	const answer = await sendCall<T>(options.entry, token, {method, path, json});
+	const ca = options.caFile === undefined ? undefined : await readFile(options.caFile, 'utf8');
+	const answer = await sendCall<T>(options.entry, token, {
+		method, path, json, ca,
+	});
 	if (answer.status < 400) {
 		return answer.body;
 	}
@@ -60,10 +65,11 @@
 	return status >= 500 ? 'unavailable' : code;
 }
 
-async function sendCall<T>(entry: string, token: string | undefined, {method, path, json}: {readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE'; readonly path: string; readonly json: unknown}): Promise<OperatorAnswer<T>> {
+async function sendCall<T>(entry: string, token: string | undefined, {method, path, json, ca}: {readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE'; readonly path: string; readonly json: unknown; readonly ca: string | undefined}): Promise<OperatorAnswer<T>> {
 	try {
 		const response = await request(new URL(path, entry), {
 			method,
+			dispatcher: ca === undefined ? undefined : new Agent({connect: {ca}}),
 			headers: {
 				...(token === undefined ? {} : {authorization: `Bearer ${token}`}),
 				...(json === undefined ? {} : {'content-type': 'application/json'}),
--- a/packages/entry/src/configs.ts
+++ b/packages/entry/src/configs.ts
@@ -7,17 +7,19 @@
 
 const portSchema = z.number().int().min(0).max(65_535);
 
+const tlsSchema = z.strictObject({
+	certFile: z.string(),
+	keyFile: z.string(),
+	/** Authority whose certificates the other side must show. */
+	caFile: z.string().optional(),
+});
+
 const listenerSchema = z.strictObject({
 	/** IP number to listen on. */
 	host: z.string(),
 	/** Port to listen on; 0 picks a free one. */
 	port: portSchema,
-	tls: z.strictObject({
-		certFile: z.string(),
-		keyFile: z.string(),
-		/** Authority whose certificates the other side must show. */
-		caFile: z.string().optional(),
-	}).optional(),
+	tls: tlsSchema.optional(),
 });
 
 export const entryConfigSchema = z.strictObject({
@@ -27,7 +29,7 @@
 	zone: z.string(),
 	caller: listenerSchema,
 	operator: listenerSchema,
-	peer: listenerSchema,
+	peer: listenerSchema.extend({tls: tlsSchema.required().optional()}),
 	metrics: listenerSchema,
 	platform: z.strictObject({
 		url: z.url(),
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -61,9 +61,9 @@
 		const ctx = await createEntryContext(config);
 		const path = createDataPath(ctx, receiptKey);
 		const entry = new Entry(ctx, path, {
-			caller: await Listener.create(path.port.app, config.caller),
-			operator: await Listener.create(createOperatorApp(ctx, path.fleetPart), config.operator),
-			metrics: await Listener.create(createMetricsApp(ctx, () => path.port.isClosing), config.metrics),
+			caller: await Listener.create(path.port.app, config.caller, ctx.log),
+			operator: await Listener.create(createOperatorApp(ctx, path.fleetPart), config.operator, ctx.log),
+			metrics: await Listener.create(createMetricsApp(ctx, () => path.port.isClosing), config.metrics, ctx.log),
 		});
 		addRefusals(entry.#listeners.caller.server);
 		ctx.log.info('entry started', entry.ports);
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,6 +4,7 @@
 export * from './batches.js';
 export * from './bodies.js';
 export * from './callers.js';
+export * from './certificates.js';
 export * from './claim-cleaners.js';
 export * from './claims.js';
 export * from './configs.js';
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -1,7 +1,6 @@
 /**
  * The entry's part in the group of entries: its peer port, and what its heartbeats tell.
  */
-import {ChannelCredentials, ServerCredentials} from '@grpc/grpc-js';
 import {
 	type Clock, type EntryId, type IncarnationId, type Log, type RandomSource,
 } from '@tamarackwind/core';
@@ -10,6 +9,7 @@
 	GrpcPeerBus, type FetchSettingsReply, type FetchSettingsRequest, type PeerAddress, type ViewVersions,
 } from '@tamarackwind/peer';
 import {Gauge, type Registry} from 'prom-client';
+import {createPeerCredentials} from './certificates.js';
 import {type EntryConfig} from './configs.js';
 import {type Membership} from './memberships.js';
 import {registerCounter} from './metrics.js';
@@ -34,12 +34,13 @@
 /** Opens the peer port and connects to the other entries. */
 export async function createPeerBus(options: PeerBusOptions): Promise<GrpcPeerBus> {
 	const {config, versions, registry} = options;
+	const credentials = createPeerCredentials(config.peer.tls, options.log);
 	const bus = await GrpcPeerBus.create({
 		...options,
 		host: config.peer.host,
 		port: config.peer.port,
-		serverCredentials: ServerCredentials.createInsecure(),
-		createChannelCredentials: () => ChannelCredentials.createInsecure(),
+		serverCredentials: credentials.server,
+		createChannelCredentials: credentials.createChannel,
 		listAddresses: () => listAddresses(options),
 		readState: () => ({
 			settingsVersion: versions.getVersion('settings'),
