--- a/packages/admission/src/brokers.ts
+++ b/packages/admission/src/brokers.ts
@@ -21,6 +21,9 @@
 	/** Lists the workers that may get new work, without those set aside. */
 	abstract listUsable(pool: ResolvedPool): readonly VmRecord[];
 
+	/** Tells whether a usable worker fails most of its work; it is chosen last. */
+	abstract isFailing(vmId: string): boolean;
+
 	/** Lists the workers set aside that may be probed by one request. */
 	abstract listProbes(pool: ResolvedPool, isIdempotent: boolean): readonly VmRecord[];
 
@@ -60,6 +63,8 @@
 type Member = {
 	readonly entryId: EntryId;
 	flows: Map<number, Flow>;
+	/** Slots that callers used at the entry on average, by class and caller. */
+	readonly usualSlots: Map<string, number>;
 	readonly lent: Map<number, Lent>;
 	heardAt: number;
 	demandSequence: number;
@@ -86,12 +91,15 @@
 	readonly #inUse = new Map<string, number>();
 	readonly #listenUntil: number;
 	#nextSlotId: number;
+	/** Last sequence of any loan; an entry that comes back never sees a lower one. */
+	#loanSequence: number;
 
 	private constructor(options: BrokerOptions) {
 		this.#options = options;
 		this.#ledger = ShareLedger.create(options.clock);
 		this.#listenUntil = options.clock.readMonotonic() + options.listenMs;
 		this.#nextSlotId = options.firstSlotId;
+		this.#loanSequence = options.firstSlotId;
 	}
 
 	/** Slots lent at this moment. */
@@ -131,6 +139,7 @@
 			this.#planRound(pool, countEntryLimit(), round);
 		}
 
+		this.#loanSequence += round.size > 0 ? 1 : 0;
 		for (const member of this.#members.values()) {
 			const slots = round.get(member) ?? [];
 			if (slots.length > 0 || member.mustAcknowledge) {
@@ -162,7 +171,7 @@
 		}
 
 		const member: Member = {
-			entryId, flows: new Map(), lent: new Map(), heardAt: 0, demandSequence: 0, loanSequence: this.#options.firstSlotId, mustAcknowledge: false,
+			entryId, flows: new Map(), usualSlots: new Map(), lent: new Map(), heardAt: 0, demandSequence: 0, loanSequence: this.#loanSequence, mustAcknowledge: false,
 		};
 		this.#members.set(entryId, member);
 		return member;
@@ -191,7 +200,23 @@
 				weight: demand.weight,
 				waitingSince: now - demand.waitedMs,
 			});
+			this.#updateUsual(member, demand);
+		}
+	}
+
+	#updateUsual(member: Member, {workClass, caller, usualSlots}: FlowDemand): void {
+		const key = `${workClass} ${caller}`;
+		if (member.usualSlots.get(key) === usualSlots || caller === '') {
+			return;
+		}
+
+		member.usualSlots.set(key, usualSlots);
+		let sum = 0;
+		for (const other of this.#members.values()) {
+			sum += other.usualSlots.get(key) ?? 0;
 		}
+
+		this.#ledger.setUsualSlots(workClass as WorkClass, caller as CallerId, sum);
 	}
 
 	/** Adopts slots that the entry holds and this broker has not lent, and takes back what it no longer holds. */
@@ -282,7 +307,7 @@
 	#lend(flow: Flow, vm: VmRecord, isProbe: boolean, round: Round): void {
 		const {member} = flow;
 		const slotId = this.#nextSlotId++;
-		const loanSequence = member.loanSequence + 1;
+		const loanSequence = this.#loanSequence + 1;
 		const startedAt = this.#options.clock.readMonotonic();
 		if (isProbe) {
 			this.#options.workers.beginProbe(vm.vmId);
@@ -300,7 +325,7 @@
 	#sendLoan(member: Member, pool: ResolvedPool, slots: LentSlot[]): void {
 		member.mustAcknowledge = false;
 		if (slots.length > 0) {
-			member.loanSequence++;
+			member.loanSequence = this.#loanSequence;
 		}
 
 		this.#options.sendLoan(member.entryId, {
@@ -346,17 +371,20 @@
 		const fresh = usable.filter(vm => !demand.triedVms.includes(vm.vmId));
 		const candidates = (fresh.length === 0 ? usable : fresh).filter(vm => this.#countHeldBy(member, vm.vmId) < entryLimit);
 		let best: VmRecord[] = [];
-		let fewest = pool.slotsPerVm;
+		let least = Number.POSITIVE_INFINITY;
 		for (const vm of candidates) {
 			const inUse = this.#inUse.get(vm.vmId) ?? 0;
-			if (inUse < fewest) {
-				fewest = inUse;
-				best = [];
+			const load = inUse + (this.#options.workers.isFailing(vm.vmId) ? pool.slotsPerVm : 0);
+			if (inUse >= pool.slotsPerVm || load > least) {
+				continue;
 			}
 
-			if (inUse === fewest && inUse < pool.slotsPerVm) {
-				best.push(vm);
+			if (load < least) {
+				least = load;
+				best = [];
 			}
+
+			best.push(vm);
 		}
 
 		return this.#options.random.pickItem(best);
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import {hideBin} from 'yargs/helpers';
 import {auditCommand} from './audits.js';
 import {entryCommand} from './entries.js';
+import {jobCommand} from './jobs.js';
 import {moveCommand} from './moves.js';
 import {poolCommand} from './pools.js';
 import {settingsCommand} from './settings.js';
@@ -20,6 +21,7 @@
 	.command(entryCommand)
 	.command(settingsCommand)
 	.command(auditCommand)
+	.command(jobCommand)
 	.command(statusCommand)
 	.command(poolCommand)
 	.command(vmCommand)
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -99,6 +99,7 @@
 		startBy: deadlineAt,
 		attempts,
 		triedVms,
+		isIdempotent: request.isIdempotent,
 		signal,
 	});
 	triedVms.add(grant.vm.vmId as VmId);
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -1,7 +1,7 @@
 /**
  * The entry daemon: opens the ports, and closes them again.
  */
-import {NaiveScheduler} from '@tamarackwind/admission';
+import {FairScheduler} from '@tamarackwind/admission';
 import {type EntryId} from '@tamarackwind/core';
 import {CallerPort} from './callers.js';
 import {ClaimCleaner} from './claim-cleaners.js';
@@ -9,6 +9,8 @@
 import {type EntryConfig} from './configs.js';
 import {createEntryContext, type EntryContext} from './contexts.js';
 import {FleetPart} from './fleets.js';
+import {createJobRoutes} from './job-routes.js';
+import {JobService} from './jobs.js';
 import {Listener} from './listeners.js';
 import {createFleetEntry} from './operator-identities.js';
 import {createMetricsApp} from './metrics.js';
@@ -41,6 +43,7 @@
 	readonly fleetPart: FleetPart;
 	readonly upstreams: Upstreams;
 	readonly cleaner: ClaimCleaner;
+	readonly jobs: JobService;
 };
 
 /** Time between two looks for connections that have become idle, in milliseconds. */
@@ -59,10 +62,11 @@
 	static async create(config: EntryConfig): Promise<Entry> {
 		const receiptKey = config.receiptKeyFile === undefined ? undefined : await loadReceiptKey(config.receiptKeyFile);
 		const ctx = await createEntryContext(config);
-		const path = createDataPath(ctx, receiptKey);
+		const jobs = JobService.create(ctx);
+		const path = createDataPath(ctx, receiptKey, jobs);
 		const entry = new Entry(ctx, path, {
 			caller: await Listener.create(path.port.app, config.caller, ctx.log),
-			operator: await Listener.create(createOperatorApp(ctx, path.fleetPart), config.operator, ctx.log),
+			operator: await Listener.create(createOperatorApp(ctx, {fleetPart: path.fleetPart, jobs}), config.operator, ctx.log),
 			metrics: await Listener.create(createMetricsApp(ctx, () => path.port.isClosing), config.metrics, ctx.log),
 		});
 		addRefusals(entry.#listeners.caller.server);
@@ -101,6 +105,7 @@
 		const cutRequests = await this.#drainCallers(signal);
 		await this.#path.claims.close(claimFlushMs);
 		await this.#path.cleaner.close();
+		await this.#path.jobs.close();
 		await this.#path.fleetPart.scheduler.close();
 		await this.#path.upstreams.close();
 		await this.#path.fleetPart.close();
@@ -135,14 +140,23 @@
 	}
 }
 
-function createDataPath(ctx: EntryContext, receiptKey: Uint8Array | undefined): DataPath {
+function createDataPath(ctx: EntryContext, receiptKey: Uint8Array | undefined, jobs: JobService): DataPath {
 	const {config, clock, random, platform, registry, fleet} = ctx;
 	const {tables, objects} = platform;
 	const metrics = RequestMetrics.create(registry);
 	const upstreams = Upstreams.create(clock);
 	const fleetPart = FleetPart.create({
 		ctx,
-		scheduler: NaiveScheduler.create({random, listWorkers: pool => fleet.listWorkers(pool)}),
+		scheduler: FairScheduler.create({
+			clock,
+			random,
+			bus: ctx.bus,
+			log: ctx.log,
+			registry,
+			listWorkers: pool => fleet.listWorkers(pool),
+			listPools: () => ctx.settings.current?.pools.values() ?? [],
+			countEntries: () => fleet.listEntries().length,
+		}),
 		barrier: ctx.barrier,
 		listEntries: () => [ctx.bus.self.entryId, ...ctx.bus.listPeers().map(peer => peer.entryId)],
 		auditAction: async action => ctx.audit.createWrites(createFleetEntry(action)),
@@ -164,9 +178,9 @@
 	const receipts = receiptKey === undefined ? undefined : ReceiptSigner.create(receiptKey, clock);
 	const countEntries = (): number => Math.max(1, fleet.listEntries().length);
 	const port = CallerPort.create({
-		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings,
+		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings, jobs: createJobRoutes(ctx, jobs),
 	});
 	return {
-		port, claims, metrics, fleetPart, upstreams, cleaner,
+		port, claims, metrics, fleetPart, upstreams, cleaner, jobs,
 	};
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -15,6 +15,8 @@
 export * from './fleets.js';
 export * from './headers.js';
 export * from './identities.js';
+export * from './job-routes.js';
+export * from './jobs.js';
 export * from './keyed-requests.js';
 export * from './listeners.js';
 export * from './memberships.js';
