--- a/packages/entry/tests/attempts.test.ts
+++ b/packages/entry/tests/attempts.test.ts
@@ -94,7 +94,7 @@
 type Outcome = {readonly error: VerdictError | undefined; readonly status: number};
 
 /** Forwards one request from a caller to the scheduler's workers. */
-async function forward(t: ExecutionContext, scheduler: Scheduler, {lease = new FakeLease(), isIdempotent = true, upstreams = Upstreams.create(clock)} = {}): Promise<Outcome> {
+async function forward(t: ExecutionContext, scheduler: Scheduler, {lease = new FakeLease(), isIdempotent = true, upstreams = Upstreams.create(clock), current = settings} = {}): Promise<Outcome> {
 	let error: VerdictError | undefined;
 	const server = await listen(t, async (incoming, response) => {
 		const callerRequest: CallerRequest = {
@@ -111,7 +111,7 @@
 		};
 		try {
 			await forwardRequest({
-				clock, random: SeededRandom.create(1), lease, scheduler, upstreams, metrics: RequestMetrics.create(new Registry()), countEntries: () => 1,
+				clock, random: SeededRandom.create(1), lease, scheduler, upstreams, metrics: RequestMetrics.create(new Registry()), countEntries: () => 1, settings: {current},
 			}, options);
 		} catch (error_) {
 			error = error_ as VerdictError;
