Refuse a slot whose VM left the pool; read the platform's token; trim what grows

Cause: a slot that was granted before a move could be used after it, since the last check asked only for the view and the settings; platform.tokenFile was never read; the trims of audit records and trees were never called. Conclusion: one VM, one pool holds also for requests that waited.

--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -5,6 +5,7 @@
 import {
 	VerdictError, isRetryable, readErrorMessage, type Clock, type RandomSource, type VmId,
 } from '@tamarackwind/core';
+import {type FleetView} from '@tamarackwind/fleet';
 import {type ViewLease} from '@tamarackwind/peer';
 import {type AnswerWriter} from './answers.js';
 import {type RequestBody} from './bodies.js';
@@ -26,6 +27,7 @@
 	readonly random: RandomSource;
 	readonly lease: ViewLease;
 	readonly settings: Pick<SettingsView, 'current'>;
+	readonly fleet: Pick<FleetView, 'isServing'>;
 	readonly scheduler: Scheduler;
 	readonly upstreams: Upstreams;
 	readonly metrics: RequestMetrics;
@@ -73,7 +75,7 @@
 	}
 }
 
-const dispatchFailureCodes = new Set(['upstream_failed', 'connect_failed', 'bad_answer', 'connections_busy']);
+const dispatchFailureCodes = new Set(['upstream_failed', 'connect_failed', 'bad_answer', 'connections_busy', 'vm_left_pool']);
 
 function isDispatchFailure(error: unknown): boolean {
 	return error instanceof VerdictError && dispatchFailureCodes.has(error.code);
@@ -182,7 +184,7 @@
 		idleTimeoutMs: answerIdleTimeoutMs,
 		signal: isDetached ? undefined : signal,
 		answer,
-		checkStart: () => checkStart(parts, options),
+		checkStart: () => checkStart(parts, options, vmId),
 		onHead(answerHeaders) {
 			if (answerHeaders[headerNames.leaving] === 'true') {
 				scheduler.noteLeaving(vmId);
@@ -192,7 +194,7 @@
 }
 
 /** Finds why a dispatch must not start now. */
-function checkStart({lease, clock, settings}: AttemptParts, {request, deadlineAt, signal}: ForwardOptions): VerdictError | undefined {
+function checkStart({lease, clock, settings, fleet}: AttemptParts, {request, deadlineAt, signal}: ForwardOptions, vmId: VmId): VerdictError | undefined {
 	if (signal.aborted) {
 		return new VerdictError('the caller hung up', {verdict: 'not-run', code: 'caller_gone'});
 	}
@@ -205,6 +207,10 @@
 		return new VerdictError('the settings of the service, its pool or the caller changed while the request waited', {verdict: 'not-run', code: 'settings_changed'});
 	}
 
+	if (!fleet.isServing(vmId, request.pool.name)) {
+		return new VerdictError(`VM "${vmId}" left pool "${request.pool.name}" while the request waited`, {verdict: 'not-run', code: 'vm_left_pool'});
+	}
+
 	return clock.readMonotonic() >= deadlineAt ? createDeadlineError() : undefined;
 }
 
--- a/packages/entry/src/contexts.ts
+++ b/packages/entry/src/contexts.ts
@@ -1,6 +1,7 @@
 /**
  * What the parts of an entry share.
  */
+import {readFile} from 'node:fs/promises';
 import {
 	Log, SystemClock, SystemRandom, type Clock, type RandomSource,
 } from '@tamarackwind/core';
@@ -43,7 +44,9 @@
 export async function createEntryContext(config: EntryConfig): Promise<EntryContext> {
 	const clock = SystemClock.create();
 	const log = Log.create({format: config.log.format, fields: {entry: config.entryId}});
-	const connection = PlatformConnection.create({url: config.platform.url, timeoutMs: config.platform.timeoutMs});
+	const {url, timeoutMs, tokenFile} = config.platform;
+	const token = tokenFile === undefined ? undefined : (await readFile(tokenFile, 'utf8')).trim();
+	const connection = PlatformConnection.create({url, timeoutMs, token});
 	const platform = {
 		tables: HttpTableService.create(connection),
 		objects: HttpObjectStore.create(connection),
--- a/packages/entry/src/controls.ts
+++ b/packages/entry/src/controls.ts
@@ -16,6 +16,7 @@
 import {Membership} from './memberships.js';
 import {registerCounter} from './metrics.js';
 import {createPeerBus} from './peers.js';
+import {Retention} from './retentions.js';
 import {SettingsChanges} from './settings-changes.js';
 import {SettingsStore} from './settings-stores.js';
 import {type SettingsView} from './settings-views.js';
@@ -95,6 +96,10 @@
 		clock, log, tables, store: settingsStore, settings, fleet, membership, versions, bus, lease, barrier,
 	});
 	later.poll = poll;
+	const retention = Retention.create({
+		clock, random, audit, settingsStore, versions,
+	});
+	registerCounter(registry, 'tamarackwind_retention_failed_turns_total', 'Turns of the retention of audit records and trees that failed', () => retention.failedTurns);
 	registerCounter(registry, 'tamarackwind_view_failed_reads_total', 'Reads of versions from the platform or a peer that failed', () => poll.failedPolls);
 	return {
 		bus,
@@ -109,6 +114,7 @@
 			bus.sendHeartbeats();
 		},
 		async close() {
+			await retention.close();
 			await poll.close();
 			await bus.close();
 			await membership.removeSelf();
--- a/packages/entry/src/daemons.ts
+++ b/packages/entry/src/daemons.ts
@@ -178,7 +178,7 @@
 	const receipts = receiptKey === undefined ? undefined : ReceiptSigner.create(receiptKey, clock);
 	const countEntries = (): number => Math.max(1, fleet.listEntries().length);
 	const port = CallerPort.create({
-		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings, jobs: createJobRoutes(ctx, jobs),
+		countEntries, clock, random, lease: ctx.lease, scheduler, upstreams, metrics, claims, receipts, log: ctx.log, settings: ctx.settings, fleet, jobs: createJobRoutes(ctx, jobs),
 	});
 	return {
 		port, claims, metrics, fleetPart, upstreams, cleaner, jobs,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -30,6 +30,7 @@
 export * from './refusals.js';
 export * from './request-metrics.js';
 export * from './requests.js';
+export * from './retentions.js';
 export * from './settings-changes.js';
 export * from './settings-routes.js';
 export * from './settings-stores.js';
--- a/packages/entry/src/problems.ts
+++ b/packages/entry/src/problems.ts
@@ -58,13 +58,14 @@
 	['connections_busy', {status: 503, title: 'Connections busy'}],
 	['view_stale', {status: 503, title: 'Entry out of date'}],
 	['settings_changed', {status: 503, title: 'Settings changed'}],
+	['vm_left_pool', {status: 503, title: 'VM left the pool'}],
 	['settings_missing', {status: 503, title: 'Entry not ready'}],
 	['claims_unavailable', {status: 503, title: 'Table service unavailable'}],
 	['receipt_key_missing', {status: 503, title: 'Entry not set up for this service'}],
 ]);
 
 /** Codes of failures that pass with time, so that the caller is told when to try again. */
-const passingCodes = new Set(['start_deadline', 'queue_full', 'no_worker', 'retry_budget', 'connect_failed', 'connections_busy', 'view_stale', 'settings_changed', 'settings_missing', 'claims_unavailable']);
+const passingCodes = new Set(['start_deadline', 'queue_full', 'no_worker', 'retry_budget', 'connect_failed', 'connections_busy', 'view_stale', 'settings_changed', 'vm_left_pool', 'settings_missing', 'claims_unavailable']);
 
 /** Tells whether a failure with `code` passes with time. */
 export function isPassingProblem(code: string): boolean {
--- a/packages/entry/tests/attempts.test.ts
+++ b/packages/entry/tests/attempts.test.ts
@@ -94,7 +94,7 @@
 type Outcome = {readonly error: VerdictError | undefined; readonly status: number};
 
 /** Forwards one request from a caller to the scheduler's workers. */
-async function forward(t: ExecutionContext, scheduler: Scheduler, {lease = new FakeLease(), isIdempotent = true, upstreams = Upstreams.create(clock), current = settings} = {}): Promise<Outcome> {
+async function forward(t: ExecutionContext, scheduler: Scheduler, {lease = new FakeLease(), isServing = true, isIdempotent = true, upstreams = Upstreams.create(clock), current = settings} = {}): Promise<Outcome> {
 	let error: VerdictError | undefined;
 	const server = await listen(t, async (incoming, response) => {
 		const callerRequest: CallerRequest = {
@@ -111,7 +111,7 @@
 		};
 		try {
 			await forwardRequest({
-				clock, random: SeededRandom.create(1), lease, scheduler, upstreams, metrics: RequestMetrics.create(new Registry()), countEntries: () => 1, settings: {current},
+				clock, random: SeededRandom.create(1), lease, scheduler, upstreams, metrics: RequestMetrics.create(new Registry()), countEntries: () => 1, settings: {current}, fleet: {isServing: () => isServing},
 			}, options);
 		} catch (error_) {
 			error = error_ as VerdictError;
@@ -140,6 +140,19 @@
 	t.deepEqual(scheduler.outcomes, ['caller-gone']);
 });
 
+test('a slot that was granted before its VM left the pool is not used', async t => {
+	let runs = 0;
+	const worker = await listen(t, (_, response) => {
+		runs++;
+		response.end('ran');
+	});
+	const scheduler = new FakeScheduler([readPort(worker)]);
+	const {error} = await forward(t, scheduler, {isServing: false});
+	t.is(error?.verdict, 'not-run');
+	t.is(runs, 0);
+	t.deepEqual(scheduler.outcomes, ['caller-gone']);
+});
+
 test('a refusal after an attempt that may have run is told may-have-run', async t => {
 	const worker = await listen(t, incoming => incoming.socket.destroy());
 	const scheduler = new FakeScheduler([readPort(worker), readPort(worker)]);
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -101,6 +101,12 @@
 		return this.#workersByPool.get(pool) ?? [];
 	}
 
+	/** Tells whether a VM serves a pool by the rows that this entry dispatches by. */
+	isServing(vmId: VmId, pool: PoolName): boolean {
+		const row = this.#state?.vms.get(vmId);
+		return row?.state === 'serving' && row.pool === pool;
+	}
+
 	/** Lists the entry VMs of the platform's list. */
 	listEntries(): readonly VmRecord[] {
 		return this.#entries;
