--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -2,7 +2,7 @@
  * Stand-in of the platform: table service, object store, list of VMs, with switches for faults.
  */
 import {type Server} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type Socket, type AddressInfo} from 'node:net';
 import {serve, type HttpBindings} from '@hono/node-server';
 import {SystemClock, VerdictError} from '@tamarackwind/core';
 import {
@@ -58,6 +58,8 @@
 	readonly #rebootTimers = new Set<NodeJS.Timeout>();
 	readonly #listings: Listings;
 	readonly #servers: Server[] = [];
+	readonly #sockets = new Set<Socket>();
+	#closedBytes = 0;
 	readonly #mapsByPort = new Map<number, MapVms>();
 	#port = 0;
 
@@ -66,6 +68,16 @@
 		this.#rebootMs = rebootMs ?? defaultRebootMs;
 	}
 
+	/** Bytes received and sent so far. */
+	get bytes(): number {
+		let sum = this.#closedBytes;
+		for (const socket of this.#sockets) {
+			sum += socket.bytesRead + socket.bytesWritten;
+		}
+
+		return sum;
+	}
+
 	get url(): string {
 		return `http://127.0.0.1:${this.#port}`;
 	}
@@ -138,9 +150,21 @@
 	async #listen(port: number): Promise<number> {
 		const app = this.#createApp();
 		return new Promise<number>(resolve => {
-			this.#servers.push(serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
-				resolve((info).port);
-			}) as Server);
+			const server = serve({fetch: app.fetch, hostname: '127.0.0.1', port}, info => {
+				resolve(info.port);
+			}) as Server;
+			server.on('connection', socket => {
+				this.#trackSocket(socket);
+			});
+			this.#servers.push(server);
+		});
+	}
+
+	#trackSocket(socket: Socket): void {
+		this.#sockets.add(socket);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+			this.#closedBytes += socket.bytesRead + socket.bytesWritten;
 		});
 	}
 
