--- a/packages/testing/src/bench-capacity.ts
+++ b/packages/testing/src/bench-capacity.ts
@@ -6,7 +6,7 @@
 import {type SettingsTree} from '@tamarackwind/settings';
 import {Cluster, createWorkerRecord} from './clusters.js';
 import {readMetric} from './metric-readers.js';
-import {waitUntil} from './processes.js';
+import {waitUntil, type EntryProcess} from './processes.js';
 
 type Size = {readonly workers: number; readonly pools: number; readonly callers: number; readonly entries: number};
 
@@ -34,14 +34,16 @@
 	},
 ];
 const settleMs = 4000;
+const firstDeadlineMs = 30_000;
+const laterDeadlineMs = 29_000;
 const readyTimeoutMs = 120_000;
 const mebibyte = 1024 * 1024;
 
-function createTree({pools, callers}: Size): SettingsTree {
+function createTree({pools, callers}: Size, deadlineMs: number): SettingsTree {
 	const names = Array.from({length: pools}, (_, index) => `pool-${index + 1}`);
 	const ids = Array.from({length: callers}, (_, index) => `caller-${index + 1}`);
 	return {
-		service: {deadlineMs: 30_000},
+		service: {deadlineMs},
 		deployments: {
 			fixture: {
 				pools: Object.fromEntries(names.map(name => [name, {budget: {maxUnavailable: 2}, services: {[name]: {maxAttempts: 2}}}])),
@@ -52,6 +54,14 @@
 	};
 }
 
+/** Applies the tree as an operator does, since a deployment's first tree stands in the row that entries poll. */
+async function applyTree(entry: EntryProcess, tree: SettingsTree): Promise<void> {
+	const {status, body} = await entry.callOperator('PUT', '/v1/settings', {changeId: 'capacity', baseVersion: 1, tree});
+	if (status >= 300) {
+		throw new Error(`settings were not accepted: ${JSON.stringify(body)}`);
+	}
+}
+
 type Usage = {readonly cpu: number; readonly peerBytes: number; readonly platformBytes: number; readonly reads: number; readonly writes: number};
 
 async function readUsage({entries, platform}: Cluster): Promise<Usage> {
@@ -73,11 +83,12 @@
 }
 
 async function measureSize(size: Size, durationMs: number): Promise<Record<string, number>> {
-	const cluster = await Cluster.create({tree: createTree(size), workers: {}, entries: size.entries});
+	const cluster = await Cluster.create({tree: createTree(size, firstDeadlineMs), workers: {}, entries: size.entries});
 	try {
 		const perPool = Math.ceil(size.workers / size.pools);
 		cluster.platform.putVms(Array.from({length: size.workers}, (_, index) => createWorkerRecord(`pool-${Math.floor(index / perPool) + 1}`, index % perPool, 1)));
 		await waitUntil(async () => (await cluster.platform.tables.listRows('vms')).length >= size.workers, readyTimeoutMs);
+		await applyTree(cluster.entries[0]!, createTree(size, laterDeadlineMs));
 		await delay(settleMs);
 		const before = await readUsage(cluster);
 		await delay(durationMs);
