State the options of the control parts once

Cause: the context of an entry listed again the nine fields that the options of its control parts list. Change: EntryContext is made of Control and ControlOptions. Conclusion: a type only, no behaviour.

--- a/packages/entry/src/contexts.ts
+++ b/packages/entry/src/contexts.ts
@@ -13,7 +13,7 @@
 } from '@tamarackwind/platform';
 import {Registry} from 'prom-client';
 import {type EntryConfig} from './configs.js';
-import {createControl, type Control} from './controls.js';
+import {createControl, type Control, type ControlOptions} from './controls.js';
 import {SettingsView} from './settings-views.js';
 
 /** Clients of the platform's services. */
@@ -26,16 +26,7 @@
 };
 
 /** The parts that an entry is made of. */
-export type EntryContext = Omit<Control, 'close'> & {
-	readonly config: EntryConfig;
-	readonly clock: Clock;
-	readonly random: RandomSource;
-	readonly log: Log;
-	readonly registry: Registry;
-	readonly platform: PlatformClients;
-	readonly versions: ViewVersions;
-	readonly settings: SettingsView;
-	readonly fleet: FleetView;
+export type EntryContext = Omit<Control, 'close'> & ControlOptions & {
 	/** Closes the parts in order. */
 	readonly close: () => Promise<void>;
 };
