--- a/packages/admission/src/borrowers.ts
+++ b/packages/admission/src/borrowers.ts
@@ -5,7 +5,7 @@
 import {
 	type LentSlot, type PoolDemand, type ReturnedSlot, type SlotLoan,
 } from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {type ResolvedPool} from '@tamarackwind/settings';
 import {RequestQueue, type RequestFlow, type Waiter} from './request-queues.js';
 import {UsageHistory} from './usages.js';
--- a/packages/admission/src/brokers.ts
+++ b/packages/admission/src/brokers.ts
@@ -7,7 +7,7 @@
 import {
 	type FlowDemand, type HeldSlot, type LentSlot, type PoolDemand, type SlotLoan,
 } from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {type ResolvedPool, type WorkClass} from '@tamarackwind/settings';
 import {ShareLedger, type Claimant} from './shares.js';
 
--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -5,7 +5,7 @@
 	Loop, VerdictError, type CallerId, type Clock, type EntryId, type Log, type PoolName, type RandomSource, type VmId,
 } from '@tamarackwind/core';
 import {type PeerBus, type PoolDemand, type SlotLoan} from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {HealthTracker, LeavingVms, chooseHome} from '@tamarackwind/routing';
 import {type ResolvedPool} from '@tamarackwind/settings';
 import {type Registry} from 'prom-client';
--- a/packages/admission/src/naive-schedulers.ts
+++ b/packages/admission/src/naive-schedulers.ts
@@ -2,7 +2,7 @@
  * The plain scheduler that others are compared with: a random worker, no queue, no shares.
  */
 import {VerdictError, type PoolName, type RandomSource} from '@tamarackwind/core';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {Scheduler, SlotGrant, type SlotRequest} from './schedulers.js';
 
 export type NaiveSchedulerOptions = {
--- a/packages/admission/src/schedulers.ts
+++ b/packages/admission/src/schedulers.ts
@@ -2,7 +2,7 @@
  * The interface between the data path and the decisions: a request asks for a slot and gives it back.
  */
 import {type CallerId, type VmId} from '@tamarackwind/core';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {
 	type ResolvedCaller, type ResolvedPool, type ResolvedService, type WorkClass,
 } from '@tamarackwind/settings';
--- a/packages/admission/tests/schedulers.test.ts
+++ b/packages/admission/tests/schedulers.test.ts
@@ -2,7 +2,7 @@
 	Log, ManualClock, SeededRandom, type CallerId, type EntryId, type PoolName, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {MemoryPeerHub} from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {defaultPoolValues, defaultServiceValues, type ResolvedPool} from '@tamarackwind/settings';
 import test, {type ExecutionContext} from 'ava';
 import {Registry} from 'prom-client';
--- a/packages/entry/src/audits.ts
+++ b/packages/entry/src/audits.ts
@@ -7,7 +7,7 @@
 } from '@tamarackwind/core';
 import {
 	absentVersion, type CommitOutcome, type ObjectStore, type Row, type RowKey, type TableService, type Transaction,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 
 /** Outcome of an operator's try. */
 export type AuditOutcome = 'accepted' | 'refused' | 'conflict';
--- a/packages/entry/src/batches.ts
+++ b/packages/entry/src/batches.ts
@@ -4,7 +4,7 @@
 import {type Clock} from '@tamarackwind/core';
 import {
 	type Check, type RowKey, type TableService, type Write,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 
 /** A write of one row that takes effect only while the row is at `version`. */
 export type RowWrite = RowKey & {readonly version: number; readonly value: unknown};
--- a/packages/entry/src/claim-cleaners.ts
+++ b/packages/entry/src/claim-cleaners.ts
@@ -4,7 +4,7 @@
 import {
 	Loop, type Clock, type RandomSource,
 } from '@tamarackwind/core';
-import {type ObjectStore, type Row, type TableService} from '@tamarackwind/platform';
+import {type ObjectStore, type Row, type TableService} from '@tamarackwind/clients';
 import {Counter, type Registry} from 'prom-client';
 import {claimTable, type ClaimRow} from './claim-rows.js';
 
--- a/packages/entry/src/claim-rows.ts
+++ b/packages/entry/src/claim-rows.ts
@@ -3,7 +3,7 @@
  */
 import {hash} from 'node:crypto';
 import {type EntryId} from '@tamarackwind/core';
-import {absentVersion, type Row, type RowKey} from '@tamarackwind/platform';
+import {absentVersion, type Row, type RowKey} from '@tamarackwind/clients';
 import {type HeaderFields} from './headers.js';
 
 /** Table of the claims. */
--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -6,7 +6,7 @@
 } from '@tamarackwind/core';
 import {
 	absentVersion, type ObjectStore, type Row, type RowKey, type TableService,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {type StoredAnswer} from './answers.js';
 import {RowBatcher} from './batches.js';
 import {
--- a/packages/entry/src/contexts.ts
+++ b/packages/entry/src/contexts.ts
@@ -10,7 +10,7 @@
 import {
 	HttpObjectStore, HttpTableService, HttpTaskControl, HttpVmControl, HttpVmList, PlatformConnection,
 	type ObjectStore, type TableService, type TaskControl, type VmControl, type VmList,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {Registry} from 'prom-client';
 import {type EntryConfig} from './configs.js';
 import {createControl, type Control, type ControlOptions} from './controls.js';
--- a/packages/entry/src/fleets.ts
+++ b/packages/entry/src/fleets.ts
@@ -7,7 +7,7 @@
 	Declarations, DemandReporter, DrainReporter, FleetPlanner, NeedPlanner, ReportedDemand, ReportedDrains, TcpProbe, type AuditRows, type FleetAction, type PlannerSettings,
 } from '@tamarackwind/fleet';
 import {type VersionBarrier} from '@tamarackwind/peer';
-import {DutyLease} from '@tamarackwind/platform';
+import {DutyLease} from '@tamarackwind/clients';
 import {Counter, Gauge} from 'prom-client';
 import {type EntryContext} from './contexts.js';
 import {TrackingScheduler} from './trackers.js';
--- a/packages/entry/src/jobs.ts
+++ b/packages/entry/src/jobs.ts
@@ -5,7 +5,7 @@
 import {
 	createNode, JobDuty, explainMisfit, JobController, JobDesk, type JobSpec,
 } from '@tamarackwind/jobs';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {Gauge} from 'prom-client';
 import {type EntryContext} from './contexts.js';
 import {registerCounter} from './metrics.js';
--- a/packages/entry/src/memberships.ts
+++ b/packages/entry/src/memberships.ts
@@ -9,7 +9,7 @@
 	addMember, getLatestSet, hasMember, noMembers, removeMembers, trimSets,
 	type Members, type PeerBus, type VersionBarrier, type ViewVersions,
 } from '@tamarackwind/peer';
-import {absentVersion, type Row, type TableService} from '@tamarackwind/platform';
+import {absentVersion, type Row, type TableService} from '@tamarackwind/clients';
 
 /** Row that holds the registered entries. */
 export const membersKey = {table: 'entries', key: 'members'} as const;
--- a/packages/entry/src/settings-stores.ts
+++ b/packages/entry/src/settings-stores.ts
@@ -5,7 +5,7 @@
 import {VerdictError, type ChangeId, type OperatorId} from '@tamarackwind/core';
 import {
 	absentVersion, type ObjectStore, type Row, type RowKey, type TableService, type Transaction,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {type SettingsTree} from '@tamarackwind/settings';
 import {currentSettingsKey, type CurrentSettings} from './settings-views.js';
 
--- a/packages/entry/src/upstreams.ts
+++ b/packages/entry/src/upstreams.ts
@@ -3,7 +3,7 @@
  * and a request can be given up while its connection opens.
  */
 import {VerdictError, type Clock} from '@tamarackwind/core';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {Client} from 'undici';
 
 const connectTimeoutMs = 1000;
--- a/packages/entry/src/view-polls.ts
+++ b/packages/entry/src/view-polls.ts
@@ -8,7 +8,7 @@
 import {
 	hasMember, type FetchSettingsReply, type GrpcPeerBus, type Members, type QuorumLease, type VersionBarrier, type VersionSet, type ViewVersions,
 } from '@tamarackwind/peer';
-import {type Row, type RowKey, type TableService} from '@tamarackwind/platform';
+import {type Row, type RowKey, type TableService} from '@tamarackwind/clients';
 import {membersKey, parseMembersRow, type Membership} from './memberships.js';
 import {type SettingsStore} from './settings-stores.js';
 import {currentSettingsKey, type CurrentSettings, type SettingsView} from './settings-views.js';
--- a/packages/entry/tests/attempts.test.ts
+++ b/packages/entry/tests/attempts.test.ts
@@ -10,7 +10,7 @@
 	SeededRandom, SystemClock, VerdictError, type CallerId, type ServiceName,
 } from '@tamarackwind/core';
 import {ViewLease} from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {resolveSettings} from '@tamarackwind/settings';
 import {Registry} from 'prom-client';
 import {request} from 'undici';
--- a/packages/entry/tests/claims.test.ts
+++ b/packages/entry/tests/claims.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {SeededRandom, SystemClock, type EntryId} from '@tamarackwind/core';
-import {MemoryObjectStore, MemoryTableService, type Faults} from '@tamarackwind/platform';
+import {MemoryObjectStore, MemoryTableService, type Faults} from '@tamarackwind/clients';
 import fc from 'fast-check';
 import {Registry} from 'prom-client';
 import {
--- a/packages/entry/tests/open-claims.test.ts
+++ b/packages/entry/tests/open-claims.test.ts
@@ -1,7 +1,7 @@
 import {
 	ManualClock, SeededRandom, type EntryId,
 } from '@tamarackwind/core';
-import {MemoryObjectStore, MemoryTableService} from '@tamarackwind/platform';
+import {MemoryObjectStore, MemoryTableService} from '@tamarackwind/clients';
 import test from 'ava';
 import {ClaimStore, hashParts, type ClaimRequest} from '../src/index.js';
 
--- a/packages/entry/tests/retentions.test.ts
+++ b/packages/entry/tests/retentions.test.ts
@@ -2,7 +2,7 @@
 	ManualClock, SeededRandom, type OperatorId,
 } from '@tamarackwind/core';
 import {ViewVersions} from '@tamarackwind/peer';
-import {MemoryObjectStore, MemoryTableService} from '@tamarackwind/platform';
+import {MemoryObjectStore, MemoryTableService} from '@tamarackwind/clients';
 import test from 'ava';
 import {AuditLog, Retention, SettingsStore} from '../src/index.js';
 
--- a/packages/fleet/src/declarations.ts
+++ b/packages/fleet/src/declarations.ts
@@ -6,7 +6,7 @@
 } from '@tamarackwind/core';
 import {
 	type Check, type Row, type TableService, type Write,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {type ResolvedPool} from '@tamarackwind/settings';
 import {type FleetState} from './mirrors.js';
 import {
--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -4,7 +4,7 @@
 import {
 	Loop, type Clock, type EntryId, type PoolName,
 } from '@tamarackwind/core';
-import {type Row, type TableService} from '@tamarackwind/platform';
+import {type Row, type TableService} from '@tamarackwind/clients';
 import {type Demand} from './needs.js';
 import {fleetTables} from './rows.js';
 
--- a/packages/fleet/src/drains.ts
+++ b/packages/fleet/src/drains.ts
@@ -4,7 +4,7 @@
 import {
 	Loop, type Clock, type EntryId, type VmId,
 } from '@tamarackwind/core';
-import {type Row, type TableService} from '@tamarackwind/platform';
+import {type Row, type TableService} from '@tamarackwind/clients';
 import {type FleetState} from './mirrors.js';
 import {fleetTables, type VmRow} from './rows.js';
 
--- a/packages/fleet/src/joins.ts
+++ b/packages/fleet/src/joins.ts
@@ -4,7 +4,7 @@
 import {
 	type Clock, type PoolName, type RackName, type RandomSource, type VmId, type ZoneName,
 } from '@tamarackwind/core';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {type FleetState} from './mirrors.js';
 import {type VmRow} from './rows.js';
 import {type FleetStore} from './stores.js';
--- a/packages/fleet/src/mirrors.ts
+++ b/packages/fleet/src/mirrors.ts
@@ -2,7 +2,7 @@
  * A copy of the VM rows that follows the table service by deltas.
  */
 import {type VmId} from '@tamarackwind/core';
-import {absentVersion, type Row, type TableService} from '@tamarackwind/platform';
+import {absentVersion, type Row, type TableService} from '@tamarackwind/clients';
 import {
 	currentFleetKey, fleetTables, formatChangeKey, type CurrentFleet, type FleetChangeRow, type VmRow,
 } from './rows.js';
--- a/packages/fleet/src/planners.ts
+++ b/packages/fleet/src/planners.ts
@@ -7,7 +7,7 @@
 import {type VersionBarrier} from '@tamarackwind/peer';
 import {
 	type DutyLease, type TableService, type VmControl, type VmRecord,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {type ResolvedPool} from '@tamarackwind/settings';
 import {type DemandSource} from './demands.js';
 import {type DrainSource} from './drains.js';
--- a/packages/fleet/src/probes.ts
+++ b/packages/fleet/src/probes.ts
@@ -2,7 +2,7 @@
  * Probes: whether a VM answers, apart from what the list says of it.
  */
 import {connect} from 'node:net';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 
 /** Tells whether a VM answers. */
 export abstract class VmProbe {
--- a/packages/fleet/src/rows.ts
+++ b/packages/fleet/src/rows.ts
@@ -4,7 +4,7 @@
 import {
 	type MoveId, type OperatorId, type PoolName, type RackName, type VmId, type WaveId, type ZoneName,
 } from '@tamarackwind/core';
-import {type RowKey} from '@tamarackwind/platform';
+import {type RowKey} from '@tamarackwind/clients';
 
 /** Tables of the fleet. */
 export const fleetTables = {
--- a/packages/fleet/src/snapshots.ts
+++ b/packages/fleet/src/snapshots.ts
@@ -2,7 +2,7 @@
  * The fleet at one moment, as a plan changes it.
  */
 import {type PoolName, type VmId} from '@tamarackwind/core';
-import {type VmRecord, type Write} from '@tamarackwind/platform';
+import {type VmRecord, type Write} from '@tamarackwind/clients';
 import {type Budget} from '@tamarackwind/settings';
 import {isWithinBudget} from './budgets.js';
 import {type VmRow} from './rows.js';
--- a/packages/fleet/src/stores.ts
+++ b/packages/fleet/src/stores.ts
@@ -4,7 +4,7 @@
 import {VerdictError, type RandomSource, type VmId} from '@tamarackwind/core';
 import {
 	type Check, type CommitOutcome, type TableService, type Transaction, type Write,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {type FleetMirror, type FleetState} from './mirrors.js';
 import {
 	currentFleetKey, fleetTables, formatChangeKey, type FleetChangeRow, type VmRow,
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -7,7 +7,7 @@
 import {type ViewVersions} from '@tamarackwind/peer';
 import {
 	type TableService, type VmList, type VmListing, type VmRecord,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {VmJoiner} from './joins.js';
 import {FleetMirror, type FleetState} from './mirrors.js';
 import {type VmRow} from './rows.js';
--- a/packages/fleet/src/works.ts
+++ b/packages/fleet/src/works.ts
@@ -2,7 +2,7 @@
  * The waves and moves that a planner works on, read again whenever the fleet version has changed.
  */
 import {type VmId} from '@tamarackwind/core';
-import {type Row, type RowKey, type TableService} from '@tamarackwind/platform';
+import {type Row, type RowKey, type TableService} from '@tamarackwind/clients';
 import {type FleetState} from './mirrors.js';
 import {
 	fleetTables, isMoveActive, isWaveActive, type HoldRow, type MoveRow, type WaveRow, type WaveTargetsRow,
--- a/packages/fleet/tests/plans.test.ts
+++ b/packages/fleet/tests/plans.test.ts
@@ -1,7 +1,7 @@
 import {
 	type MoveId, type OperatorId, type PoolName, type RackName, type VmId, type WaveId, type ZoneName,
 } from '@tamarackwind/core';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {resolveSettings, type Budget, type ResolvedPool} from '@tamarackwind/settings';
 import test from 'ava';
 import fc from 'fast-check';
--- a/packages/jobs/src/actions.ts
+++ b/packages/jobs/src/actions.ts
@@ -2,7 +2,7 @@
  * Calls to workers about runs. Each runs on its own, so that a worker that doesn't answer delays no other, and leaves its outcome in the run.
  */
 import {VerdictError, type Clock} from '@tamarackwind/core';
-import {type TaskControl, type TaskResources} from '@tamarackwind/platform';
+import {type TaskControl, type TaskResources} from '@tamarackwind/clients';
 import {type JobDuty} from './duties.js';
 import {type Run} from './runs.js';
 import {type JobRow} from './schemas.js';
--- a/packages/jobs/src/controllers.ts
+++ b/packages/jobs/src/controllers.ts
@@ -4,7 +4,7 @@
 import {type Clock, type Log, type RandomSource} from '@tamarackwind/core';
 import {
 	type ObjectStore, type TableService, type TaskControl, type TaskResources, type VmRecord,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {WorkerActions} from './actions.js';
 import {type JobDuty} from './duties.js';
 import {WorkerEvidence} from './evidences.js';
--- a/packages/jobs/src/duties.ts
+++ b/packages/jobs/src/duties.ts
@@ -2,7 +2,7 @@
  * The duty to schedule jobs, which one entry at a time holds, and the right to keep runs alive while the tables can't be reached.
  */
 import {VerdictError, type Clock, type RandomSource} from '@tamarackwind/core';
-import {DutyLease, type Check, type TableService} from '@tamarackwind/platform';
+import {DutyLease, type Check, type TableService} from '@tamarackwind/clients';
 
 /** Name of the duty. */
 export const jobDutyName = 'jobs';
--- a/packages/jobs/src/inboxes.ts
+++ b/packages/jobs/src/inboxes.ts
@@ -3,7 +3,7 @@
  */
 import {
 	absentVersion, type ObjectStore, type Row, type TableService, type Write,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {type JobLedger} from './ledgers.js';
 import {cancelsKey, jobTables, type InboxItem} from './rows.js';
 import {type JobRow} from './schemas.js';
--- a/packages/jobs/src/ledgers.ts
+++ b/packages/jobs/src/ledgers.ts
@@ -4,7 +4,7 @@
 import {VerdictError, type Clock, type RandomSource} from '@tamarackwind/core';
 import {
 	absentVersion, type Check, type RowKey, type TableService, type Transaction, type Write,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {type JobDuty} from './duties.js';
 import {buildJobKey, jobTables} from './rows.js';
 import {isFinal, type JobRow} from './schemas.js';
--- a/packages/jobs/src/nodes.ts
+++ b/packages/jobs/src/nodes.ts
@@ -1,7 +1,7 @@
 /**
  * Workers as placement sees them: whole and free capacity, and where they stand.
  */
-import {type TaskResources, type VmRecord} from '@tamarackwind/platform';
+import {type TaskResources, type VmRecord} from '@tamarackwind/clients';
 import {type JobSpec} from './schemas.js';
 
 /** A worker with what its jobs have taken. */
--- a/packages/jobs/src/overruns.ts
+++ b/packages/jobs/src/overruns.ts
@@ -1,7 +1,7 @@
 /**
  * Overruns: runs that use more than they were given, on workers that are about to have no room left.
  */
-import {type TaskResources} from '@tamarackwind/platform';
+import {type TaskResources} from '@tamarackwind/clients';
 import {match} from 'ts-pattern';
 import {sumResources} from './nodes.js';
 import {type Run} from './runs.js';
--- a/packages/jobs/src/plans.ts
+++ b/packages/jobs/src/plans.ts
@@ -1,7 +1,7 @@
 /**
  * One round of scheduling: which queued jobs start where, which runs make room, and why the others wait.
  */
-import {type TaskResources} from '@tamarackwind/platform';
+import {type TaskResources} from '@tamarackwind/clients';
 import {workClasses} from '@tamarackwind/settings';
 import {
 	addResources, diffResources, explainMisfit, isAllowed, isWithin, type NodeRequest, type PlacementNode,
--- a/packages/jobs/src/quotas.ts
+++ b/packages/jobs/src/quotas.ts
@@ -1,7 +1,7 @@
 /**
  * Quotas of teams: what each holds, what it may hold by right, and what it has borrowed.
  */
-import {type TaskResources} from '@tamarackwind/platform';
+import {type TaskResources} from '@tamarackwind/clients';
 import {workClasses, type WorkClass} from '@tamarackwind/settings';
 import {
 	addResources, computeDominantShare, diffResources, isWithin, sumResources,
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -11,7 +11,7 @@
  */
 import {createHash} from 'node:crypto';
 import {type JobId} from '@tamarackwind/core';
-import {type RowKey, type Write} from '@tamarackwind/platform';
+import {type RowKey, type Write} from '@tamarackwind/clients';
 import {type CancelSelector, type JobRow} from './schemas.js';
 
 export const jobTables = {
--- a/packages/jobs/src/runs.ts
+++ b/packages/jobs/src/runs.ts
@@ -4,7 +4,7 @@
 import {type Clock} from '@tamarackwind/core';
 import {
 	type TaskControl, type TaskResources, type TaskRun, type TaskStatus,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {type JobDuty} from './duties.js';
 import {type JobRow} from './schemas.js';
 import {groupByKey} from './groups.js';
--- a/packages/jobs/src/schemas.ts
+++ b/packages/jobs/src/schemas.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas of jobs: what callers submit, and the row that the platform keeps.
  */
-import {taskResourcesSchema} from '@tamarackwind/platform';
+import {taskResourcesSchema} from '@tamarackwind/clients';
 import {workClassSchema} from '@tamarackwind/settings';
 import {z} from 'zod';
 import {jobKinds} from './kinds.js';
--- a/packages/jobs/src/settlements.ts
+++ b/packages/jobs/src/settlements.ts
@@ -1,7 +1,7 @@
 /**
  * What becomes of a job by what was seen of its run.
  */
-import {type TaskStatus} from '@tamarackwind/platform';
+import {type TaskStatus} from '@tamarackwind/clients';
 import {match} from 'ts-pattern';
 import {isRestartable} from './kinds.js';
 import {type Run} from './runs.js';
--- a/packages/jobs/src/snapshots.ts
+++ b/packages/jobs/src/snapshots.ts
@@ -1,7 +1,7 @@
 /**
  * The fleet at one turn: nodes with what their runs take, and the teams' books.
  */
-import {type TaskResources, type VmRecord} from '@tamarackwind/platform';
+import {type TaskResources, type VmRecord} from '@tamarackwind/clients';
 import {
 	createNode, diffResources, sumResources, type PlacementNode,
 } from './nodes.js';
--- a/packages/jobs/src/submissions.ts
+++ b/packages/jobs/src/submissions.ts
@@ -7,7 +7,7 @@
 } from '@tamarackwind/core';
 import {
 	absentVersion, type ObjectStore, type Row, type TableService, type Transaction,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {
 	buildCallerPrefix, buildInsert, buildJobId, buildJobKey, cancelsKey, jobTables, type InboxItem,
 } from './rows.js';
--- a/packages/jobs/src/turns.ts
+++ b/packages/jobs/src/turns.ts
@@ -1,7 +1,7 @@
 /**
  * Turns rows into the input of a planning round, and finds the jobs that no worker could hold.
  */
-import {type TaskResources} from '@tamarackwind/platform';
+import {type TaskResources} from '@tamarackwind/clients';
 import {kindPolicies} from './kinds.js';
 import {type JobChange} from './ledgers.js';
 import {explainMisfit, isWithin, type NodeRequest} from './nodes.js';
--- a/packages/jobs/src/usages.ts
+++ b/packages/jobs/src/usages.ts
@@ -1,7 +1,7 @@
 /**
  * Sizes and run times learned from the usage of earlier runs, for each kind and caller.
  */
-import {type TaskResources} from '@tamarackwind/platform';
+import {type TaskResources} from '@tamarackwind/clients';
 import {type JobSpec} from './schemas.js';
 
 /** What one finished run used at most, and how long it ran. */
--- a/packages/routing/src/healths.ts
+++ b/packages/routing/src/healths.ts
@@ -3,7 +3,7 @@
  */
 import {type Clock, type PoolName} from '@tamarackwind/core';
 import {type PeerBus, type VmOutcomes} from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {OutcomeWindow, type Counts} from './outcomes.js';
 
 export type HealthTrackerOptions = {
--- a/packages/routing/src/leavings.ts
+++ b/packages/routing/src/leavings.ts
@@ -3,7 +3,7 @@
  */
 import {type Clock, type PoolName, type VmId} from '@tamarackwind/core';
 import {type PeerBus} from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 
 export type LeavingVmsOptions = {
 	readonly clock: Clock;
--- a/packages/routing/tests/healths.test.ts
+++ b/packages/routing/tests/healths.test.ts
@@ -1,6 +1,6 @@
 import {ManualClock, type EntryId, type PoolName} from '@tamarackwind/core';
 import {MemoryPeerHub} from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import test from 'ava';
 import {HealthTracker} from '../src/index.js';
 
--- a/packages/routing/tests/leavings.test.ts
+++ b/packages/routing/tests/leavings.test.ts
@@ -2,7 +2,7 @@
 	ManualClock, type EntryId, type PoolName, type VmId,
 } from '@tamarackwind/core';
 import {MemoryPeerHub} from '@tamarackwind/peer';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import test from 'ava';
 import {LeavingVms} from '../src/index.js';
 
--- a/packages/testing/src/bench-claims.ts
+++ b/packages/testing/src/bench-claims.ts
@@ -9,7 +9,7 @@
 	SystemClock, SystemRandom, type EntryId,
 } from '@tamarackwind/core';
 import {ClaimStore, RowBatcher, hashParts} from '@tamarackwind/entry';
-import {HttpObjectStore, HttpTableService, PlatformConnection} from '@tamarackwind/platform';
+import {HttpObjectStore, HttpTableService, PlatformConnection} from '@tamarackwind/clients';
 import {PlatformStandIn} from './platforms.js';
 
 const entryCount = 9;
--- a/packages/testing/src/clusters.ts
+++ b/packages/testing/src/clusters.ts
@@ -1,7 +1,7 @@
 /**
  * A small deployment for tests: the platform's stand-in, workers and entries in processes of their own.
  */
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {type SettingsTree} from '@tamarackwind/settings';
 import {PlatformStandIn, type PlatformStandInOptions} from './platforms.js';
 import {EntryProcess, createLoopbackConfig, waitUntil} from './processes.js';
--- a/packages/testing/src/demos.ts
+++ b/packages/testing/src/demos.ts
@@ -8,7 +8,7 @@
 import {fileURLToPath} from 'node:url';
 import {SeededRandom, type RandomSource} from '@tamarackwind/core';
 import {hashToken} from '@tamarackwind/entry';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {
 	mergeValues, parseJsonc, settingsTreeSchema, type SettingsTree,
 } from '@tamarackwind/settings';
--- a/packages/testing/src/fleet-fakes.ts
+++ b/packages/testing/src/fleet-fakes.ts
@@ -7,7 +7,7 @@
 import {VmProbe, currentFleetKey} from '@tamarackwind/fleet';
 import {
 	TableService, VmControl, VmList, type CommitOutcome, type MemoryTableService, type Row, type RowKey, type ScanOptions, type Transaction, type VmListing, type VmRecord,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 
 /** Holds a simulated process up, as SIGSTOP does. */
 export class Gate {
--- a/packages/testing/src/fleet-scenarios.ts
+++ b/packages/testing/src/fleet-scenarios.ts
@@ -8,7 +8,7 @@
 	computeMaxUnavailable, fleetTables, isMoveActive, isWaveActive, type MoveRow, type VmRow, type WaveRow,
 } from '@tamarackwind/fleet';
 import {resolveSettings, type ResolvedPool, type SettingsTree} from '@tamarackwind/settings';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {createWorkerRecord} from './clusters.js';
 import {FleetSimulation, type FleetSimulationOptions} from './fleet-simulations.js';
 
--- a/packages/testing/src/fleet-simulations.ts
+++ b/packages/testing/src/fleet-simulations.ts
@@ -8,7 +8,7 @@
 	Declarations, DemandSource, DrainReporter, FleetPlanner, FleetView, NeedPlanner, ReportedDrains, fleetTables, type Demand, type VmRow,
 } from '@tamarackwind/fleet';
 import {VersionBarrier, ViewVersions, type ViewPart} from '@tamarackwind/peer';
-import {DutyLease, MemoryTableService, type VmRecord} from '@tamarackwind/platform';
+import {DutyLease, MemoryTableService, type VmRecord} from '@tamarackwind/clients';
 import {type ResolvedPool} from '@tamarackwind/settings';
 import {FleetChecker} from './fleet-checkers.js';
 import {
--- a/packages/testing/src/fleet-swings.ts
+++ b/packages/testing/src/fleet-swings.ts
@@ -7,7 +7,7 @@
 import {
 	FleetSnapshot, NeedPlanner, SlidingMean, fleetTables, isMoveActive, planMoves, type Demand, type MoveRow, type PlanContext, type VmRow,
 } from '@tamarackwind/fleet';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {resolveSettings, type ResolvedPool, type SettingsTree} from '@tamarackwind/settings';
 import {createWorkerRecord} from './clusters.js';
 
--- a/packages/testing/src/job-worlds.ts
+++ b/packages/testing/src/job-worlds.ts
@@ -9,7 +9,7 @@
 } from '@tamarackwind/jobs';
 import {
 	MemoryObjectStore, MemoryTableService, TableService, TaskControl, type CommitOutcome, type Row, type RowKey, type ScanOptions, type TaskRun, type TaskStart, type TaskStatus, type Transaction, type VmRecord,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {createWorkerRecord} from './clusters.js';
 import {MemoryTaskControl, WorkerTasks, type TaskScript} from './tasks.js';
 
--- a/packages/testing/src/listings.ts
+++ b/packages/testing/src/listings.ts
@@ -1,7 +1,7 @@
 /**
  * The stand-in's list of VMs: past listings, read with a lag, whole or as a change of an earlier one.
  */
-import {type VmListingChange, type VmRecord} from '@tamarackwind/platform';
+import {type VmListingChange, type VmRecord} from '@tamarackwind/clients';
 
 /** Changes the list of VMs for those who ask on one port. */
 export type MapVms = (vms: readonly VmRecord[]) => readonly VmRecord[];
--- a/packages/testing/src/platforms.ts
+++ b/packages/testing/src/platforms.ts
@@ -7,7 +7,7 @@
 import {SystemClock, VerdictError} from '@tamarackwind/core';
 import {
 	FaultSwitch, MemoryObjectStore, MemoryTableService, type Faults, type RowKey, type ScanOptions, type Transaction, type VmRecord,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {Hono, type Context} from 'hono';
 import {Listings, type MapVms} from './listings.js';
 import {WorkerTasks, createTaskApp} from './tasks.js';
--- a/packages/testing/src/relays.ts
+++ b/packages/testing/src/relays.ts
@@ -4,7 +4,7 @@
 import {
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {type PlatformStandIn} from './platforms.js';
 
 /** Passes bytes between its port and a target on loopback. */
--- a/packages/testing/src/slot-simulations.ts
+++ b/packages/testing/src/slot-simulations.ts
@@ -4,7 +4,7 @@
 import {
 	SeededRandom, type CallerId, type PoolName, type RandomSource, type ServiceName,
 } from '@tamarackwind/core';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {
 	defaultPoolValues, defaultServiceValues, type ResolvedCaller, type ResolvedPool, type ResolvedService, type WorkClass,
 } from '@tamarackwind/settings';
--- a/packages/testing/src/tasks.ts
+++ b/packages/testing/src/tasks.ts
@@ -4,7 +4,7 @@
 import {VerdictError, type Clock} from '@tamarackwind/core';
 import {
 	TaskControl, type ObjectStore, type TaskResources, type TaskRun, type TaskStart, type TaskStatus,
-} from '@tamarackwind/platform';
+} from '@tamarackwind/clients';
 import {Hono} from 'hono';
 import {buildSeason, type SeasonRequest} from './leagues.js';
 
--- a/packages/testing/src/worker-hosts.ts
+++ b/packages/testing/src/worker-hosts.ts
@@ -4,7 +4,7 @@
 import {type Server} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {serve} from '@hono/node-server';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import {Hono} from 'hono';
 import {
 	buildPublication, buildRedraw, buildSeason, type PublicationRequest, type RedrawRequest, type SeasonRequest,
--- a/packages/testing/tests/callers.test.ts
+++ b/packages/testing/tests/callers.test.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import {connect, createServer, type AddressInfo} from 'node:net';
-import {type VmRecord} from '@tamarackwind/platform';
+import {type VmRecord} from '@tamarackwind/clients';
 import test from 'ava';
 import {
 	Cluster, callHttp, createWorkerRecord, readText, waitUntil, type HttpAnswer, type HttpCall,
--- a/packages/testing/tests/examples.test.ts
+++ b/packages/testing/tests/examples.test.ts
@@ -1,7 +1,7 @@
 import {readdir, readFile} from 'node:fs/promises';
 import {fileURLToPath} from 'node:url';
 import {loadEntryConfig} from '@tamarackwind/entry';
-import {vmRecordSchema} from '@tamarackwind/platform';
+import {vmRecordSchema} from '@tamarackwind/clients';
 import {parseJsonc, resolveSettings, settingsTreeSchema} from '@tamarackwind/settings';
 import test from 'ava';
 import {z} from 'zod';
--- a/packages/testing/tests/job-freezes.test.ts
+++ b/packages/testing/tests/job-freezes.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {type JobRow} from '@tamarackwind/jobs';
-import {type Transaction} from '@tamarackwind/platform';
+import {type Transaction} from '@tamarackwind/clients';
 import {JobWorld, checkTaskHistory, type WorldEntry} from '../src/index.js';
 
 const minuteMs = 60_000;
