--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -11,6 +11,8 @@
 	readonly token?: string;
 	/** Longest wait for an answer, in milliseconds. */
 	readonly timeoutMs?: number;
+	/** Most connections that are open at once. */
+	readonly connectionLimit?: number;
 };
 
 export type PlatformCall = {
@@ -18,12 +20,15 @@
 	readonly path: string;
 	readonly json?: unknown;
 	readonly bytes?: Uint8Array;
+	readonly headers?: Readonly<Record<string, string>>;
+	/** Longest wait for the answer of this call, in milliseconds. */
+	readonly timeoutMs?: number;
 };
 
 export type PlatformAnswer = {readonly status: number; readonly body: Uint8Array};
 
 const defaultTimeoutMs = 2000;
-const connectionLimit = 16;
+const defaultConnectionLimit = 16;
 const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Sends calls to the platform and turns failures into verdicts. */
@@ -32,11 +37,13 @@
 		return new PlatformConnection(options);
 	}
 
+	readonly #url: string;
 	readonly #pool: Pool;
 	readonly #timeoutMs: number;
 	readonly #headers: Record<string, string>;
 
-	private constructor({url, token, timeoutMs}: PlatformOptions) {
+	private constructor({url, token, timeoutMs, connectionLimit = defaultConnectionLimit}: PlatformOptions) {
+		this.#url = url;
 		this.#timeoutMs = timeoutMs ?? defaultTimeoutMs;
 		this.#pool = new Pool(url, {connections: connectionLimit, pipelining: 1, connect: {timeout: this.#timeoutMs}});
 		this.#headers = token === undefined ? {} : {authorization: `Bearer ${token}`};
@@ -48,7 +55,7 @@
 	 * @throws {VerdictError} when no usable answer arrived in time.
 	 */
 	async send(call: PlatformCall): Promise<PlatformAnswer> {
-		const answer = await this.#request(call);
+		const answer = await this.request(call);
 		if (answer.status === 503) {
 			throw new VerdictError('platform is down', {verdict: 'not-run', code: 'platform_unavailable'});
 		}
@@ -64,23 +71,28 @@
 		await this.#pool.destroy();
 	}
 
-	async #request({method, path, json, bytes}: PlatformCall): Promise<PlatformAnswer> {
+	/**
+	 * Sends one call and gives its answer whatever the status.
+	 *
+	 * @throws {VerdictError} when no answer arrived in time.
+	 */
+	async request({method, path, json, bytes, headers, timeoutMs = this.#timeoutMs}: PlatformCall): Promise<PlatformAnswer> {
 		const isJson = json !== undefined;
 		const type = isJson ? {'content-type': 'application/json'} : {};
 		try {
 			const response = await this.#pool.request({
 				method,
 				path,
-				headers: {...this.#headers, ...type},
+				headers: {...this.#headers, ...type, ...headers},
 				body: isJson ? JSON.stringify(json) : bytes,
-				headersTimeout: this.#timeoutMs,
-				bodyTimeout: this.#timeoutMs,
-				signal: AbortSignal.timeout(this.#timeoutMs),
+				headersTimeout: timeoutMs,
+				bodyTimeout: timeoutMs,
+				signal: AbortSignal.timeout(timeoutMs),
 			});
 			return {status: response.statusCode, body: await response.body.bytes()};
 		} catch (error) {
 			const isUnsent = unsentCodes.has((error as {code?: string}).code ?? '');
-			throw new VerdictError(`platform did not answer ${method} ${path}`, {verdict: isUnsent ? 'not-run' : 'may-have-run', code: 'platform_unavailable', cause: error});
+			throw new VerdictError(`platform at ${this.#url} did not answer ${method} ${path}`, {verdict: isUnsent ? 'not-run' : 'may-have-run', code: 'platform_unavailable', cause: error});
 		}
 	}
 }
--- a/packages/clients/src/duties.ts
+++ b/packages/clients/src/duties.ts
@@ -9,8 +9,8 @@
 /** Table of the lease rows; a row changes only when its holder does. */
 export const dutyTable = 'duties';
 
-/** Table of the heartbeat rows, apart from the lease rows so that a renewal does not conflict with the holder's writes. */
-export const dutyHeartbeatTable = 'duty-heartbeats';
+/** Ending of the key of a heartbeat row, apart from the lease row so that a renewal does not conflict with the holder's writes. */
+const heartbeatSuffix = '/heartbeat';
 
 /** Value of a lease row. */
 export type DutyRow = {
@@ -32,9 +32,30 @@
 	readonly holder: string;
 	/** Time without a renewal after which others may take the duty over, in milliseconds. */
 	readonly termMs?: number;
+	/** Partition of the duty's rows. */
+	readonly partition?: string;
+	/** What the holder tells the others with each renewal. */
+	readonly describeNews?: () => unknown;
+	/** Time that an applicant waits before it takes a vacant duty, in milliseconds; random up to half a second by default. */
+	readonly vacancyMs?: number;
 };
 
-type Observation = {readonly leaseVersion: number; readonly heartbeatVersion: number; readonly takeAt: number};
+/** What a process last read of a duty. */
+export type DutyNews = {
+	readonly holder: string;
+	readonly epoch: number;
+	/** What the holder told with its last renewal. */
+	readonly news: unknown;
+	/** When the rows were read, on the monotonic clock. */
+	readonly readAt: number;
+	/** When the heartbeat was last seen to change, on the monotonic clock. */
+	readonly changedAt: number;
+};
+
+type HeartbeatRow = {readonly epoch: number; readonly news?: unknown};
+
+type Observation = {readonly leaseVersion: number; readonly heartbeatVersion: number; readonly takeAt: number; readonly changedAt: number; readonly readAt: number};
+/** `renewedAt` is on the boot clock, so that a machine that was suspended does not take its lease for valid. */
 type Holding = {readonly check: Check; readonly epoch: number; readonly renewedAt: number};
 
 const defaultTermMs = 5000;
@@ -63,6 +84,7 @@
 	#takeToken: string | undefined;
 	#takeStartedAt = 0;
 	#takeovers = 0;
+	#news: DutyNews | undefined;
 
 	private constructor(options: DutyLeaseOptions) {
 		this.#options = options;
@@ -71,7 +93,7 @@
 
 	/** Tells whether this process held the duty at its last renewal and the term has not run out since. */
 	get isHeld(): boolean {
-		return this.#holding !== undefined && this.#options.clock.readMonotonic() - this.#holding.renewedAt < this.#termMs;
+		return this.#holding !== undefined && this.#options.clock.readBoot() - this.#holding.renewedAt < this.#termMs;
 	}
 
 	/** Condition that each transaction of the duty must carry; `undefined` when the duty is not held. */
@@ -84,6 +106,16 @@
 		return this.isHeld ? this.#holding!.epoch : undefined;
 	}
 
+	/** What the last read of the duty's rows told; `undefined` before the first. */
+	get news(): DutyNews | undefined {
+		return this.#news;
+	}
+
+	/** Boot clock at which the lease was last renewed; `undefined` when the duty is not held. */
+	get renewedAt(): number | undefined {
+		return this.#holding?.renewedAt;
+	}
+
 	/** Times that this process took the duty. */
 	get takeovers(): number {
 		return this.#takeovers;
@@ -102,6 +134,9 @@
 		}
 
 		const observation = this.#observe(lease, heartbeat);
+		this.#news = {
+			holder: lease?.value.holder ?? '', epoch: lease?.value.epoch ?? 0, news: heartbeat?.value.news, readAt: observation.readAt, changedAt: observation.changedAt,
+		};
 		return this.#options.clock.readMonotonic() >= observation.takeAt && this.#take(lease, heartbeat);
 	}
 
@@ -116,31 +151,38 @@
 	}
 
 	get #leaseKey(): RowKey {
-		return {table: dutyTable, key: this.#options.duty};
+		return {table: dutyTable, key: this.#options.duty, partition: this.#options.partition};
 	}
 
 	get #heartbeatKey(): RowKey {
-		return {table: dutyHeartbeatTable, key: this.#options.duty};
+		return {table: dutyTable, key: `${this.#options.duty}${heartbeatSuffix}`, partition: this.#options.partition};
 	}
 
-	async #readRows(): Promise<{lease: Row<DutyRow> | undefined; heartbeat: Row | undefined}> {
+	async #readRows(): Promise<{lease: Row<DutyRow> | undefined; heartbeat: Row<HeartbeatRow> | undefined}> {
 		const [lease, heartbeat] = await this.#options.tables.getRows([this.#leaseKey, this.#heartbeatKey]);
-		return {lease: lease as Row<DutyRow> | undefined, heartbeat};
+		return {lease: lease as Row<DutyRow> | undefined, heartbeat: heartbeat as Row<HeartbeatRow> | undefined};
 	}
 
 	#observe(lease: Row<DutyRow> | undefined, heartbeat: Row | undefined): Observation {
 		const leaseVersion = lease?.version ?? absentVersion;
 		const heartbeatVersion = heartbeat?.version ?? absentVersion;
 		const known = this.#observation;
+		const {clock, random, vacancyMs} = this.#options;
+		const readAt = clock.readMonotonic();
 		if (known?.leaseVersion === leaseVersion && known.heartbeatVersion === heartbeatVersion) {
-			return known;
+			// A holder that could not reach the tables either gets half a term to renew first.
+			const isGap = readAt - known.readAt > this.#termMs / 2;
+			const takeAt = isGap ? Math.max(known.takeAt, readAt + (this.#termMs / 2)) : known.takeAt;
+			this.#observation = {...known, takeAt, readAt};
+			return this.#observation;
 		}
 
 		const isVacant = lease === undefined || lease.value.holder === '';
-		const {clock, random} = this.#options;
 		// Spread over time, so that applicants do not all write at once.
-		const waitMs = isVacant ? random.readFraction() * vacancySpreadMs : this.#termMs * (1 + (random.readFraction() / 2));
-		this.#observation = {leaseVersion, heartbeatVersion, takeAt: clock.readMonotonic() + waitMs};
+		const waitMs = isVacant ? vacancyMs ?? random.readFraction() * vacancySpreadMs : this.#termMs * (1 + (random.readFraction() / 4));
+		this.#observation = {
+			leaseVersion, heartbeatVersion, takeAt: readAt + waitMs, changedAt: readAt, readAt,
+		};
 		return this.#observation;
 	}
 
@@ -148,7 +190,7 @@
 		const {tables, clock, random, holder} = this.#options;
 		const epoch = (lease?.value.epoch ?? 0) + 1;
 		this.#takeToken = random.createToken();
-		this.#takeStartedAt = clock.readMonotonic();
+		this.#takeStartedAt = clock.readBoot();
 		this.#observation = undefined;
 		const outcome = await tables.commit({
 			checks: [{...this.#leaseKey, version: lease?.version ?? absentVersion}, {...this.#heartbeatKey, version: heartbeat?.version ?? absentVersion}],
@@ -171,12 +213,12 @@
 
 	async #renewIfDue(): Promise<boolean> {
 		const holding = this.#holding!;
-		const startedAt = this.#options.clock.readMonotonic();
+		const startedAt = this.#options.clock.readBoot();
 		if (startedAt - holding.renewedAt < this.#termMs / renewalsPerTerm) {
 			return true;
 		}
 
-		const outcome = await this.#options.tables.commit({checks: [holding.check], writes: [{...this.#heartbeatKey, value: {epoch: holding.epoch}}]});
+		const outcome = await this.#options.tables.commit({checks: [holding.check], writes: [{...this.#heartbeatKey, value: {epoch: holding.epoch, news: this.#options.describeNews?.()} satisfies HeartbeatRow}]});
 		this.#holding = outcome.status === 'committed' ? {...holding, renewedAt: startedAt} : undefined;
 		return this.isHeld;
 	}
--- a/packages/clients/src/memories.ts
+++ b/packages/clients/src/memories.ts
@@ -1,26 +1,39 @@
 /**
  * In-memory implementations of the platform's stores, for stand-ins and tests.
  */
+import {SystemClock, type Clock} from '@tamarackwind/core';
 import {FaultSwitch} from './faults.js';
 import {ObjectStore, type PutOptions} from './objects.js';
 import {
-	absentVersion, defaultScanLimit, TableService, type CommitOutcome, type Row, type RowKey, type ScanOptions, type Transaction,
+	absentVersion, defaultScanLimit, WatchedTableService, type CommitOutcome, type RangeOptions, type Row, type RowChange, type RowKey, type RowRange,
+	type ScanOptions, type Transaction, type WatchOptions, type WatchOutcome,
 } from './tables.js';
 
 type StoredRow = {readonly json: string; readonly version: number};
 
+const watchStepMs = 5;
+
 /** A table service in memory. */
-export class MemoryTableService extends TableService {
-	static create(): MemoryTableService {
-		return new MemoryTableService();
+export class MemoryTableService extends WatchedTableService {
+	static create(clock: Clock = SystemClock.create()): MemoryTableService {
+		return new MemoryTableService(clock);
 	}
 
 	readonly faults = FaultSwitch.create();
 	readonly #tables = new Map<string, Map<string, StoredRow>>();
 	readonly #sortedKeys = new Map<string, string[]>();
+	#history: RowChange[] = [];
+	/** Version up to which changes have been dropped from the history. */
+	#forgotten = absentVersion;
 	#version = absentVersion;
 	#reads = 0;
 	#writes = 0;
+	readonly #clock: Clock;
+
+	private constructor(clock: Clock) {
+		super();
+		this.#clock = clock;
+	}
 
 	/** Rows read and transactions committed so far. */
 	get counts(): {readonly reads: number; readonly writes: number} {
@@ -51,6 +64,38 @@
 		return rows;
 	}
 
+	override async readRange(table: string, options: RangeOptions = {}): Promise<RowRange> {
+		await this.faults.applyBefore();
+		const {partition, from = '', to, limit = defaultScanLimit} = options;
+		const keys = this.#listKeys(table, partition).filter(key => key >= from && (to === undefined || key < to));
+		const rows = keys.slice(0, limit).map(key => this.#readRow({table, key, partition})!);
+		this.#reads++;
+		return {rows, version: this.#version, hasMore: keys.length > limit};
+	}
+
+	override async watchRows(table: string, {after, waitMs}: WatchOptions): Promise<WatchOutcome> {
+		await this.faults.applyBefore();
+		this.#reads++;
+		for (let waitedMs = 0; ; waitedMs += watchStepMs) {
+			if (after < this.#forgotten) {
+				return {status: 'expired'};
+			}
+
+			const changes = this.#history.filter(change => change.table === table && change.version > after);
+			if (changes.length > 0 || waitedMs >= waitMs) {
+				return {status: 'changes', changes, version: this.#version};
+			}
+
+			await this.#clock.sleep(watchStepMs);
+		}
+	}
+
+	/** Drops the history, so that watches from earlier versions expire. */
+	clearHistory(): void {
+		this.#history = [];
+		this.#forgotten = this.#version;
+	}
+
 	override async commit(transaction: Transaction): Promise<CommitOutcome> {
 		await this.faults.applyBefore();
 		const outcome = this.#apply(transaction);
@@ -65,48 +110,55 @@
 	#apply({checks, writes}: Transaction): CommitOutcome {
 		const conflicts = checks.filter(check => (this.#readRow(check)?.version ?? absentVersion) !== check.version);
 		if (conflicts.length > 0) {
-			return {status: 'conflict', conflicts: conflicts.map(({table, key}) => ({table, key}))};
+			return {status: 'conflict', conflicts: conflicts.map(({table, key, partition}) => ({table, key, partition}))};
 		}
 
 		this.#version++;
 		this.#writes++;
-		for (const {table, key, value} of writes) {
-			this.#writeRow({table, key}, value);
+		for (const {value, ...key} of writes) {
+			this.#writeRow(key, value);
+			this.#history.push({...key, value: value === undefined ? undefined : structuredClone(value), version: this.#version});
 		}
 
 		return {status: 'committed', version: this.#version};
 	}
 
-	#writeRow({table, key}: RowKey, value: unknown): void {
-		const rows = this.#tables.get(table) ?? new Map<string, StoredRow>();
-		this.#tables.set(table, rows);
-		if (!rows.has(key) || value === undefined) {
-			this.#sortedKeys.delete(table);
+	#writeRow(rowKey: RowKey, value: unknown): void {
+		const name = nameTable(rowKey.table, rowKey.partition);
+		const rows = this.#tables.get(name) ?? new Map<string, StoredRow>();
+		this.#tables.set(name, rows);
+		if (!rows.has(rowKey.key) || value === undefined) {
+			this.#sortedKeys.delete(name);
 		}
 
 		if (value === undefined) {
-			rows.delete(key);
+			rows.delete(rowKey.key);
 		} else {
-			rows.set(key, {json: JSON.stringify(value), version: this.#version});
+			rows.set(rowKey.key, {json: JSON.stringify(value), version: this.#version});
 		}
 	}
 
-	#readRow({table, key}: RowKey): Row | undefined {
-		const row = this.#tables.get(table)?.get(key);
+	#readRow({table, key, partition}: RowKey): Row | undefined {
+		const row = this.#tables.get(nameTable(table, partition))?.get(key);
 		return row === undefined
 			? undefined
 			: {
-				table, key, value: JSON.parse(row.json) as unknown, version: row.version,
+				table, key, ...(partition === undefined ? {} : {partition}), value: JSON.parse(row.json) as unknown, version: row.version,
 			};
 	}
 
-	#listKeys(table: string): string[] {
-		const keys = this.#sortedKeys.get(table) ?? [...this.#tables.get(table)?.keys() ?? []].toSorted();
-		this.#sortedKeys.set(table, keys);
+	#listKeys(table: string, partition?: string): string[] {
+		const name = nameTable(table, partition);
+		const keys = this.#sortedKeys.get(name) ?? [...this.#tables.get(name)?.keys() ?? []].toSorted();
+		this.#sortedKeys.set(name, keys);
 		return keys;
 	}
 }
 
+function nameTable(table: string, partition = ''): string {
+	return `${table}\0${partition}`;
+}
+
 /** An object store in memory. */
 export class MemoryObjectStore extends ObjectStore {
 	static create(): MemoryObjectStore {
--- a/packages/clients/src/tables.ts
+++ b/packages/clients/src/tables.ts
@@ -6,6 +6,8 @@
 export type RowKey = {
 	readonly table: string;
 	readonly key: string;
+	/** Rows of one partition can be written together; the empty partition when left out. */
+	readonly partition?: string;
 };
 
 /** A row as it was read. */
@@ -30,6 +32,11 @@
 	readonly writes: readonly Write[];
 };
 
+/** Gives the first key that sorts after `key` among keys of printable characters. */
+export function getKeyAfter(key: string): string {
+	return `${key} `;
+}
+
 /** Outcome of a transaction whose answer arrived. */
 export type CommitOutcome
 	= | {readonly status: 'committed'; readonly version: number}
@@ -88,3 +95,69 @@
 		}
 	}
 }
+
+export type RangeOptions = {
+	readonly partition?: string;
+	/** First key of the range. */
+	readonly from?: string;
+	/** Key after the last one of the range. */
+	readonly to?: string;
+	/** Most rows to return. */
+	readonly limit?: number;
+};
+
+/** Rows of one partition as of a single moment. */
+export type RowRange = {
+	readonly rows: readonly Row[];
+	/** Newest version of the service at that moment, from which a watch can go on. */
+	readonly version: number;
+	readonly hasMore: boolean;
+};
+
+/** A row that was written or, without a `value`, removed. */
+export type RowChange = RowKey & {readonly version: number; readonly value?: unknown};
+
+export type WatchOptions = {
+	/** Changes later than this version only. */
+	readonly after: number;
+	/** Longest wait for a first change, in milliseconds. */
+	readonly waitMs: number;
+};
+
+/** Outcome of a watch: changes in order, or the news that the service no longer keeps them. */
+export type WatchOutcome
+	= | {readonly status: 'changes'; readonly changes: readonly RowChange[]; readonly version: number}
+		| {readonly status: 'expired'};
+
+/**
+ * A table service that offers partitions, ranges and a feed of changes.
+ *
+ * @example
+ * const {rows, version} = await tables.listRange('jobs', {partition: 'north'});
+ * const outcome = await tables.watchRows('jobs', {after: version, waitMs: 1000});
+ */
+export abstract class WatchedTableService extends TableService {
+	/** Reads rows of one partition in order of their keys. */
+	abstract readRange(table: string, options?: RangeOptions): Promise<RowRange>;
+
+	/** Waits for changes of a table, over all of its partitions. */
+	abstract watchRows(table: string, options: WatchOptions): Promise<WatchOutcome>;
+
+	/** Reads every row of a range, page by page; `version` is that of the first page. */
+	async listRange(table: string, options: RangeOptions = {}): Promise<{rows: Row[]; version: number}> {
+		const rows: Row[] = [];
+		let version: number | undefined;
+		let {from} = options;
+		for (;;) {
+			const page = await this.readRange(table, {...options, from});
+			rows.push(...page.rows);
+			version ??= page.version;
+			const last = page.rows.at(-1);
+			if (!page.hasMore || last === undefined) {
+				return {rows, version};
+			}
+
+			from = getKeyAfter(last.key);
+		}
+	}
+}
--- a/packages/core/src/clocks.ts
+++ b/packages/core/src/clocks.ts
@@ -11,20 +11,42 @@
 	/** Milliseconds since the Unix epoch; may jump. */
 	abstract readWall(): number;
 
+	/** Like `readMonotonic`, but counts the time for which the machine was suspended; a wall clock that is set forward counts too. */
+	readBoot(): number {
+		return this.readMonotonic();
+	}
+
 	/** Resolves after `ms` milliseconds, or early when `signal` aborts. */
 	abstract sleep(ms: number, signal?: AbortSignal): Promise<void>;
 }
 
+/** Difference between wall and monotonic clock, in milliseconds, that is put down to slewing rather than to a suspension. */
+const suspensionToleranceMs = 20;
+
 /** The clock of the operating system. */
 export class SystemClock extends Clock {
 	static create(): SystemClock {
 		return new SystemClock();
 	}
 
+	#suspendedMs = 0;
+	#lastGap = Number.NEGATIVE_INFINITY;
+
 	override readMonotonic(): number {
 		return performance.now();
 	}
 
+	override readBoot(): number {
+		const now = performance.now();
+		const gap = Date.now() - now;
+		if (gap - this.#lastGap > suspensionToleranceMs && this.#lastGap !== Number.NEGATIVE_INFINITY) {
+			this.#suspendedMs += gap - this.#lastGap;
+		}
+
+		this.#lastGap = gap;
+		return now + this.#suspendedMs;
+	}
+
 	override readWall(): number {
 		return Date.now();
 	}
@@ -50,6 +72,7 @@
 
 	#now: number;
 	#wallOffset = 0;
+	#suspendedMs = 0;
 	readonly #sleepers = new Set<Sleeper>();
 
 	private constructor(startMs: number) {
@@ -61,6 +84,10 @@
 		return this.#now;
 	}
 
+	override readBoot(): number {
+		return this.#now + this.#suspendedMs;
+	}
+
 	override readWall(): number {
 		return this.#now + this.#wallOffset;
 	}
@@ -93,6 +120,12 @@
 		this.#wallOffset += ms;
 	}
 
+	/** Adds a suspension of `ms` milliseconds, which the monotonic clock does not count. */
+	addSuspension(ms: number): void {
+		this.#suspendedMs += ms;
+		this.#wallOffset += ms;
+	}
+
 	/** Moves time on by `ms` milliseconds and wakes the sleepers in order. */
 	async advance(ms: number): Promise<void> {
 		const end = this.#now + ms;
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,4 @@
+export * from './models.js';
+export * from './placements.js';
+export * from './rankings.js';
+export * from './paces.js';
--- a/packages/testing/tests/imports.test.ts
+++ b/packages/testing/tests/imports.test.ts
@@ -6,7 +6,7 @@
 const packagesFolder = fileURLToPath(new URL('../../..', import.meta.url));
 
 /** Packages in the one direction of imports: each may import only those before it. */
-const order = ['core', 'settings', 'clients', 'peer', 'routing', 'admission', 'fleet', 'jobs', 'entry', 'cli', 'testing'];
+const order = ['core', 'settings', 'clients', 'peer', 'routing', 'admission', 'fleet', 'jobs', 'scheduling', 'workflows', 'entry', 'cli', 'testing'];
 
 async function listImports(name: string): Promise<string[]> {
 	const folder = path.join(packagesFolder, name);
--- /dev/null
+++ b/packages/workflows/src/active-jobs.ts
@@ -0,0 +1,266 @@
+/**
+ * Jobs in the memory of their holder: the phases of their tasks, and what of them is written to their progress rows.
+ */
+import {computeChainMs, type RankedJob, type StepSpec} from '@tamarackwind/scheduling';
+import {
+	formatTask, isTerminal, type Job, type JobState, type RunKey, type TaskKey, type WorkerLife,
+} from './jobs.js';
+import {type Progress, type ProgressRow} from './records.js';
+
+/**
+ * - `waiting`: free to start as soon as its turn comes.
+ * - `recorded`: assigned to a worker; the assignment is being written.
+ * - `starting`: the start was sent and has not been answered.
+ * - `running`: the worker has confirmed the run.
+ * - `stopping`: a stop was asked for, or the start's outcome is unknown and the run is being stopped.
+ * - `done`: it has ended well, for good.
+ */
+export type TaskPhase = 'waiting' | 'recorded' | 'starting' | 'running' | 'stopping' | 'done';
+
+/** One task of an active job. */
+export class Task {
+	static create(job: ActiveJob, step: StepState, index: number): Task {
+		return new Task(job, step, index);
+	}
+
+	phase: TaskPhase = 'waiting';
+	/** Highest run that was ordered; 0 before the first. */
+	run = 0;
+	/** Runs that ended as failed. */
+	failures = 0;
+	checkpoint = '';
+	/** Worker of the run that was ordered last, while that run may go on. */
+	life: WorkerLife | undefined;
+	/** Progress that the worker lists, in percent. */
+	percent = 0;
+	/** When the run was ordered, on the monotonic clock. */
+	orderedAt = 0;
+	/** When `percent` last grew, on the monotonic clock. */
+	advancedAt = 0;
+	/** Last tail of the response times in milliseconds, or `cpu` in use. */
+	load = 0;
+	/** Share of its speed that the task was last told to work at, in percent. */
+	pace = 100;
+	/** Earliest time of the next start, on the monotonic clock. */
+	notBefore = 0;
+
+	private constructor(readonly job: ActiveJob, readonly stepState: StepState, readonly index: number) {}
+
+	get spec(): StepSpec {
+		return this.stepState.spec;
+	}
+
+	get key(): TaskKey {
+		return {
+			job: this.job.job.id, occurrence: this.stepState.occurrence, step: this.stepState.step, index: this.index,
+		};
+	}
+
+	get runKey(): RunKey {
+		return {...this.key, run: this.run};
+	}
+
+	/** Tells whether a run of the task may be going on somewhere. */
+	get isOut(): boolean {
+		return this.phase === 'starting' || this.phase === 'running' || this.phase === 'stopping';
+	}
+
+	get name(): string {
+		return formatTask(this.key);
+	}
+}
+
+/** One step of one occurrence. */
+export class StepState {
+	static create(job: ActiveJob, occurrence: number, step: number): StepState {
+		return new StepState(job, occurrence, step);
+	}
+
+	readonly spec: StepSpec;
+	readonly tasks: readonly Task[];
+
+	private constructor(job: ActiveJob, readonly occurrence: number, readonly step: number) {
+		this.spec = job.job.steps[step]!;
+		this.tasks = Array.from({length: this.spec.count}, (_, index) => Task.create(job, this, index));
+	}
+
+	get isDone(): boolean {
+		return this.tasks.every(task => task.phase === 'done');
+	}
+
+	/** Tasks of the step on each worker. */
+	get occupancy(): Map<string, number> {
+		const counts = new Map<string, number>();
+		for (const {life, phase} of this.tasks) {
+			if (life !== undefined && phase !== 'done') {
+				counts.set(life.id, (counts.get(life.id) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	}
+}
+
+/** A job that its holder schedules. */
+export class ActiveJob {
+	static create(job: Job, now: {readonly monotonic: number; readonly wall: number}): ActiveJob {
+		return new ActiveJob(job, now);
+	}
+
+	state: JobState = 'queued';
+	endedAt: number | undefined;
+	/** Set once a cancellation was seen. */
+	isCancelled = false;
+	/** Submission on the monotonic clock, from which objectives count. */
+	readonly submittedAt: number;
+	readonly #occurrences = new Map<number, readonly StepState[]>();
+
+	private constructor(readonly job: Job, now: {readonly monotonic: number; readonly wall: number}) {
+		// Entries' wall clocks differ a little; a submission from the future counts as made now.
+		this.submittedAt = now.monotonic - Math.max(0, now.wall - job.submittedAt);
+	}
+
+	get isTerminal(): boolean {
+		return isTerminal(this.state);
+	}
+
+	get isLongRunning(): boolean {
+		return this.job.steps.some(step => step.isLongRunning);
+	}
+
+	/** Every step that exists so far. */
+	get steps(): StepState[] {
+		return [...this.#occurrences.values()].flat();
+	}
+
+	/** Every task that exists so far. */
+	get tasks(): Task[] {
+		return this.steps.flatMap(step => step.tasks);
+	}
+
+	/** Creates the steps of the occurrences that are due at `wall`. */
+	openOccurrences(wall: number): void {
+		const {schedule} = this.job;
+		const due = schedule === undefined
+			? 1
+			: Math.min(schedule.repetitions, Math.floor((wall - schedule.firstAt) / Math.max(1, schedule.intervalMs)) + 1);
+		for (let occurrence = this.#occurrences.size; occurrence < due; occurrence++) {
+			this.#openOccurrence(occurrence);
+		}
+	}
+
+	/** Steps whose earlier steps are all done and which have tasks that wait. */
+	listReadySteps(): StepState[] {
+		const ready: StepState[] = [];
+		for (const steps of this.#occurrences.values()) {
+			for (const step of steps) {
+				if (step.tasks.some(task => task.phase === 'waiting') && step.spec.after.every(earlier => steps[earlier]?.isDone ?? false)) {
+					ready.push(step);
+				}
+			}
+		}
+
+		return ready;
+	}
+
+	/** Finds a task; `undefined` when the job has none of that name. */
+	findTask({occurrence, step, index}: Pick<TaskKey, 'occurrence' | 'step' | 'index'>): Task | undefined {
+		return this.#occurrences.get(occurrence)?.[step]?.tasks[index];
+	}
+
+	/** Describes the job for the order of work. */
+	describeRank(): RankedJob {
+		const {policy, steps} = this.job;
+		const chainMs = computeChainMs(steps, step => step.estimatedMs);
+		const newest = this.#occurrences.get(this.#occurrences.size - 1);
+		const remainingMs = computeChainMs(steps, (step, index) => newest?.[index]?.isDone ? 0 : step.estimatedMs);
+		const dueAt = this.job.schedule === undefined ? 0 : this.job.schedule.firstAt - this.job.submittedAt;
+		return {
+			policy, isLongRunning: this.isLongRunning, submittedAt: this.submittedAt + Math.max(0, dueAt), chainMs, remainingMs,
+		};
+	}
+
+	/** Works out the state from the tasks; a terminal state stays. */
+	updateState(): void {
+		if (this.isTerminal) {
+			return;
+		}
+
+		const {tasks, job} = this;
+		const {maxAttempts} = job.policy;
+		if (this.isCancelled) {
+			this.state = 'cancelled';
+		} else if (tasks.some(task => !task.spec.isLongRunning && task.phase !== 'done' && task.failures >= maxAttempts)) {
+			this.state = 'failed';
+		} else if (this.#occurrences.size === (job.schedule?.repetitions ?? 1) && tasks.every(task => task.phase === 'done')) {
+			this.state = 'succeeded';
+		} else if (tasks.some(task => task.run > 0)) {
+			this.state = 'running';
+		}
+	}
+
+	/** Encodes what must outlive the holder. */
+	encodeProgress(): ProgressRow {
+		const {state, endedAt} = this;
+		if (this.isTerminal && !this.tasks.some(task => task.isOut)) {
+			return {state, endedAt, steps: []};
+		}
+
+		const steps = this.steps.filter(step => step.tasks.some(task => task.run > 0)).map(step => ({
+			occurrence: step.occurrence,
+			step: step.step,
+			done: step.tasks.filter(task => task.phase === 'done').map(task => task.index),
+			open: step.tasks.filter(task => task.run > 0 && task.phase !== 'done').map(task => encodeTask(task)),
+		}));
+		return {state, endedAt, steps};
+	}
+
+	/** Restores what an earlier holder wrote; tasks that it had assigned come back as `stopping` or `starting` by their state. */
+	restoreProgress(progress: Progress): void {
+		this.state = progress.state;
+		this.endedAt = progress.endedAt;
+		this.isCancelled ||= progress.state === 'cancelled';
+		for (const saved of progress.steps) {
+			for (let occurrence = this.#occurrences.size; occurrence <= saved.occurrence; occurrence++) {
+				this.#openOccurrence(occurrence);
+			}
+
+			const tasks = this.#occurrences.get(saved.occurrence)?.[saved.step]?.tasks ?? [];
+			for (const index of saved.done) {
+				restoreDone(tasks[index]);
+			}
+
+			for (const open of saved.open) {
+				restoreOpen(tasks[open.index], open);
+			}
+		}
+	}
+
+	#openOccurrence(occurrence: number): void {
+		this.#occurrences.set(occurrence, this.job.steps.map((_, step) => StepState.create(this, occurrence, step)));
+	}
+}
+
+type OpenTask = Progress['steps'][number]['open'][number];
+
+function encodeTask(task: Task): ProgressRow['steps'][number]['open'][number] {
+	const {life} = task;
+	return [task.index, task.run, task.failures, life?.id ?? '', life?.bornAt ?? 0, task.checkpoint];
+}
+
+function restoreDone(task: Task | undefined): void {
+	if (task !== undefined) {
+		task.phase = 'done';
+		task.run = Math.max(task.run, 1);
+	}
+}
+
+function restoreOpen(task: Task | undefined, open: OpenTask): void {
+	if (task !== undefined) {
+		task.run = open.run;
+		task.failures = open.failures;
+		task.checkpoint = open.checkpoint;
+		task.life = open.life;
+		task.phase = open.life === undefined ? 'waiting' : 'starting';
+	}
+}
--- /dev/null
+++ b/packages/workflows/src/intakes.ts
@@ -0,0 +1,180 @@
+/**
+ * Acceptance of jobs at an entry: one conditional insert each, gathered into one transaction a partition at a time.
+ */
+import {
+	readErrorMessage, VerdictError, type Clock, type JobId, type ServiceName,
+} from '@tamarackwind/core';
+import {absentVersion, type Row, type WatchedTableService} from '@tamarackwind/clients';
+import {type DecisionLog} from './decision-logs.js';
+import {type Job} from './jobs.js';
+import {getCancelKey, getJobKey} from './layouts.js';
+import {encodeJob, tombstone, type SubmissionRow} from './records.js';
+
+/**
+ * - `accepted`: the job is durable, now or since an earlier attempt.
+ * - `refused`: it is not and never will be by this attempt.
+ * - `unknown`: its write may still take effect.
+ */
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown';
+
+export type IntakeOptions = {
+	readonly clock: Clock;
+	readonly tables: WatchedTableService;
+	readonly log: DecisionLog;
+};
+
+/** Jobs in one transaction; the service takes 100 entries, and a job may need a condition and a write. */
+const batchJobs = 40;
+/** Time in which submissions gather, in milliseconds. */
+const gatherMs = 3;
+/** Tries to settle a write whose answer was lost, before its outcome counts as unknown. */
+const settleTries = 2;
+
+type Pending = {readonly job: Job; readonly resolve: (outcome: SubmitOutcome) => void; expectedVersion: number};
+
+/** Accepts and cancels jobs. */
+export class Intake {
+	static create(options: IntakeOptions): Intake {
+		return new Intake(options);
+	}
+
+	readonly #options: IntakeOptions;
+	readonly #queues = new Map<ServiceName, Pending[]>();
+
+	private constructor(options: IntakeOptions) {
+		this.#options = options;
+	}
+
+	/** Submits a job; a job that is already there is accepted again. */
+	async submit(job: Job): Promise<SubmitOutcome> {
+		return new Promise(resolve => {
+			const pending = {job, resolve, expectedVersion: absentVersion};
+			const queue = this.#queues.get(job.service);
+			if (queue === undefined) {
+				const first = [pending];
+				this.#queues.set(job.service, first);
+				void this.#drain(job.service, first);
+			} else {
+				queue.push(pending);
+			}
+		});
+	}
+
+	/**
+	 * Cancels a job.
+	 *
+	 * @returns whether there is such a job.
+	 * @throws {VerdictError} when the outcome is unknown.
+	 */
+	async cancel(service: ServiceName, id: JobId): Promise<boolean> {
+		const {tables} = this.#options;
+		const row = await tables.getRow(getJobKey(service, id));
+		if (row === undefined || isTombstone(row)) {
+			return false;
+		}
+
+		const key = getJobKey(service, id);
+		const outcome = await tables.commit({
+			checks: [{...key, version: row.version}],
+			writes: [{...getCancelKey(service, id), value: {}}],
+		});
+		return outcome.status === 'committed' || await tables.getRow(getCancelKey(service, id)) !== undefined;
+	}
+
+	async #drain(service: ServiceName, queue: Pending[]): Promise<void> {
+		await this.#options.clock.sleep(gatherMs);
+		while (queue.length > 0) {
+			const batch = queue.splice(0, batchJobs);
+			try {
+				await this.#commit(batch);
+			} catch (error) {
+				await this.#settle(batch, error);
+			}
+		}
+
+		this.#queues.delete(service);
+	}
+
+	/** Commits a batch; jobs that are already there are left out and the rest tried again. */
+	async #commit(batch: readonly Pending[]): Promise<void> {
+		let open = [...batch];
+		while (open.length > 0) {
+			const outcome = await this.#options.tables.commit({
+				checks: open.map(({job, expectedVersion}) => ({...getJobKey(job.service, job.id), version: expectedVersion})),
+				writes: open.map(({job}) => ({...getJobKey(job.service, job.id), value: encodeJob(job)})),
+			});
+			if (outcome.status === 'committed') {
+				for (const {job, resolve} of open) {
+					this.#options.log.info('job accepted', {job: job.id, queue: job.queue, version: outcome.version});
+					resolve('accepted');
+				}
+
+				return;
+			}
+
+			open = await this.#resolveConflicts(open, new Set(outcome.conflicts.map(({key}) => key)));
+		}
+	}
+
+	/** Answers for jobs that are there; gives those that may still be written, over a tombstone too. */
+	async #resolveConflicts(open: readonly Pending[], conflicts: ReadonlySet<string>): Promise<Pending[]> {
+		const rest: Pending[] = [];
+		for (const pending of open) {
+			if (!conflicts.has(pending.job.id)) {
+				rest.push(pending);
+				continue;
+			}
+
+			const row = await this.#options.tables.getRow(getJobKey(pending.job.service, pending.job.id));
+			if (row !== undefined && !isTombstone(row)) {
+				this.#options.log.info('job accepted before', {job: pending.job.id, queue: pending.job.queue, version: row.version});
+				pending.resolve('accepted');
+			} else {
+				pending.expectedVersion = row?.version ?? absentVersion;
+				rest.push(pending);
+			}
+		}
+
+		return rest;
+	}
+
+	/** Finds out what became of a batch whose transaction failed. */
+	async #settle(batch: readonly Pending[], error: unknown): Promise<void> {
+		const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
+		this.#options.log.warn('submissions not written', {jobs: batch.map(({job}) => job.id).slice(0, 5), count: batch.length, isUnsent, error: readErrorMessage(error)});
+		await Promise.all(batch.map(async pending => {
+			pending.resolve(isUnsent ? 'refused' : await this.#settleOne(pending));
+		}));
+	}
+
+	/** Reads a job back, or writes a tombstone in its place so that a late write of it fails. */
+	async #settleOne({job, expectedVersion}: Pending): Promise<SubmitOutcome> {
+		const {tables, log} = this.#options;
+		const key = getJobKey(job.service, job.id);
+		for (let attempt = 0; attempt < settleTries; attempt++) {
+			try {
+				const outcome = await tables.commit({checks: [{...key, version: expectedVersion}], writes: [{...key, value: tombstone}]});
+				if (outcome.status === 'committed') {
+					log.info('job refused for good', {job: job.id, queue: job.queue, version: outcome.version});
+					return 'refused';
+				}
+
+				const row = await tables.getRow(key);
+				if (row !== undefined && !isTombstone(row)) {
+					log.info('job accepted', {job: job.id, queue: job.queue, version: row.version});
+					return 'accepted';
+				}
+
+				return 'refused';
+			} catch (error) {
+				log.warn('submission not settled', {job: job.id, attempt, error: readErrorMessage(error)});
+			}
+		}
+
+		return 'unknown';
+	}
+}
+
+function isTombstone(row: Row): boolean {
+	return 'isRefused' in (row.value as SubmissionRow);
+}
--- /dev/null
+++ b/packages/workflows/src/operator-watches.ts
@@ -0,0 +1,142 @@
+/**
+ * The operator's declarations as a process follows them: the newest configuration, never an older one, and the waves.
+ */
+import {readErrorMessage, type Clock} from '@tamarackwind/core';
+import {type WatchedTableService} from '@tamarackwind/clients';
+import {type Configuration, type WaveRequest} from './configurations.js';
+import {type DecisionLog} from './decision-logs.js';
+
+/** What a row of the operator's declares. */
+export type Declaration
+	= | {readonly kind: 'configuration'; readonly configuration: Configuration}
+		| {readonly kind: 'wave'; readonly wave: WaveRequest}
+		| {readonly kind: 'other'};
+
+/** Reads the rows that the operator writes. */
+export abstract class DeclarationCodec {
+	/** Table of the operator's rows. */
+	abstract readonly table: string;
+	/** Decodes a row; throws when it can't be read. */
+	abstract decode(key: string, value: unknown): Declaration;
+	/** Row in which the state of a wave is told. */
+	abstract encodeWaveStatus(wave: WaveRequest, state: 'running' | 'succeeded'): {readonly table: string; readonly key: string; readonly value: unknown};
+}
+
+export type OperatorWatchOptions = {
+	readonly clock: Clock;
+	readonly tables: WatchedTableService;
+	readonly codec: DeclarationCodec;
+	readonly log: DecisionLog;
+};
+
+/** Longest wait of one watch, in milliseconds: with its deadline well under the two seconds within which a configuration applies. */
+const watchWaitMs = 700;
+const retryMs = 60;
+/** Share by which the age of the newest word of the store may exceed a watch before the configuration counts as stale, in milliseconds. */
+const staleMs = 1600;
+
+/** Follows the operator's rows. */
+export class OperatorWatch {
+	static create(options: OperatorWatchOptions): OperatorWatch {
+		const watch = new OperatorWatch(options);
+		void watch.#run();
+		return watch;
+	}
+
+	readonly waves = new Map<string, WaveRequest>();
+	readonly #options: OperatorWatchOptions;
+	#configuration: Configuration | undefined;
+	#confirmedAt = Number.NEGATIVE_INFINITY;
+	#version: number | undefined;
+	#isClosed = false;
+
+	private constructor(options: OperatorWatchOptions) {
+		this.#options = options;
+	}
+
+	/** Newest configuration that was read; `undefined` before the first. */
+	get configuration(): Configuration | undefined {
+		return this.#configuration;
+	}
+
+	/** Time since the store last confirmed that the configuration is the newest, in milliseconds. */
+	get ageMs(): number {
+		return this.#options.clock.readBoot() - this.#confirmedAt;
+	}
+
+	get isFresh(): boolean {
+		return this.#configuration !== undefined && this.ageMs < staleMs;
+	}
+
+	close(): void {
+		this.#isClosed = true;
+	}
+
+	async #run(): Promise<void> {
+		const {clock, log} = this.#options;
+		let isLost = false;
+		while (!this.#isClosed) {
+			const startedAt = clock.readBoot();
+			try {
+				await (this.#version === undefined ? this.#load() : this.#watch(this.#version));
+				this.#confirmedAt = startedAt;
+				if (isLost) {
+					isLost = false;
+					log.info('store regained', {configuration: this.#configuration?.version});
+				}
+			} catch (error) {
+				if (!isLost) {
+					isLost = true;
+					log.warn('store lost', {configuration: this.#configuration?.version, error: readErrorMessage(error)});
+				}
+
+				await clock.sleep(retryMs);
+			}
+		}
+	}
+
+	async #load(): Promise<void> {
+		const {tables, codec} = this.#options;
+		const {rows, version} = await tables.listRange(codec.table);
+		for (const {key, value} of rows) {
+			this.#apply(key, value);
+		}
+
+		this.#version = version;
+	}
+
+	async #watch(after: number): Promise<void> {
+		const {tables, codec} = this.#options;
+		const outcome = await tables.watchRows(codec.table, {after, waitMs: watchWaitMs});
+		if (outcome.status === 'expired') {
+			this.#version = undefined;
+			await this.#load();
+			return;
+		}
+
+		for (const {key, value} of outcome.changes) {
+			this.#apply(key, value);
+		}
+
+		this.#version = outcome.version;
+	}
+
+	#apply(key: string, value: unknown): void {
+		const {codec, log} = this.#options;
+		if (value === undefined) {
+			return;
+		}
+
+		try {
+			const declaration = codec.decode(key, value);
+			if (declaration.kind === 'configuration' && declaration.configuration.version > (this.#configuration?.version ?? -1)) {
+				log.info('configuration in force', {version: declaration.configuration.version, before: this.#configuration?.version, queues: declaration.configuration.queues.length});
+				this.#configuration = declaration.configuration;
+			} else if (declaration.kind === 'wave') {
+				this.waves.set(declaration.wave.id, declaration.wave);
+			}
+		} catch (error) {
+			log.warn('declaration can\'t be read', {key, error: readErrorMessage(error)});
+		}
+	}
+}
--- /dev/null
+++ b/packages/workflows/src/records.ts
@@ -0,0 +1,100 @@
+/**
+ * Rows of jobs and of their progress: their schemas, checked when they are read.
+ */
+import {z} from 'zod';
+import {type JobId, type RackName, type ServiceName, type VmId} from '@tamarackwind/core';
+import {type Job} from './jobs.js';
+
+const resourcesSchema = z.object({cpu: z.number(), memory: z.number(), gpu: z.number()});
+
+const stepSchema = z.object({
+	count: z.int().min(1),
+	resources: resourcesSchema,
+	estimatedMs: z.number(),
+	after: z.array(z.int()),
+	isCheckpointing: z.boolean(),
+	isGang: z.boolean(),
+	isSameRack: z.boolean(),
+	isSpeculative: z.boolean(),
+	isLongRunning: z.boolean(),
+	isFiller: z.boolean(),
+	requirement: z.string().optional(),
+	affinity: z.string().transform(text => text as RackName).optional(),
+	antiAffinity: z.int().optional(),
+	image: z.string().optional(),
+	targetMs: z.number().optional(),
+	mayMiss: z.int().optional(),
+});
+
+const policySchema = z.object({
+	priority: z.int(),
+	maxAttempts: z.int(),
+	slackFactor: z.number(),
+	targetLatencyMs: z.number(),
+	advice: z.object({decideMs: z.number(), perWorkerMs: z.number(), validMs: z.number()}).optional(),
+});
+
+const jobSchema = z.object({
+	queue: z.string(),
+	payload: z.string(),
+	steps: z.array(stepSchema).min(1),
+	schedule: z.object({repetitions: z.int(), firstAt: z.number(), intervalMs: z.number()}).optional(),
+	policy: policySchema,
+	submittedAt: z.number(),
+});
+
+/** Row in place of a job that was refused for good, which makes a late write of it fail. */
+const tombstoneSchema = z.object({isRefused: z.literal(true)});
+
+const submissionSchema = z.union([tombstoneSchema, jobSchema]);
+
+/** Value of the row of a submitted job. */
+export type SubmissionRow = z.input<typeof submissionSchema>;
+
+/** Row that stands where a job was refused. */
+export const tombstone: SubmissionRow = {isRefused: true};
+
+/** Encodes a job for its row. */
+export function encodeJob({id: _id, service: _service, ...row}: Job): SubmissionRow {
+	return row as SubmissionRow;
+}
+
+/** Decodes the row of a submitted job; `undefined` for a tombstone. */
+export function decodeJob(id: JobId, service: ServiceName, value: unknown): Job | undefined {
+	const row = submissionSchema.parse(value);
+	return 'isRefused' in row ? undefined : {...row, id, service};
+}
+
+/** A task that was started and is not done, as the progress row keeps it. */
+const openTaskSchema = z.tuple([z.int(), z.int(), z.int(), z.string(), z.number(), z.string()])
+	.transform(([index, run, failures, worker, bornAt, checkpoint]) => ({
+		index, run, failures, checkpoint, life: worker === '' ? undefined : {id: worker as VmId, bornAt},
+	}));
+
+const stepProgressSchema = z.object({
+	occurrence: z.int(),
+	step: z.int(),
+	/** Indices of the tasks that are done. */
+	done: z.array(z.int()),
+	open: z.array(openTaskSchema),
+});
+
+const progressSchema = z.object({
+	state: z.enum(['queued', 'running', 'succeeded', 'failed', 'cancelled']),
+	/** When the job ended, in milliseconds since the Unix epoch. */
+	endedAt: z.number().optional(),
+	steps: z.array(stepProgressSchema),
+});
+
+/** Value of a progress row as it is written. */
+export type ProgressRow = z.input<typeof progressSchema>;
+/** A progress row as it is read. */
+export type Progress = z.output<typeof progressSchema>;
+
+/** Decodes a progress row. */
+export function decodeProgress(value: unknown): Progress {
+	return progressSchema.parse(value);
+}
+
+/** Value of a fence: who writes the partition and how often it has. */
+export type FenceRow = {readonly epoch: number; readonly sequence: number; readonly holder: string};
--- /dev/null
+++ b/packages/workflows/src/run-starters.ts
@@ -0,0 +1,102 @@
+/**
+ * Starts of runs: sends the order and settles its outcome, also where no answer comes.
+ */
+import {
+	readErrorMessage, VerdictError, type Clock,
+} from '@tamarackwind/core';
+import {match} from 'ts-pattern';
+import {type Task} from './active-jobs.js';
+import {type DecisionLog} from './decision-logs.js';
+import {type StartRefusal, type WorkerControl} from './workers.js';
+import {type WorkerSession} from './worker-sessions.js';
+
+export type RunStarterOptions = {
+	readonly clock: Clock;
+	readonly control: WorkerControl;
+	readonly log: DecisionLog;
+	readonly epoch: number;
+	readonly canOrder: () => boolean;
+	/** Called when a start has come to nothing and its task waits again. */
+	readonly onSettled: (task: Task) => void;
+};
+
+/** Sends starts that are on record. */
+export class RunStarter {
+	static create(options: RunStarterOptions): RunStarter {
+		return new RunStarter(options);
+	}
+
+	readonly #options: RunStarterOptions;
+
+	private constructor(options: RunStarterOptions) {
+		this.#options = options;
+	}
+
+	/** Starts the recorded run of a task on the worker of a session. */
+	async start(task: Task, session: WorkerSession, ticket: string | undefined, refusalMs: number): Promise<void> {
+		const {clock, control, log, epoch, canOrder} = this.#options;
+		if (!canOrder()) {
+			this.#release(task, session);
+			return;
+		}
+
+		task.phase = 'starting';
+		task.orderedAt = clock.readMonotonic();
+		task.advancedAt = task.orderedAt;
+		const key = task.runKey;
+		log.info('run ordered', {job: key.job, task: task.name, run: key.run, worker: session.name, doubt: session.health.computeDoubt(task.orderedAt)});
+		session.wake();
+		try {
+			const outcome = await control.startRun(session.record, {
+				key, payload: task.job.job.payload, leaseUntil: session.extendLease(), fencingToken: epoch, checkpoint: task.checkpoint, ticket,
+			});
+			if (task.run !== key.run || task.phase !== 'starting') {
+				return;
+			}
+
+			if (outcome.status === 'started') {
+				task.phase = 'running';
+				task.orderedAt = clock.readMonotonic();
+			} else {
+				this.#applyRefusal(task, session, outcome.reason, refusalMs);
+			}
+		} catch (error) {
+			this.#applyFailure(task, session, key.run, error);
+		}
+	}
+
+	#applyRefusal(task: Task, session: WorkerSession, reason: StartRefusal, refusalMs: number): void {
+		const {clock, log} = this.#options;
+		log.warn('start refused', {job: task.job.job.id, task: task.name, run: task.run, worker: session.name, reason});
+		match(reason)
+			.with('unhealthy', 'no-room', 'fenced', 'invalid', () => {
+				session.health.recordRefusal(clock.readMonotonic() + refusalMs);
+			})
+			.with('superseded', 'expired', 'no-ticket', 'other-life', () => {})
+			.exhaustive();
+		this.#release(task, session);
+	}
+
+	#applyFailure(task: Task, session: WorkerSession, run: number, error: unknown): void {
+		const {log} = this.#options;
+		if (task.run !== run || task.phase !== 'starting') {
+			return;
+		}
+
+		const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
+		log.warn('start not answered', {job: task.job.job.id, task: task.name, run, worker: session.name, isUnsent, error: readErrorMessage(error)});
+		if (isUnsent) {
+			this.#release(task, session);
+		} else {
+			// It may still be carried out: the same run is stopped there before the task goes anywhere else.
+			session.stopTask(task);
+		}
+	}
+
+	#release(task: Task, session: WorkerSession): void {
+		session.removeTask(task);
+		task.phase = 'waiting';
+		task.life = undefined;
+		this.#options.onSettled(task);
+	}
+}
--- /dev/null
+++ b/packages/workflows/src/schedulers.ts
@@ -0,0 +1,263 @@
+/**
+ * The duty to schedule: one entry holds it, runs the schedulers of all pools and looks after the fleet.
+ */
+import {
+	readErrorMessage, type Clock, type RandomSource, type ServiceName, type VmId,
+} from '@tamarackwind/core';
+import {DutyLease, type WatchedTableService} from '@tamarackwind/clients';
+import {type DecisionLog} from './decision-logs.js';
+import {FleetKeeper} from './fleet-keepers.js';
+import {type DeclarationCodec, type OperatorWatch} from './operator-watches.js';
+import {PoolScheduler} from './pool-schedulers.js';
+import {type FleetControl, type PlacementAdvisor, type WorkerControl, type WorkerRegistry} from './workers.js';
+
+export type SchedulerOptions = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly tables: WatchedTableService;
+	readonly operator: OperatorWatch;
+	readonly codec: DeclarationCodec;
+	readonly registry: WorkerRegistry;
+	readonly control: WorkerControl;
+	readonly advisor: PlacementAdvisor;
+	readonly fleet: FleetControl;
+	readonly log: DecisionLog;
+	/** Name of this entry. */
+	readonly holder: string;
+	/** Time for which ended jobs are kept, in milliseconds. */
+	readonly retentionMs: number;
+	/** Least time between orders of two holders for one VM, in milliseconds. */
+	readonly fleetLeaseMs: number;
+	/** Time after which a VM that an order ended is back, in milliseconds. */
+	readonly returnMs: number;
+	/** Longest time that a lease of a worker may last, in milliseconds. */
+	readonly maxLeaseMs: number;
+};
+
+/** What the holder tells all entries with each renewal. */
+export type SchedulerNews = {
+	/** Jobs of each queue without a run. */
+	readonly waiting: Readonly<Record<string, number>>;
+	/** Work of each pool that is submitted and not done, in milliseconds of the whole pool. */
+	readonly backlogMs: Readonly<Record<string, number>>;
+};
+
+/** Time without a renewal after which another entry takes the duty, in milliseconds: above two renewals at a store sixty times slower. */
+const termMs = 2400;
+/** Pause between two looks at the duty, in milliseconds. */
+const refreshMs = 400;
+/** Time since its last renewal for which a holder goes on renewing the leases of what runs, in milliseconds: covers long outages of the store. */
+const holdMs = 12_000;
+/** Pause between two readings of the registry, in milliseconds. */
+const registryMs = 300;
+const clockSlackFactor = 1.03;
+
+/** Takes part in the duty and does it while it is held. */
+export class Scheduler {
+	static create(options: SchedulerOptions): Scheduler {
+		const scheduler = new Scheduler(options);
+		void scheduler.#runDuty();
+		void scheduler.#runRegistry();
+		return scheduler;
+	}
+
+	readonly #options: SchedulerOptions;
+	readonly #lease: DutyLease;
+	readonly #pools = new Map<ServiceName, PoolScheduler>();
+	readonly #opening = new Set<ServiceName>();
+	#fleet: FleetKeeper | undefined;
+	/** Epoch under which the pools are scheduled. */
+	#epoch: number | undefined;
+	#tookAt = 0;
+	#isClosed = false;
+
+	private constructor(options: SchedulerOptions) {
+		this.#options = options;
+		this.#lease = DutyLease.create({
+			...options, duty: 'scheduler', partition: 'scheduler', termMs, describeNews: () => this.#describeNews(),
+		});
+	}
+
+	get isHeld(): boolean {
+		return this.#lease.isHeld;
+	}
+
+	get takeovers(): number {
+		return this.#lease.takeovers;
+	}
+
+	get pools(): Iterable<PoolScheduler> {
+		return this.#pools.values();
+	}
+
+	/** What the holder told last, with its age in milliseconds; `undefined` before the first word. */
+	get news(): {readonly news: SchedulerNews; readonly ageMs: number} | undefined {
+		if (this.#lease.isHeld) {
+			return {news: this.#describeNews(), ageMs: 0};
+		}
+
+		const known = this.#lease.news;
+		return known?.news === undefined
+			? undefined
+			: {news: known.news as SchedulerNews, ageMs: this.#options.clock.readMonotonic() - known.changedAt};
+	}
+
+	/** Gives the duty up, so that another entry takes it at once. */
+	async close(): Promise<void> {
+		this.#isClosed = true;
+		const wasHeld = this.#epoch !== undefined;
+		this.#dropPools();
+		if (wasHeld) {
+			this.#options.log.info('duty released', {duty: 'scheduler'});
+			await this.#lease.release();
+		}
+	}
+
+	get #canOrder(): boolean {
+		return !this.#isClosed && this.#lease.isHeld && this.#lease.epoch === this.#epoch;
+	}
+
+	get #canHold(): boolean {
+		const {renewedAt} = this.#lease;
+		return !this.#isClosed && renewedAt !== undefined && this.#options.clock.readBoot() - renewedAt < holdMs;
+	}
+
+	async #runDuty(): Promise<void> {
+		const {clock, log} = this.#options;
+		while (!this.#isClosed) {
+			try {
+				await this.#lease.refresh();
+				this.#followLease();
+			} catch (error) {
+				log.warn('duty not refreshed', {duty: 'scheduler', isHeld: this.#lease.isHeld, error: readErrorMessage(error)});
+			}
+
+			await clock.sleep(refreshMs);
+		}
+	}
+
+	/** Starts or ends the work of the duty as the lease was taken or lost. */
+	#followLease(): void {
+		const {log, clock, holder} = this.#options;
+		const {epoch, renewedAt} = this.#lease;
+		if (renewedAt === undefined && this.#epoch !== undefined) {
+			log.warn('duty lost', {duty: 'scheduler', epoch: this.#epoch});
+			this.#dropPools();
+		} else if (epoch !== undefined && epoch !== this.#epoch && !this.#isClosed) {
+			this.#dropPools();
+			this.#epoch = epoch;
+			this.#tookAt = clock.readMonotonic();
+			log.info('duty taken', {duty: 'scheduler', epoch, holder});
+			this.#fleet = FleetKeeper.create({
+				...this.#options, epoch, canOrder: () => this.#canOrder, listPools: () => [...this.#pools.values()],
+			});
+		}
+
+		this.#openPools();
+	}
+
+	#openPools(): void {
+		const {operator} = this.#options;
+		if (this.#epoch === undefined || !this.#canOrder) {
+			return;
+		}
+
+		for (const {name} of operator.configuration?.pools ?? []) {
+			if (!this.#pools.has(name) && !this.#opening.has(name)) {
+				void this.#openPool(name, this.#epoch);
+			}
+		}
+	}
+
+	async #openPool(service: ServiceName, epoch: number): Promise<void> {
+		const {log, maxLeaseMs} = this.#options;
+		this.#opening.add(service);
+		const pool = PoolScheduler.create({
+			...this.#options,
+			service,
+			epoch,
+			canOrder: () => this.#canOrder && this.#epoch === epoch,
+			canHold: () => this.#canHold && this.#epoch === epoch,
+			unknownUntil: this.#tookAt + (holdMs - termMs) + (maxLeaseMs * clockSlackFactor),
+			onLost: () => {
+				this.#dropPools();
+			},
+		});
+		try {
+			await pool.open();
+			if (this.#epoch === epoch) {
+				this.#pools.set(service, pool);
+			} else {
+				pool.close();
+			}
+		} catch (error) {
+			pool.close();
+			log.warn('service not opened', {service, epoch, error: readErrorMessage(error)});
+		} finally {
+			this.#opening.delete(service);
+		}
+	}
+
+	#dropPools(): void {
+		this.#epoch = undefined;
+		this.#fleet?.close();
+		this.#fleet = undefined;
+		for (const pool of this.#pools.values()) {
+			pool.close();
+		}
+
+		this.#pools.clear();
+	}
+
+	async #runRegistry(): Promise<void> {
+		const {clock, log} = this.#options;
+		while (!this.#isClosed) {
+			if (this.#pools.size > 0) {
+				try {
+					await this.#updateWorkers();
+				} catch (error) {
+					log.warn('workers not listed', {error: readErrorMessage(error)});
+				}
+			}
+
+			await clock.sleep(registryMs);
+		}
+	}
+
+	async #updateWorkers(): Promise<void> {
+		const records = await this.#options.registry.listWorkers();
+		for (const pool of this.#pools.values()) {
+			pool.updateWorkers(records.filter(record => record.pool as string === pool.service as string));
+		}
+
+		await this.#endDeadLives();
+	}
+
+	/** Asks the control of VMs about workers that can't be reached: one whose VM is down runs nothing any more. */
+	async #endDeadLives(): Promise<void> {
+		const lost = [...this.#pools.values()].flatMap(pool => [...pool.sessions])
+			.filter(session => !session.isReachable && session.tasks.size > 0).map(session => session.record.id);
+		if (lost.length > 0) {
+			const alive = new Set((await this.#options.fleet.listVms()).filter(vm => vm.state === 'up').map(vm => vm.worker));
+			const dead = new Set<VmId>(lost.filter(id => !alive.has(id)));
+			for (const pool of dead.size > 0 ? this.#pools.values() : []) {
+				pool.endLives(dead);
+			}
+		}
+	}
+
+	#describeNews(): SchedulerNews {
+		const waiting: Record<string, number> = {};
+		const backlogMs: Record<string, number> = {};
+		for (const pool of this.#pools.values()) {
+			for (const [queue, count] of pool.countWaiting()) {
+				waiting[queue] = count;
+			}
+
+			const {work, cpu} = pool.describeLoad();
+			backlogMs[pool.service] = Math.round(work / Math.max(1, cpu));
+		}
+
+		return {waiting, backlogMs};
+	}
+}
