--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -2,3 +2,4 @@
 export * from './placements.js';
 export * from './rankings.js';
 export * from './paces.js';
+export * from './evictions.js';
--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -15,6 +15,9 @@
 /** Cost of each serving task beside a filling one, in the same unit. */
 const disturbanceCost = 0.5;
 
+/** Cost of each task of the same lasting step on a worker, in the same unit: the loss of one worker should take one of them. */
+const fellowCost = 4;
+
 /** A step's part of a placement: how many of its tasks each worker has. */
 export type StepOccupancy = ReadonlyMap<string, number>;
 
@@ -41,7 +44,8 @@
 	for (const candidate of candidates) {
 		const isOpen = isWithin(need, candidate.free) && isEligible(candidate, step)
 			&& (occupancy.get(candidate.id) ?? 0) < (step.antiAffinity ?? Number.POSITIVE_INFINITY);
-		const cost = isOpen ? computeCost(candidate, step, need) : Number.POSITIVE_INFINITY;
+		const fellows = step.isLongRunning ? (occupancy.get(candidate.id) ?? 0) * fellowCost : 0;
+		const cost = isOpen ? computeCost(candidate, step, need) + fellows : Number.POSITIVE_INFINITY;
 		if (cost < bestCost) {
 			best = candidate;
 			bestCost = cost;
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -5,6 +5,7 @@
 	readErrorMessage, type Clock, type VmId,
 } from '@tamarackwind/core';
 import {type WatchedTableService} from '@tamarackwind/clients';
+import {planEviction, type EvictionPlan} from '@tamarackwind/scheduling';
 import {type Task} from './active-jobs.js';
 import {type WaveRequest} from './configurations.js';
 import {type DecisionLog} from './decision-logs.js';
@@ -34,6 +35,8 @@
 const emptyingMs = 2500;
 /** Time for which a VM must be missing from the list before it counts as gone for good, in milliseconds. */
 const goneMs = 5000;
+/** Progress of a task that is at work. */
+const fullPercent = 100;
 /** Table of what has been done of each wave. */
 const waveTable = 'waves';
 
@@ -212,9 +215,18 @@
 		}
 
 		session.isEmptying = true;
-		const tasks = [...session.tasks];
-		const isDone = tasks.every(task => task.spec.isLongRunning);
-		return (isDone || waitedMs > emptyingMs) && tasks.every(task => isExpendable(task));
+		const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session, task)}));
+		const movable = plans.find(({task, plan}) => plan === 'one-by-one' && isAtWork(task));
+		if (movable !== undefined) {
+			this.#options.log.info('task moved off', {
+				job: movable.task.job.job.id, task: movable.task.name, run: movable.task.run, worker: session.name, reason: 'upkeep within the disruption budget',
+			});
+			session.stopTask(movable.task);
+			return false;
+		}
+
+		const isDone = plans.every(({task}) => task.spec.isLongRunning);
+		return (isDone || waitedMs > emptyingMs) && plans.every(({plan}) => plan === 'free');
 	}
 
 	#findSession({worker}: FleetVm): WorkerSession | undefined {
@@ -247,13 +259,16 @@
 	}
 }
 
-/** Tells whether the disruption budget of a task's step allows to end it now. */
-function isExpendable(task: Task): boolean {
-	const {mayMiss, isLongRunning} = task.spec;
-	if (mayMiss === undefined || !isLongRunning || task.job.isTerminal) {
-		return true;
-	}
+/** Plans how a task and its fellows of the same step may leave the VM that they share. */
+function planTaskEviction(session: WorkerSession, {stepState, spec, job}: Task): EvictionPlan {
+	const others = stepState.tasks.filter(other => !session.tasks.has(other));
+	return planEviction({
+		here: stepState.tasks.filter(other => session.tasks.has(other)).length,
+		away: others.filter(other => !isAtWork(other)).length,
+		mayMiss: spec.isLongRunning && !job.isTerminal ? spec.mayMiss : undefined,
+	});
+}
 
-	const away = task.stepState.tasks.filter(other => other !== task && !(other.phase === 'running' && other.percent >= 100)).length;
-	return away < mayMiss;
+function isAtWork({phase, percent}: Task): boolean {
+	return phase === 'running' && percent >= fullPercent;
 }
