--- a/packages/scheduling/src/evictions.ts
+++ b/packages/scheduling/src/evictions.ts
@@ -6,7 +6,7 @@
 export type EvictedStep = {
 	/** Tasks of the step that are at work on the VM. */
 	readonly here: number;
-	/** Tasks of the step elsewhere that are not at work. */
+	/** Tasks of the step that are not at work, wherever they are. */
 	readonly away: number;
 	/** Tasks that orders may make unavailable at once; no bound when `undefined`. */
 	readonly mayMiss: number | undefined;
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -261,10 +261,9 @@
 
 /** Plans how a task and its fellows of the same step may leave the VM that they share. */
 function planTaskEviction(session: WorkerSession, {stepState, spec, job}: Task): EvictionPlan {
-	const others = stepState.tasks.filter(other => !session.tasks.has(other));
 	return planEviction({
-		here: stepState.tasks.filter(other => session.tasks.has(other)).length,
-		away: others.filter(other => !isAtWork(other)).length,
+		here: stepState.tasks.filter(other => session.tasks.has(other) && isAtWork(other)).length,
+		away: stepState.tasks.filter(other => !isAtWork(other)).length,
 		mayMiss: spec.isLongRunning && !job.isTerminal ? spec.mayMiss : undefined,
 	});
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -206,6 +206,13 @@
 		this.#wake.set();
 	}
 
+	/** Workers with tasks that can't be reached, or that an earlier holder recorded and the registry does not list. */
+	listLostWorkers(): VmId[] {
+		const unreachable = [...this.#sessions.values()].filter(session => !session.isReachable && session.tasks.size > 0).map(session => session.record.id);
+		const recorded = [...this.#orphans].flatMap(task => task.life === undefined ? [] : [task.life.id]);
+		return [...new Set([...unreachable, ...recorded])];
+	}
+
 	/** Takes in that lives are over although their workers can't be reached. */
 	endLives(lives: ReadonlySet<VmId>): void {
 		for (const session of this.#sessions.values()) {
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -235,8 +235,7 @@
 
 	/** Asks the control of VMs about workers that can't be reached: one whose VM is down runs nothing any more. */
 	async #endDeadLives(): Promise<void> {
-		const lost = [...this.#pools.values()].flatMap(pool => [...pool.sessions])
-			.filter(session => !session.isReachable && session.tasks.size > 0).map(session => session.record.id);
+		const lost = [...this.#pools.values()].flatMap(pool => pool.listLostWorkers());
 		if (lost.length > 0) {
 			const alive = new Set((await this.#options.fleet.listVms()).filter(vm => vm.state === 'up').map(vm => vm.worker));
 			const dead = new Set<VmId>(lost.filter(id => !alive.has(id)));
