--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -78,9 +78,13 @@
 				entry.tickets.set(worker, ticket);
 			}
 
-			log.info('placement advised', {job, step, asked: workers.length, allowed: tickets.size, afterMs: Math.round(clock.readMonotonic() - askedAt)});
+			log.info('placement advised', {
+				job, step, asked: workers.length, allowed: tickets.size, afterMs: Math.round(clock.readMonotonic() - askedAt),
+			});
 		} catch (error) {
-			log.warn('placement not advised', {job, step, asked: workers.length, error: readErrorMessage(error)});
+			log.warn('placement not advised', {
+				job, step, asked: workers.length, error: readErrorMessage(error),
+			});
 			await clock.sleep(retryMs);
 		} finally {
 			entry.isAsking = false;
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -202,12 +202,30 @@
 		begun.add(vm.id);
 		if (outcome === 'accepted') {
 			down.set(vm.id, clock.readMonotonic());
-			session?.endByOrder('upkeep');
+			await this.#endOrderedLife(vm, session);
 		}
 
 		await this.#writeState(progress, progress.state);
 	}
 
+	/**
+	 * Ends the life of a worker whose VM has left. An order that an earlier holder had already given is accepted again and
+	 * changes nothing: the worker that has come back since goes on.
+	 */
+	async #endOrderedLife({id, worker}: FleetVm, session: WorkerSession | undefined): Promise<void> {
+		if (session === undefined) {
+			return;
+		}
+
+		const vm = (await this.#options.fleet.listVms()).find(other => other.id === id);
+		if (vm?.state === 'up' && vm.worker === worker) {
+			session.isEmptying = false;
+			this.#options.log.info('VM was through its upkeep before', {vm: id, worker});
+		} else {
+			session.endByOrder('upkeep');
+		}
+	}
+
 	/** Tells whether a VM may go: nothing is lost, or the wait is over and every disruption budget allows it. */
 	#isEmptied(session: WorkerSession | undefined, waitedMs: number): boolean {
 		if (session === undefined) {
@@ -252,7 +270,9 @@
 			writes: [{table: waveTable, key: wave.id, value}, ...(isTold ? [] : [codec.encodeWaveStatus(wave, state)])],
 		});
 		if (!isTold) {
-			log.info('wave', {wave: wave.id, state, vms: wave.vms.length, begun: begun.size});
+			log.info('wave', {
+				wave: wave.id, state, vms: wave.vms.length, begun: begun.size,
+			});
 		}
 
 		progress.state = state;
--- a/packages/workflows/src/intakes.ts
+++ b/packages/workflows/src/intakes.ts
@@ -141,7 +141,9 @@
 	/** Finds out what became of a batch whose transaction failed. */
 	async #settle(batch: readonly Pending[], error: unknown): Promise<void> {
 		const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
-		this.#options.log.warn('submissions not written', {jobs: batch.map(({job}) => job.id).slice(0, 5), count: batch.length, isUnsent, error: readErrorMessage(error)});
+		this.#options.log.warn('submissions not written', {
+			jobs: batch.map(({job}) => job.id).slice(0, 5), count: batch.length, isUnsent, error: readErrorMessage(error),
+		});
 		await Promise.all(batch.map(async pending => {
 			pending.resolve(isUnsent ? 'refused' : await this.#settleOne(pending));
 		}));
--- a/packages/workflows/src/job-feeds.ts
+++ b/packages/workflows/src/job-feeds.ts
@@ -83,7 +83,9 @@
 
 		const all = [...jobs.values()];
 		const orphans = all.flatMap(active => active.tasks.filter(task => task.life !== undefined));
-		log.info('service loaded', {service, jobs: all.length, running: all.filter(active => !active.isTerminal).length, orphans: orphans.length, version});
+		log.info('service loaded', {
+			service, jobs: all.length, running: all.filter(active => !active.isTerminal).length, orphans: orphans.length, version,
+		});
 		return {jobs: all, orphans};
 	}
 
@@ -162,7 +164,9 @@
 					});
 				}
 			} catch (error) {
-				log.warn('job row can\'t be read', {service, job: key, version, error: readErrorMessage(error)});
+				log.warn('job row can\'t be read', {
+					service, job: key, version, error: readErrorMessage(error),
+				});
 			}
 		}
 
--- a/packages/workflows/src/pace-keepers.ts
+++ b/packages/workflows/src/pace-keepers.ts
@@ -57,14 +57,18 @@
 		const before = task.pace;
 		const key = task.runKey;
 		task.pace = percent;
-		log.info('filler paced', {job: key.job, task: task.name, worker: session.name, percent, before});
+		log.info('filler paced', {
+			job: key.job, task: task.name, worker: session.name, percent, before,
+		});
 		try {
 			const outcome = await control.throttleRun(session.record, {key, percent, fencingToken: epoch});
 			if (outcome !== 'done' && task.run === key.run) {
 				task.pace = before;
 			}
 		} catch (error) {
-			log.warn('filler not paced', {job: key.job, task: task.name, worker: session.name, error: readErrorMessage(error)});
+			log.warn('filler not paced', {
+				job: key.job, task: task.name, worker: session.name, error: readErrorMessage(error),
+			});
 			if (task.run === key.run) {
 				task.pace = before;
 			}
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -17,7 +17,9 @@
 import {PaceKeeper} from './pace-keepers.js';
 import {RunStarter} from './run-starters.js';
 import {Signal} from './signals.js';
-import {type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord} from './workers.js';
+import {
+	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
+} from './workers.js';
 import {SessionOwner, WorkerSession} from './worker-sessions.js';
 
 export type PoolSchedulerOptions = {
@@ -84,13 +86,15 @@
 		this.service = options.service;
 		this.fencingToken = options.epoch;
 		this.#ledger = Ledger.create({
-			...options, onLost: () => {
+			...options, onLost() {
 				options.onLost();
 			},
 		});
-		this.#feed = JobFeed.create({...options, onNews: news => {
-			this.#takeNews(news);
-		}});
+		this.#feed = JobFeed.create({
+			...options, onNews: news => {
+				this.#takeNews(news);
+			},
+		});
 		this.#starter = RunStarter.create({
 			clock: options.clock, control: options.control, log: options.log, epoch: options.epoch, canOrder: options.canOrder,
 			onSettled: task => {
@@ -333,7 +337,9 @@
 		if (active.isTerminal && active.state !== before) {
 			const {clock, log} = this.#options;
 			active.endedAt = clock.readWall();
-			log.info('job ended', {job: active.job.id, queue: active.job.queue, state: active.state, ageMs: Math.round(clock.readMonotonic() - active.submittedAt)});
+			log.info('job ended', {
+				job: active.job.id, queue: active.job.queue, state: active.state, ageMs: Math.round(clock.readMonotonic() - active.submittedAt),
+			});
 			for (const task of active.tasks) {
 				this.#endTask(task);
 			}
@@ -430,7 +436,9 @@
 
 		for (const task of session.tasks) {
 			if (!seen.has(task) && this.#isGone(session, task, sentAt)) {
-				this.#options.log.info('run is not there', {job: task.job.job.id, task: task.name, run: task.run, worker: session.name, phase: task.phase});
+				this.#options.log.info('run is not there', {
+					job: task.job.job.id, task: task.name, run: task.run, worker: session.name, phase: task.phase,
+				});
 				this.#freeTask(task, changed);
 				this.#updateState(task.job, changed);
 			}
@@ -702,4 +710,3 @@
 	return `${job}.${occurrence}.${step}.${index}#${run}`;
 }
 
-
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -2,7 +2,9 @@
  * Rows of jobs and of their progress: their schemas, checked when they are read.
  */
 import {z} from 'zod';
-import {type JobId, type RackName, type ServiceName, type VmId} from '@tamarackwind/core';
+import {
+	type JobId, type RackName, type ServiceName, type VmId,
+} from '@tamarackwind/core';
 import {type Job} from './jobs.js';
 
 const resourcesSchema = z.object({cpu: z.number(), memory: z.number(), gpu: z.number()});
--- a/packages/workflows/src/run-starters.ts
+++ b/packages/workflows/src/run-starters.ts
@@ -44,7 +44,9 @@
 		task.orderedAt = clock.readMonotonic();
 		task.advancedAt = task.orderedAt;
 		const key = task.runKey;
-		log.info('run ordered', {job: key.job, task: task.name, run: key.run, worker: session.name, doubt: session.health.computeDoubt(task.orderedAt)});
+		log.info('run ordered', {
+			job: key.job, task: task.name, run: key.run, worker: session.name, doubt: session.health.computeDoubt(task.orderedAt),
+		});
 		session.wake();
 		try {
 			const outcome = await control.startRun(session.record, {
@@ -67,7 +69,9 @@
 
 	#applyRefusal(task: Task, session: WorkerSession, reason: StartRefusal, refusalMs: number): void {
 		const {clock, log} = this.#options;
-		log.warn('start refused', {job: task.job.job.id, task: task.name, run: task.run, worker: session.name, reason});
+		log.warn('start refused', {
+			job: task.job.job.id, task: task.name, run: task.run, worker: session.name, reason,
+		});
 		match(reason)
 			.with('unhealthy', 'no-room', 'fenced', 'invalid', () => {
 				session.health.recordRefusal(clock.readMonotonic() + refusalMs);
@@ -84,7 +88,9 @@
 		}
 
 		const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
-		log.warn('start not answered', {job: task.job.job.id, task: task.name, run, worker: session.name, isUnsent, error: readErrorMessage(error)});
+		log.warn('start not answered', {
+			job: task.job.job.id, task: task.name, run, worker: session.name, isUnsent, error: readErrorMessage(error),
+		});
 		if (isUnsent) {
 			this.#release(task, session);
 		} else {
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -9,7 +9,9 @@
 import {FleetKeeper} from './fleet-keepers.js';
 import {type DeclarationCodec, type OperatorWatch} from './operator-watches.js';
 import {PoolScheduler} from './pool-schedulers.js';
-import {type FleetControl, type PlacementAdvisor, type WorkerControl, type WorkerRegistry} from './workers.js';
+import {
+	type FleetControl, type PlacementAdvisor, type WorkerControl, type WorkerRegistry,
+} from './workers.js';
 
 export type SchedulerOptions = {
 	readonly clock: Clock;
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -279,7 +279,9 @@
 				stop.ackedAt = clock.readMonotonic();
 			}
 		} catch (error) {
-			log.warn('stop not answered', {worker: this.name, task: task.name, run: stop.run, error: readErrorMessage(error)});
+			log.warn('stop not answered', {
+				worker: this.name, task: task.name, run: stop.run, error: readErrorMessage(error),
+			});
 		} finally {
 			stop.isSending = false;
 		}
--- a/packages/workflows/src/workers.ts
+++ b/packages/workflows/src/workers.ts
@@ -160,4 +160,3 @@
 	};
 }
 
-
