Emulate the whole system in simulated time; mend what its first 200 histories found

Causes: a lost fence rejected a promise that nobody awaited and ended the process; a gang whose start got no answer waited for its members in vain; an upkeep took tasks for free that had just started, since the listing is up to a second old.

--- a/packages/clients/src/memories.ts
+++ b/packages/clients/src/memories.ts
@@ -11,8 +11,6 @@
 
 type StoredRow = {readonly json: string; readonly version: number};
 
-const watchStepMs = 5;
-
 /** A table service in memory. */
 export class MemoryTableService extends WatchedTableService {
 	static create(clock: Clock = SystemClock.create()): MemoryTableService {
@@ -22,6 +20,7 @@
 	readonly faults = FaultSwitch.create();
 	readonly #tables = new Map<string, Map<string, StoredRow>>();
 	readonly #sortedKeys = new Map<string, string[]>();
+	readonly #watchers = new Set<() => void>();
 	#history: RowChange[] = [];
 	/** Version up to which changes have been dropped from the history. */
 	#forgotten = absentVersion;
@@ -76,17 +75,19 @@
 	override async watchRows(table: string, {after, waitMs}: WatchOptions): Promise<WatchOutcome> {
 		await this.faults.applyBefore();
 		this.#reads++;
-		for (let waitedMs = 0; ; waitedMs += watchStepMs) {
+		const endsAt = this.#clock.readMonotonic() + waitMs;
+		for (;;) {
 			if (after < this.#forgotten) {
 				return {status: 'expired'};
 			}
 
 			const changes = this.#history.filter(change => change.table === table && change.version > after);
-			if (changes.length > 0 || waitedMs >= waitMs) {
+			const remainingMs = endsAt - this.#clock.readMonotonic();
+			if (changes.length > 0 || remainingMs <= 0) {
 				return {status: 'changes', changes, version: this.#version};
 			}
 
-			await this.#clock.sleep(watchStepMs);
+			await this.#waitForChange(remainingMs);
 		}
 	}
 
@@ -107,6 +108,18 @@
 		this.#tables.clear();
 	}
 
+	/** Resolves with the next commit, or after `ms` milliseconds. */
+	async #waitForChange(ms: number): Promise<void> {
+		const abort = new AbortController();
+		const wake = (): void => {
+			abort.abort();
+		};
+
+		this.#watchers.add(wake);
+		await this.#clock.sleep(ms, abort.signal);
+		this.#watchers.delete(wake);
+	}
+
 	#apply({checks, writes}: Transaction): CommitOutcome {
 		const conflicts = checks.filter(check => (this.#readRow(check)?.version ?? absentVersion) !== check.version);
 		if (conflicts.length > 0) {
@@ -120,11 +133,15 @@
 			this.#history.push({...key, value: value === undefined ? undefined : structuredClone(value), version: this.#version});
 		}
 
+		for (const wake of this.#watchers) {
+			wake();
+		}
+
 		return {status: 'committed', version: this.#version};
 	}
 
 	#writeRow(rowKey: RowKey, value: unknown): void {
-		const name = nameTable(rowKey.table, rowKey.partition);
+		const name = formatTable(rowKey.table, rowKey.partition);
 		const rows = this.#tables.get(name) ?? new Map<string, StoredRow>();
 		this.#tables.set(name, rows);
 		if (!rows.has(rowKey.key) || value === undefined) {
@@ -139,7 +156,7 @@
 	}
 
 	#readRow({table, key, partition}: RowKey): Row | undefined {
-		const row = this.#tables.get(nameTable(table, partition))?.get(key);
+		const row = this.#tables.get(formatTable(table, partition))?.get(key);
 		return row === undefined
 			? undefined
 			: {
@@ -148,14 +165,14 @@
 	}
 
 	#listKeys(table: string, partition?: string): string[] {
-		const name = nameTable(table, partition);
+		const name = formatTable(table, partition);
 		const keys = this.#sortedKeys.get(name) ?? [...this.#tables.get(name)?.keys() ?? []].toSorted();
 		this.#sortedKeys.set(name, keys);
 		return keys;
 	}
 }
 
-function nameTable(table: string, partition = ''): string {
+function formatTable(table: string, partition = ''): string {
 	return `${table}\0${partition}`;
 }
 
--- a/packages/scheduling/src/evictions.ts
+++ b/packages/scheduling/src/evictions.ts
@@ -4,10 +4,12 @@
 
 /** What an eviction needs to know of a step that has tasks on the VM. */
 export type EvictedStep = {
-	/** Tasks of the step that are at work on the VM. */
+	/** Tasks of the step on the VM, which may all be at work by now. */
 	readonly here: number;
-	/** Tasks of the step that are not at work, wherever they are. */
-	readonly away: number;
+	/** Those of them that are not known to be at work. */
+	readonly awayHere: number;
+	/** Tasks of the step elsewhere that are not known to be at work. */
+	readonly awayElsewhere: number;
 	/** Tasks that orders may make unavailable at once; no bound when `undefined`. */
 	readonly mayMiss: number | undefined;
 };
@@ -20,10 +22,10 @@
 export type EvictionPlan = 'free' | 'one-by-one' | 'blocked';
 
 /** Plans how the tasks of one step may leave a VM. */
-export function planEviction({here, away, mayMiss}: EvictedStep): EvictionPlan {
-	if (mayMiss === undefined || here === 0 || away + here <= mayMiss) {
+export function planEviction({here, awayHere, awayElsewhere, mayMiss}: EvictedStep): EvictionPlan {
+	if (mayMiss === undefined || here === 0 || awayElsewhere + here <= mayMiss) {
 		return 'free';
 	}
 
-	return away < mayMiss ? 'one-by-one' : 'blocked';
+	return awayElsewhere + awayHere < mayMiss ? 'one-by-one' : 'blocked';
 }
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -27,3 +27,6 @@
 export * from './worker-hosts.js';
 export * from './worker-processes.js';
 export * from './workers.js';
+export * from './emulated-systems.js';
+export * from './emulated-workers.js';
+export * from './system-histories.js';
--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -39,7 +39,7 @@
 	/** Gives the candidates that the step of a task holds tickets for, and asks for more where there are none. */
 	filterAllowed<T extends {readonly id: VmId}>(task: Task, candidates: readonly T[]): T[] {
 		const now = this.#options.clock.readMonotonic();
-		const name = nameStep(task);
+		const name = formatStep(task);
 		let entry = this.#entries.get(name);
 		if (entry === undefined || (now >= entry.expiresAt && !entry.isAsking)) {
 			entry = {
@@ -51,7 +51,7 @@
 		const {tickets, asked} = entry;
 		const unasked = candidates.filter(({id}) => !asked.has(id)).slice(0, askedWorkers);
 		if (!entry.isAsking && unasked.length > 0) {
-			void this.#ask(task, entry, unasked.map(({id}) => id));
+			void this.#requestTickets(task, entry, unasked.map(({id}) => id));
 		}
 
 		return candidates.filter(({id}) => tickets.has(id));
@@ -59,10 +59,10 @@
 
 	/** Ticket for a task on a worker; `undefined` when its queue asks for none. */
 	getTicket(task: Task, worker: VmId): string | undefined {
-		return this.#entries.get(nameStep(task))?.tickets.get(worker);
+		return this.#entries.get(formatStep(task))?.tickets.get(worker);
 	}
 
-	async #ask(task: Task, entry: Entry, workers: readonly VmId[]): Promise<void> {
+	async #requestTickets(task: Task, entry: Entry, workers: readonly VmId[]): Promise<void> {
 		const {clock, advisor, log, onAnswer} = this.#options;
 		const {job, occurrence, step} = task.key;
 		entry.isAsking = true;
@@ -93,7 +93,7 @@
 	}
 }
 
-function nameStep(task: Task): string {
+function formatStep(task: Task): string {
 	const {job, occurrence, step} = task.key;
 	return `${job}.${occurrence}.${step}`;
 }
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -281,9 +281,11 @@
 
 /** Plans how a task and its fellows of the same step may leave the VM that they share. */
 function planTaskEviction(session: WorkerSession, {stepState, spec, job}: Task): EvictionPlan {
+	const away = stepState.tasks.filter(other => !isAtWork(other));
 	return planEviction({
-		here: stepState.tasks.filter(other => session.tasks.has(other) && isAtWork(other)).length,
-		away: stepState.tasks.filter(other => !isAtWork(other)).length,
+		here: stepState.tasks.filter(other => session.tasks.has(other)).length,
+		awayHere: away.filter(other => session.tasks.has(other)).length,
+		awayElsewhere: away.filter(other => !session.tasks.has(other)).length,
 		mayMiss: spec.isLongRunning && !job.isTerminal ? spec.mayMiss : undefined,
 	});
 }
--- a/packages/workflows/src/job-feeds.ts
+++ b/packages/workflows/src/job-feeds.ts
@@ -91,7 +91,7 @@
 
 	/** Follows the changes and removes jobs whose retention has ended, until `close`. */
 	start(): void {
-		void this.#follow();
+		void this.#watchAll();
 		void this.#removeEnded();
 	}
 
@@ -112,7 +112,7 @@
 		return new Map(rows.filter(row => row.key !== fenceKey).map(row => [row.key as JobId, decodeProgress(row.value)]));
 	}
 
-	async #follow(): Promise<void> {
+	async #watchAll(): Promise<void> {
 		const {clock, log, service} = this.#options;
 		while (!this.#isClosed) {
 			try {
--- a/packages/workflows/src/ledgers.ts
+++ b/packages/workflows/src/ledgers.ts
@@ -53,7 +53,7 @@
 	readonly #dirty = new Set<ActiveJob>();
 	#next: Batch | undefined;
 	#current: Batch | undefined;
-	#running: Promise<void> | undefined;
+	#isRunning = false;
 	#version = absentVersion;
 	#sequence = 0;
 	#isClosed = false;
@@ -103,7 +103,10 @@
 
 		this.#next ??= createBatch();
 		const {promise} = this.#next;
-		this.#running ??= this.#run();
+		if (!this.#isRunning) {
+			void this.#run();
+		}
+
 		return promise;
 	}
 
@@ -121,6 +124,7 @@
 
 	async #run(): Promise<void> {
 		const {clock} = this.#options;
+		this.#isRunning = true;
 		while (this.#next !== undefined && !this.#isClosed) {
 			await clock.sleep(gatherMs);
 			const batch = this.#next;
@@ -140,7 +144,7 @@
 			}
 		}
 
-		this.#running = undefined;
+		this.#isRunning = false;
 	}
 
 	async #write(jobs: readonly ActiveJob[]): Promise<boolean> {
@@ -211,6 +215,6 @@
 		reject = onReject;
 	});
 	// A batch that nobody waits for any more may fail in silence: its failure is logged where it happens.
-	promise.catch(() => {}); // eslint-disable-line promise/prefer-await-to-then
+	promise.catch(() => {});
 	return {promise, resolve, reject};
 }
--- a/packages/workflows/src/pace-keepers.ts
+++ b/packages/workflows/src/pace-keepers.ts
@@ -32,7 +32,7 @@
 	}
 
 	/** Adjusts the pace of a worker's fillers to the last figures of those that serve beside them. */
-	adjust(session: WorkerSession): void {
+	update(session: WorkerSession): void {
 		const now = this.#options.clock.readMonotonic();
 		const tasks = [...session.tasks].filter(task => task.phase === 'running');
 		const fillers = tasks.filter(task => task.spec.isFiller);
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -34,7 +34,7 @@
 	/** Tells whether orders may be given now. */
 	readonly canOrder: () => boolean;
 	/** Tells whether leases may be renewed now. */
-	readonly canHold: () => boolean;
+	readonly isHoldAllowed: () => boolean;
 	/** When whatever an earlier holder started has surely ended on a worker that can't be reached; on the monotonic clock. */
 	readonly unknownUntil: number;
 	/** Called when another holder has taken the service. */
@@ -112,8 +112,8 @@
 		});
 	}
 
-	override get canHold(): boolean {
-		return !this.#isClosed && this.#options.canHold();
+	override get isHoldAllowed(): boolean {
+		return !this.#isClosed && this.#options.isHoldAllowed();
 	}
 
 	get jobs(): Iterable<ActiveJob> {
@@ -227,25 +227,21 @@
 
 		for (const task of this.#orphans) {
 			if (task.life !== undefined && lives.has(task.life.id)) {
-				this.#freeOrphan(task);
+				this.#releaseOrphan(task);
 			}
 		}
 	}
 
-	override async applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<void> {
+	override async applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<boolean> {
 		const changed = new Set<ActiveJob>();
 		for (const end of listing.ends) {
 			this.#applyEnd(session, end, changed);
 		}
 
 		this.#applyRuns(session, listing.running, sentAt, changed);
-		this.#pace.adjust(session);
+		this.#pace.update(session);
 		this.#wake.set();
-		if (changed.size > 0) {
-			await this.#ledger.record(changed);
-		} else if (listing.ends.length > 0) {
-			await this.#ledger.settle();
-		}
+		return this.#recordSafely(changed);
 	}
 
 	override endLife(session: WorkerSession, reason: string): void {
@@ -253,7 +249,7 @@
 		log.info('worker life ended', {worker: session.name, reason, tasks: session.tasks.size});
 		const changed = new Set<ActiveJob>();
 		for (const task of session.tasks) {
-			this.#freeTask(task, changed);
+			this.#releaseTask(task, changed);
 		}
 
 		this.#closeSession(session);
@@ -287,7 +283,7 @@
 				this.#orphans.delete(task);
 				session.tasks.add(task);
 			} else if (task.life?.id === record.id) {
-				this.#freeOrphan(task);
+				this.#releaseOrphan(task);
 			}
 		}
 	}
@@ -299,9 +295,9 @@
 		}
 	}
 
-	#freeOrphan(task: Task): void {
+	#releaseOrphan(task: Task): void {
 		this.#orphans.delete(task);
-		this.#freeTask(task, new Set());
+		this.#releaseTask(task, new Set());
 		this.#wake.set();
 	}
 
@@ -383,7 +379,7 @@
 			saveCheckpoint(task, checkpoint);
 		}
 
-		this.#freeTask(task, changed);
+		this.#releaseTask(task, changed);
 		if (ending === 'done' && !task.spec.isLongRunning) {
 			session.health.recordEnding(key.job, false, now);
 			for (const member of task.spec.isGang ? task.stepState.tasks : [task]) {
@@ -439,7 +435,7 @@
 				this.#options.log.info('run is not there', {
 					job: task.job.job.id, task: task.name, run: task.run, worker: session.name, phase: task.phase,
 				});
-				this.#freeTask(task, changed);
+				this.#releaseTask(task, changed);
 				this.#updateState(task.job, changed);
 			}
 		}
@@ -460,7 +456,7 @@
 	}
 
 	/** Takes a task off its worker; it may start again at once. */
-	#freeTask(task: Task, changed: Set<ActiveJob>): void {
+	#releaseTask(task: Task, changed: Set<ActiveJob>): void {
 		this.#findSession(task)?.removeTask(task);
 		if (task.phase !== 'done') {
 			task.phase = 'waiting';
@@ -479,9 +475,10 @@
 		this.#wake.set();
 	}
 
-	async #recordSafely(changed: Iterable<ActiveJob>): Promise<boolean> {
+	/** Resolves to whether these jobs, and all that were recorded before, are durable. */
+	async #recordSafely(changed: ReadonlySet<ActiveJob>): Promise<boolean> {
 		try {
-			await this.#ledger.record(changed);
+			await (changed.size > 0 ? this.#ledger.record(changed) : this.#ledger.settle());
 			return true;
 		} catch (error) {
 			this.#options.log.warn('progress is not this holder\'s to write', {service: this.service, error: readErrorMessage(error)});
@@ -519,7 +516,7 @@
 
 		for (const task of this.#orphans) {
 			if (now > this.#options.unknownUntil) {
-				this.#freeOrphan(task);
+				this.#releaseOrphan(task);
 			}
 		}
 
@@ -539,7 +536,7 @@
 		}
 
 		for (const task of session.tasks) {
-			this.#freeTask(task, changed);
+			this.#releaseTask(task, changed);
 			this.#updateState(task.job, changed);
 		}
 
--- a/packages/workflows/src/queries.ts
+++ b/packages/workflows/src/queries.ts
@@ -32,7 +32,7 @@
 		for (const service of services) {
 			const state = await this.#readState(service, id);
 			if (state !== undefined) {
-				this.#keep(id, state);
+				this.#store(id, state);
 				return state;
 			}
 		}
@@ -58,7 +58,7 @@
 		return rows.some((row: Row) => parseCancelKey(row.key) === id) ? 'cancelled' : state ?? 'queued';
 	}
 
-	#keep(id: JobId, state: JobState): void {
+	#store(id: JobId, state: JobState): void {
 		if (isTerminal(state)) {
 			this.#kept.set(id, state);
 			const oldest = this.#kept.size > keptStates ? this.#kept.keys().next().value : undefined;
--- a/packages/workflows/src/run-starters.ts
+++ b/packages/workflows/src/run-starters.ts
@@ -16,7 +16,7 @@
 	readonly log: DecisionLog;
 	readonly epoch: number;
 	readonly canOrder: () => boolean;
-	/** Called when a start has come to nothing and its task waits again. */
+	/** Called when a start has come to nothing, or must be taken for it. */
 	readonly onSettled: (task: Task) => void;
 };
 
@@ -50,7 +50,7 @@
 		session.wake();
 		try {
 			const outcome = await control.startRun(session.record, {
-				key, payload: task.job.job.payload, leaseUntil: session.extendLease(), fencingToken: epoch, checkpoint: task.checkpoint, ticket,
+				key, payload: task.job.job.payload, leaseUntil: session.renewLease(), fencingToken: epoch, checkpoint: task.checkpoint, ticket,
 			});
 			if (task.run !== key.run || task.phase !== 'starting') {
 				return;
@@ -96,6 +96,7 @@
 		} else {
 			// It may still be carried out: the same run is stopped there before the task goes anywhere else.
 			session.stopTask(task);
+			this.#options.onSettled(task);
 		}
 	}
 
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -108,7 +108,7 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		const wasHeld = this.#epoch !== undefined;
-		this.#dropPools();
+		this.#closePools();
 		if (wasHeld) {
 			this.#options.log.info('duty released', {duty: 'scheduler'});
 			await this.#lease.release();
@@ -119,7 +119,7 @@
 		return !this.#isClosed && this.#lease.isHeld && this.#lease.epoch === this.#epoch;
 	}
 
-	get #canHold(): boolean {
+	get #isHoldAllowed(): boolean {
 		const {renewedAt} = this.#lease;
 		return !this.#isClosed && renewedAt !== undefined && this.#options.clock.readBoot() - renewedAt < holdMs;
 	}
@@ -129,7 +129,7 @@
 		while (!this.#isClosed) {
 			try {
 				await this.#lease.refresh();
-				this.#followLease();
+				this.#applyLease();
 			} catch (error) {
 				log.warn('duty not refreshed', {duty: 'scheduler', isHeld: this.#lease.isHeld, error: readErrorMessage(error)});
 			}
@@ -139,14 +139,14 @@
 	}
 
 	/** Starts or ends the work of the duty as the lease was taken or lost. */
-	#followLease(): void {
+	#applyLease(): void {
 		const {log, clock, holder} = this.#options;
 		const {epoch, renewedAt} = this.#lease;
 		if (renewedAt === undefined && this.#epoch !== undefined) {
 			log.warn('duty lost', {duty: 'scheduler', epoch: this.#epoch});
-			this.#dropPools();
+			this.#closePools();
 		} else if (epoch !== undefined && epoch !== this.#epoch && !this.#isClosed) {
-			this.#dropPools();
+			this.#closePools();
 			this.#epoch = epoch;
 			this.#tookAt = clock.readMonotonic();
 			log.info('duty taken', {duty: 'scheduler', epoch, holder});
@@ -179,10 +179,10 @@
 			service,
 			epoch,
 			canOrder: () => this.#canOrder && this.#epoch === epoch,
-			canHold: () => this.#canHold && this.#epoch === epoch,
+			isHoldAllowed: () => this.#isHoldAllowed && this.#epoch === epoch,
 			unknownUntil: this.#tookAt + (holdMs - termMs) + (maxLeaseMs * clockSlackFactor),
 			onLost: () => {
-				this.#dropPools();
+				this.#closePools();
 			},
 		});
 		try {
@@ -200,7 +200,7 @@
 		}
 	}
 
-	#dropPools(): void {
+	#closePools(): void {
 		this.#epoch = undefined;
 		this.#fleet?.close();
 		this.#fleet = undefined;
--- a/packages/workflows/src/worker-leases.ts
+++ b/packages/workflows/src/worker-leases.ts
@@ -29,7 +29,7 @@
 	}
 
 	/** Computes and notes a lease of `termMs` from now, on the worker's clock; `undefined` while that clock is not known. */
-	extend(now: number, termMs: number): number | undefined {
+	renew(now: number, termMs: number): number | undefined {
 		if (this.#sample === undefined) {
 			return undefined;
 		}
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -28,9 +28,9 @@
 export abstract class SessionOwner {
 	abstract readonly fencingToken: number;
 	/** Tells whether leases may still be renewed for what runs. */
-	abstract get canHold(): boolean;
-	/** Takes in a listing; resolves once all of its ends are durable. */
-	abstract applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<void>;
+	abstract get isHoldAllowed(): boolean;
+	/** Takes in a listing; resolves to whether all of its ends are durable, once that is known. */
+	abstract applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<boolean>;
 	/** Takes in that the worker's life is over. */
 	abstract endLife(session: WorkerSession, reason: string): void;
 	/** Takes in that the worker obeys a later holder. */
@@ -138,8 +138,8 @@
 	}
 
 	/** Lease for a start that is sent now, on the worker's clock. */
-	extendLease(): number {
-		return this.#lease.extend(this.#options.clock.readMonotonic(), leaseTermMs) ?? 0;
+	renewLease(): number {
+		return this.#lease.renew(this.#options.clock.readMonotonic(), leaseTermMs) ?? 0;
 	}
 
 	/** Makes the loop look at the worker at once. */
@@ -200,7 +200,7 @@
 			try {
 				if (!this.#isBusy) {
 					await this.#wake.wait();
-				} else if (owner.canHold) {
+				} else if (owner.isHoldAllowed) {
 					await this.#hold();
 				} else {
 					await clock.sleep(failurePauseMs);
@@ -222,7 +222,7 @@
 		const outcome = await control.holdRuns(this.record, {
 			fencingToken: owner.fencingToken,
 			seenEnds: this.#seenEnds,
-			leaseUntil: this.#lease.extend(sentAt, leaseTermMs),
+			leaseUntil: this.#lease.renew(sentAt, leaseTermMs),
 			waitMs: this.#isListed && this.isReachable ? holdWaitMs : 0,
 		});
 		if (this.#isClosed) {
@@ -256,13 +256,14 @@
 		const durable = owner.applyListing(this, listing, sentAt);
 		const last = Math.max(this.#seenEnds, ...listing.ends.map(end => end.sequence));
 		if (last > this.#seenEnds) {
-			await Promise.race([this.#acknowledge(durable, last), clock.sleep(durableWaitMs)]);
+			await Promise.race([this.#markSeen(durable, last), clock.sleep(durableWaitMs)]);
 		}
 	}
 
-	async #acknowledge(durable: Promise<void>, last: number): Promise<void> {
-		await durable;
-		this.#seenEnds = Math.max(this.#seenEnds, last);
+	async #markSeen(durable: Promise<boolean>, last: number): Promise<void> {
+		if (await durable) {
+			this.#seenEnds = Math.max(this.#seenEnds, last);
+		}
 	}
 
 	async #sendStop(task: Task): Promise<void> {
