--- a/packages/clients/src/duties.ts
+++ b/packages/clients/src/duties.ts
@@ -169,15 +169,15 @@
 		const known = this.#observation;
 		const {clock, random, vacancyMs} = this.#options;
 		const readAt = clock.readMonotonic();
+		const isVacant = lease === undefined || lease.value.holder === '';
 		if (known?.leaseVersion === leaseVersion && known.heartbeatVersion === heartbeatVersion) {
 			// A holder that could not reach the tables either gets half a term to renew first.
-			const isGap = readAt - known.readAt > this.#termMs / 2;
+			const isGap = !isVacant && readAt - known.readAt > this.#termMs / 2;
 			const takeAt = isGap ? Math.max(known.takeAt, readAt + (this.#termMs / 2)) : known.takeAt;
 			this.#observation = {...known, takeAt, readAt};
 			return this.#observation;
 		}
 
-		const isVacant = lease === undefined || lease.value.holder === '';
 		// Spread over time, so that applicants do not all write at once.
 		const waitMs = isVacant ? vacancyMs ?? random.readFraction() * vacancySpreadMs : this.#termMs * (1 + (random.readFraction() / 4));
 		this.#observation = {
--- /dev/null
+++ b/packages/scheduling/tests/placements.test.ts
@@ -0,0 +1,100 @@
+import {type RackName, type VmId, type ZoneName} from '@tamarackwind/core';
+import test from 'ava';
+import {
+	chooseWorker, planGang, type Candidate, type StepSpec,
+} from '../src/index.js';
+
+function createCandidate(id: string, fields: Partial<Candidate> = {}): Candidate {
+	return {
+		id: id as VmId,
+		zone: 'zone-a' as ZoneName,
+		labels: ['a', 'r1'],
+		capacity: {cpu: 8000, memory: 8000, gpu: 0},
+		free: {cpu: 8000, memory: 8000, gpu: 0},
+		doubt: 0,
+		servingTasks: 0,
+		fillerTasks: 0,
+		...fields,
+	};
+}
+
+function createStep(fields: Partial<StepSpec> = {}): StepSpec {
+	return {
+		count: 1,
+		resources: {cpu: 2000, memory: 1000, gpu: 0},
+		estimatedMs: 1000,
+		after: [],
+		isCheckpointing: false,
+		isGang: false,
+		isSameRack: false,
+		isSpeculative: false,
+		isLongRunning: false,
+		isFiller: false,
+		...fields,
+	};
+}
+
+type Case = {
+	readonly name: string;
+	readonly step: StepSpec;
+	readonly candidates: readonly Candidate[];
+	readonly occupancy?: ReadonlyMap<string, number>;
+	readonly expected: string | undefined;
+};
+
+const full = {cpu: 1000, memory: 8000, gpu: 0};
+const half = {cpu: 4000, memory: 8000, gpu: 0};
+const cases: readonly Case[] = [
+	{
+		name: 'packs tight', step: createStep(), candidates: [createCandidate('empty'), createCandidate('half', {free: half})], expected: 'half',
+	},
+	{
+		name: 'spreads tasks that last', step: createStep({isLongRunning: true}), candidates: [createCandidate('half', {free: half}), createCandidate('empty')], expected: 'empty',
+	},
+	{
+		name: 'keeps fellows of a lasting step apart',
+		step: createStep({isLongRunning: true}),
+		candidates: [createCandidate('empty'), createCandidate('half', {free: half})],
+		occupancy: new Map([['empty', 1]]),
+		expected: 'half',
+	},
+	{
+		name: 'finds no room', step: createStep(), candidates: [createCandidate('full', {free: full})], expected: undefined,
+	},
+	{
+		name: 'does not reserve the processors of a filler', step: createStep({isFiller: true}), candidates: [createCandidate('full', {free: full})], expected: 'full',
+	},
+	{
+		name: 'keeps the limit a worker',
+		step: createStep({antiAffinity: 2}),
+		candidates: [createCandidate('one')],
+		occupancy: new Map([['one', 2]]),
+		expected: undefined,
+	},
+	{
+		name: 'keeps to the required label', step: createStep({requirement: 'b'}), candidates: [createCandidate('one'), createCandidate('two', {labels: ['b']})], expected: 'two',
+	},
+	{
+		name: 'goes to the data', step: createStep({affinity: 'r2' as RackName}), candidates: [createCandidate('near', {labels: ['a', 'r2']}), createCandidate('half', {free: half})], expected: 'near',
+	},
+	{
+		name: 'leaves a failing worker for the last', step: createStep(), candidates: [createCandidate('failing', {doubt: 2, free: half}), createCandidate('sound')], expected: 'sound',
+	},
+];
+
+for (const {name, step, candidates, occupancy, expected} of cases) {
+	test(`placement ${name}`, t => {
+		t.is(chooseWorker({step, candidates, occupancy: occupancy ?? new Map()})?.id, expected as VmId | undefined);
+	});
+}
+
+const gangCases: ReadonlyArray<[string, number, readonly Candidate[], readonly string[] | undefined]> = [
+	['does not start in part', 3, [createCandidate('one', {free: half})], undefined],
+	['keeps to one rack where it can', 2, [createCandidate('x', {free: {...half, cpu: 2000}, labels: ['r1']}), createCandidate('y', {labels: ['r2']})], ['y', 'y']],
+];
+
+for (const [name, count, candidates, expected] of gangCases) {
+	test(`gang ${name}`, t => {
+		t.deepEqual(planGang(createStep({count, isGang: true, isSameRack: true}), candidates)?.map(({id}) => id as string), expected as string[] | undefined);
+	});
+}
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -270,6 +270,7 @@
 		if (job !== undefined && entry !== undefined) {
 			try {
 				this.cancelled.add(id);
+				this.fleet.cancelSent.add(id);
 				if (await entry.intake.cancel(job.service, id)) {
 					this.fleet.cancelledAt.set(id, this.clock.readMonotonic());
 				}
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -89,6 +89,8 @@
 	readonly jobs = new Map<JobId, {readonly job: Job; readonly durationMs: number; readonly failingTasks: ReadonlySet<string>}>();
 	/** Times at which cancellations were acknowledged. */
 	readonly cancelledAt = new Map<JobId, number>();
+	/** Jobs that a client has asked to cancel; their tasks may be ended from then on. */
+	readonly cancelSent = new Set<JobId>();
 	/** Jobs of which every attempt to submit them was refused. */
 	readonly refused = new Set<JobId>();
 	orderFaults: OrderFaults = {lostAnswer: 0, late: 0};
@@ -437,7 +439,7 @@
 		const now = this.#options.clock.readMonotonic();
 		for (const run of vm.life?.runs.values() ?? []) {
 			const {mayMiss, count} = run.task.step;
-			if (mayMiss !== undefined && computePercent(run, now) === percentScale) {
+			if (mayMiss !== undefined && computePercent(run, now) === percentScale && !this.cancelSent.has(run.key.job)) {
 				const elsewhere = this.#vms.filter(other => other !== vm).flatMap(other => [...other.life?.runs.values() ?? []])
 					.filter(other => other.key.job === run.key.job && other.key.step === run.key.step && computePercent(other, now) === percentScale).length;
 				if (count - elsewhere > mayMiss) {
--- /dev/null
+++ b/packages/workflows/tests/intakes.test.ts
@@ -0,0 +1,115 @@
+import {
+	Log, ManualClock, VerdictError, type JobId, type ServiceName,
+} from '@tamarackwind/core';
+import {MemoryTableService, type CommitOutcome, type Transaction} from '@tamarackwind/clients';
+import test from 'ava';
+import {
+	DecisionLog, getJobKey, Intake, tombstone, type Job, type SubmitOutcome,
+} from '../src/index.js';
+
+const service = 'north' as ServiceName;
+
+function createJob(id: string): Job {
+	return {
+		id: id as JobId,
+		service,
+		queue: 'redraw',
+		payload: '',
+		submittedAt: 0,
+		policy: {
+			priority: 0, maxAttempts: 3, slackFactor: 2, targetLatencyMs: 600,
+		},
+		steps: [{
+			count: 1, resources: {cpu: 1, memory: 1, gpu: 0}, estimatedMs: 1, after: [], isCheckpointing: false, isGang: false, isSameRack: false, isSpeculative: false,
+			isLongRunning: false, isFiller: false,
+		}],
+	};
+}
+
+type Fault = 'none' | 'refused' | 'lost after' | 'lost before' | 'late' | 'all lost';
+
+/** Meets each commit with the fault of its turn; the last one holds on. */
+function createTables(clock: ManualClock, faults: readonly Fault[]): MemoryTableService {
+	const tables = MemoryTableService.create(clock);
+	const commit = tables.commit.bind(tables);
+	let turn = 0;
+	tables.commit = async (transaction: Transaction): Promise<CommitOutcome> => {
+		const fault = faults[Math.min(turn++, faults.length - 1)]!;
+		if (fault === 'none') {
+			return commit(transaction);
+		}
+
+		if (fault === 'refused') {
+			throw new VerdictError('store answered 503', {verdict: 'not-run', code: 'platform_unavailable'});
+		}
+
+		if (fault === 'lost after') {
+			await commit(transaction);
+		} else if (fault === 'late') {
+			late.push(async () => commit(transaction));
+		}
+
+		throw new VerdictError('no answer', {verdict: 'may-have-run', code: 'platform_unavailable'});
+	};
+
+	const late: Array<() => Promise<CommitOutcome>> = [];
+	lateWrites.set(tables, late);
+	return tables;
+}
+
+const lateWrites = new WeakMap<MemoryTableService, Array<() => Promise<CommitOutcome>>>();
+
+type Case = {readonly name: string; readonly faults: readonly Fault[]; readonly outcome: SubmitOutcome; readonly isStored: boolean};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a commit', faults: ['none'], outcome: 'accepted', isStored: true,
+	},
+	{
+		name: 'a refused commit', faults: ['refused'], outcome: 'refused', isStored: false,
+	},
+	{
+		name: 'an answer lost after the write', faults: ['lost after', 'none'], outcome: 'accepted', isStored: true,
+	},
+	{
+		name: 'an answer lost without the write', faults: ['lost before', 'none'], outcome: 'refused', isStored: false,
+	},
+	{
+		name: 'a write that comes late, after the refusal', faults: ['late', 'none'], outcome: 'refused', isStored: false,
+	},
+	{
+		name: 'nothing but lost answers', faults: ['lost after', 'lost before'], outcome: 'unknown', isStored: true,
+	},
+	{
+		name: 'the tombstone\'s answer lost, then found', faults: ['lost before', 'lost after', 'none'], outcome: 'refused', isStored: false,
+	},
+];
+
+for (const {name, faults, outcome, isStored} of cases) {
+	test(`submission through ${name}`, async t => {
+		const clock = ManualClock.create();
+		const tables = createTables(clock, faults);
+		const intake = Intake.create({clock, tables, log: DecisionLog.create(Log.createSilent(), clock)});
+		const submitted = intake.submit(createJob('0123456789abcdef'));
+		await clock.advance(100);
+		t.is(await submitted, outcome);
+		for (const write of lateWrites.get(tables)!) {
+			await write();
+		}
+
+		const row = await tables.getRow(getJobKey(service, '0123456789abcdef' as JobId));
+		t.is(row !== undefined && !('isRefused' in (row.value as object)), isStored);
+	});
+}
+
+test('a job that is there is accepted again, and one that was refused is accepted by a later attempt', async t => {
+	const clock = ManualClock.create();
+	const tables = MemoryTableService.create(clock);
+	const intake = Intake.create({clock, tables, log: DecisionLog.create(Log.createSilent(), clock)});
+	await tables.commit({checks: [], writes: [{...getJobKey(service, 'refused' as JobId), value: tombstone}]});
+	const submitted = Promise.all(['new', 'new', 'refused'].map(async id => intake.submit(createJob(id))));
+	await clock.advance(100);
+	t.deepEqual(await submitted, ['accepted', 'accepted', 'accepted']);
+	t.true(await intake.cancel(service, 'new' as JobId));
+	t.false(await intake.cancel(service, 'other' as JobId));
+});
