--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,3 +3,4 @@
 export * from './rankings.js';
 export * from './paces.js';
 export * from './evictions.js';
+export * from './sizings.js';
--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -89,10 +89,8 @@
 
 function computeCost(candidate: Candidate, step: StepSpec, need: Resources): number {
 	const left = (candidate.free.cpu - need.cpu) / Math.max(1, candidate.capacity.cpu);
-	// Tasks that last are spread, so that the loss of a worker takes few of them; the rest is packed tight.
-	const packing = step.isLongRunning ? 1 - left : left;
 	const distance = step.affinity !== undefined && !candidate.labels.includes(step.affinity) ? remoteCost : 0;
 	const disturbance = step.isFiller ? candidate.servingTasks * disturbanceCost : 0;
 	const load = step.targetMs === undefined ? 0 : candidate.fillerTasks * disturbanceCost;
-	return packing + distance + disturbance + load + (candidate.doubt >= doubtLimit ? doubtCost * candidate.doubt : 0);
+	return left + distance + disturbance + load + (candidate.doubt >= doubtLimit ? doubtCost * candidate.doubt : 0);
 }
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -15,7 +15,7 @@
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
-	EmulatedFleet, EmulatedFleetControl, EmulatedRegistry, EmulatedWorkerControl,
+	EmulatedFleet, EmulatedFleetControl, EmulatedRegistry, EmulatedWorkerControl, sparePool,
 } from './emulated-workers.js';
 import {SimulatedClock} from './simulated-clocks.js';
 
@@ -141,7 +141,7 @@
 	readonly write?: (line: string) => void;
 };
 
-const defaultPools: ReadonlyArray<readonly [string, number]> = [['north', 3], ['south', 3]];
+const defaultPools: ReadonlyArray<readonly [string, number]> = [['north', 3], ['south', 3], [sparePool, 3]];
 const retentionMs = 120_000;
 
 /** Entries, tables and workers of one history. */
@@ -231,7 +231,7 @@
 	/** Submits a job at an entry as a client would, again at others until it is accepted or surely refused. */
 	async submit(steps: readonly StepSpec[], durationMs: number, failingTasks: ReadonlySet<string> = new Set()): Promise<JobId> {
 		const id = this.random.createToken().slice(0, 16) as JobId;
-		const service = this.random.pickItem(this.#pools)![0] as ServiceName;
+		const service = this.random.pickItem(this.#pools.filter(([name]) => name !== sparePool))![0] as ServiceName;
 		const job: Job = {
 			id,
 			service,
@@ -305,7 +305,7 @@
 
 	async #start(): Promise<void> {
 		const configuration: Configuration = {
-			version: 1, queues: [], pools: this.#pools.map(([name]) => ({name: name as ServiceName, isSpare: false})), limits: {maxBodyBytes: 1_000_000},
+			version: 1, queues: [], pools: this.#pools.map(([name]) => ({name: name as ServiceName, isSpare: name === sparePool})), limits: {maxBodyBytes: 1_000_000},
 		};
 		await this.tables.commit({checks: [], writes: [{table: 'op', key: 'config', value: configuration}]});
 		for (let index = 0; index < (this.#options.entries ?? 3); index++) {
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -22,6 +22,9 @@
 const stopMs = 300;
 const upkeepMs = 2000;
 const gangMs = 3000;
+const moveMs = 1500;
+/** Pool whose VMs are off. */
+export const sparePool = 'spare' as PoolName;
 const percentScale = 100;
 const startupMs = 300;
 const maxLeaseMs = 10_000;
@@ -60,7 +63,7 @@
 }
 
 type EmulatedVm = {
-	readonly id: VmId; readonly pool: PoolName; life: EmulatedLife | undefined; state: FleetVm['state']; isCut: boolean; upkeeps: Set<string>; registeredUntil: number;
+	readonly id: VmId; pool: PoolName; life: EmulatedLife | undefined; state: FleetVm['state']; isCut: boolean; upkeeps: Set<string>; registeredUntil: number;
 };
 
 /** Chances of faults of an order, each from 0 to 1. */
@@ -85,7 +88,7 @@
 	}
 
 	readonly violations: string[] = [];
-	readonly counts = {starts: 0, done: 0, failed: 0, lapsed: 0, late: 0, lost: 0, upkeeps: 0};
+	readonly counts = {starts: 0, done: 0, failed: 0, lapsed: 0, late: 0, lost: 0, upkeeps: 0, moves: 0};
 	readonly jobs = new Map<JobId, {readonly job: Job; readonly durationMs: number; readonly failingTasks: ReadonlySet<string>}>();
 	/** Times at which cancellations were acknowledged. */
 	readonly cancelledAt = new Map<JobId, number>();
@@ -176,6 +179,29 @@
 		return 'accepted';
 	}
 
+	/** Moves a VM to another pool; a VM of the spare pool is off. */
+	async moveVm(id: VmId, pool: PoolName): Promise<FleetOrderOutcome> {
+		const vm = this.#findVm(id);
+		if (vm.pool === pool) {
+			return 'accepted';
+		}
+
+		if (vm.state !== 'up') {
+			return 'busy';
+		}
+
+		this.#checkBudget(vm);
+		this.counts.moves++;
+		this.#endLife(vm);
+		vm.pool = pool;
+		vm.state = 'moving';
+		this.#options.clock.schedule(moveMs, () => {
+			vm.state = 'up';
+			this.#beginLife(vm);
+		});
+		return 'accepted';
+	}
+
 	/** Carries an order out on the worker of a record, with the faults in force. */
 	async carryOut<T>(record: WorkerRecord, isRead: boolean, act: (life: EmulatedLife) => T): Promise<T | undefined> {
 		const {clock, random} = this.#options;
@@ -307,6 +333,10 @@
 	}
 
 	#beginLife(vm: EmulatedVm): void {
+		if (vm.pool === sparePool) {
+			return;
+		}
+
 		const {clock, random} = this.#options;
 		const bornAt = clock.readMonotonic();
 		this.#born++;
@@ -536,8 +566,8 @@
 		return this.fleet.listVms();
 	}
 
-	override async moveVm(): Promise<FleetOrderOutcome> {
-		return 'refused';
+	override async moveVm(vm: VmId, pool: PoolName): Promise<FleetOrderOutcome> {
+		return this.fleet.moveVm(vm, pool);
 	}
 
 	override async maintainVm(vm: VmId, wave: string, _fence: FleetFence): Promise<FleetOrderOutcome> {
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -11,6 +11,7 @@
 import {type DecisionLog} from './decision-logs.js';
 import {type DeclarationCodec, type OperatorWatch} from './operator-watches.js';
 import {type PoolScheduler} from './pool-schedulers.js';
+import {PoolSizer} from './pool-sizers.js';
 import {type FleetControl, type FleetVm} from './workers.js';
 import {type WorkerSession} from './worker-sessions.js';
 
@@ -65,12 +66,14 @@
 
 	readonly #options: FleetKeeperOptions;
 	readonly #waves = new Map<string, WaveProgress>();
+	readonly #sizer: PoolSizer;
 	readonly #createdAt: number;
 	#isClosed = false;
 
 	private constructor(options: FleetKeeperOptions) {
 		this.#options = options;
 		this.#createdAt = options.clock.readMonotonic();
+		this.#sizer = PoolSizer.create({...options, fence: {holder: options.holder, fencingToken: options.epoch}, canOrder: () => this.#canOrder});
 	}
 
 	close(): void {
@@ -86,6 +89,7 @@
 	async #run(): Promise<void> {
 		const {clock, log, operator} = this.#options;
 		while (!this.#isClosed) {
+			await this.#resizeSafely();
 			for (const wave of operator.waves.values()) {
 				try {
 					await this.#advanceWave(wave);
@@ -98,6 +102,20 @@
 		}
 	}
 
+	async #resizeSafely(): Promise<void> {
+		const {fleet, log} = this.#options;
+		if (!this.#canOrder) {
+			return;
+		}
+
+		try {
+			const reserved = new Set([...this.#waves.values()].flatMap(wave => [...wave.emptying.keys(), ...wave.down.keys()]));
+			await this.#sizer.resize(await fleet.listVms(), vm => reserved.has(vm));
+		} catch (error) {
+			log.warn('pools not resized', {error: readErrorMessage(error)});
+		}
+	}
+
 	async #advanceWave(wave: WaveRequest): Promise<void> {
 		const progress = this.#waves.get(wave.id) ?? await this.#loadWave(wave);
 		if (progress.state === 'succeeded' || !this.#canOrder) {
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -17,3 +17,4 @@
 export * from './operator-watches.js';
 export * from './queries.js';
 export * from './schedulers.js';
+export * from './pool-sizers.js';
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -56,6 +56,20 @@
 /** Most steps that were planned in vain before a plan ends. */
 const vainSteps = 24;
 
+/** What a pool's jobs ask for; processors are in thousandths of a core. */
+export type PoolLoad = {
+	/** Work that is not done, in thousandths of a core times milliseconds. */
+	readonly work: number;
+	/** Processors in use or assigned. */
+	readonly usedCpu: number;
+	/** Processors that tasks wait for whose turn has come. */
+	readonly waitingCpu: number;
+	/** Processors of the workers that may get work. */
+	readonly cpu: number;
+	/** Workers that the widest lasting step needs which keeps its tasks apart. */
+	readonly spreadVms: number;
+};
+
 type Ranked = {readonly job: ActiveJob; readonly rank: Rank};
 type PlanCandidate = Candidate & {readonly session: WorkerSession};
 
@@ -136,26 +150,35 @@
 		return counts;
 	}
 
-	/** Work in thousandths of a core times milliseconds that waits or runs, and the room for it. */
-	describeLoad(): {readonly work: number; readonly cpu: number; readonly freeCpu: number} {
+	/** What the pool's jobs ask for, and the room for it. */
+	describeLoad(): PoolLoad {
 		let work = 0;
+		let usedCpu = 0;
+		let waitingCpu = 0;
+		let spreadVms = 0;
 		for (const active of this.#jobs.values()) {
-			for (const step of active.isTerminal || active.isLongRunning ? [] : active.steps) {
-				const open = step.tasks.filter(task => task.phase !== 'done').length;
-				work += open * step.spec.resources.cpu * step.spec.estimatedMs;
+			if (active.isTerminal) {
+				continue;
 			}
-		}
 
-		let cpu = 0;
-		let freeCpu = 0;
-		for (const session of this.#sessions.values()) {
-			if (session.isOpen) {
-				cpu += session.record.capacity.cpu;
-				freeCpu += session.free.cpu;
+			for (const {spec, tasks} of active.steps) {
+				const open = tasks.filter(task => task.phase !== 'done');
+				const out = open.filter(task => task.phase !== 'waiting').length;
+				const {cpu} = getReservation(spec);
+				usedCpu += out * cpu;
+				spreadVms = Math.max(spreadVms, spec.isLongRunning && spec.antiAffinity !== undefined ? Math.ceil(spec.count / spec.antiAffinity) : 0);
+				work += spec.isLongRunning ? 0 : open.length * cpu * spec.estimatedMs;
+			}
+
+			for (const {spec, tasks} of active.listReadySteps()) {
+				waitingCpu += tasks.filter(task => task.phase === 'waiting').length * getReservation(spec).cpu;
 			}
 		}
 
-		return {work, cpu, freeCpu};
+		const open = [...this.#sessions.values()].filter(session => session.isOpen);
+		return {
+			work, usedCpu, waitingCpu, spreadVms, cpu: open.reduce((sum, session) => sum + session.record.capacity.cpu, 0),
+		};
 	}
 
 	/** Takes the service over: fences earlier holders off, reads what they left, and starts. */
--- /dev/null
+++ b/packages/workflows/src/pool-sizers.ts
@@ -0,0 +1,127 @@
+/**
+ * Moves of VMs between pools by the holder of the scheduler's duty, as the sizing plans them.
+ */
+import {
+	readErrorMessage, type Clock, type PoolName, type VmId,
+} from '@tamarackwind/core';
+import {planSizes, type SizedPool, type SizingMove} from '@tamarackwind/scheduling';
+import {type DecisionLog} from './decision-logs.js';
+import {type OperatorWatch} from './operator-watches.js';
+import {type PoolScheduler} from './pool-schedulers.js';
+import {type FleetControl, type FleetFence, type FleetVm} from './workers.js';
+import {type WorkerSession} from './worker-sessions.js';
+
+export type PoolSizerOptions = {
+	readonly clock: Clock;
+	readonly operator: OperatorWatch;
+	readonly fleet: FleetControl;
+	readonly log: DecisionLog;
+	readonly fence: FleetFence;
+	readonly canOrder: () => boolean;
+	readonly listPools: () => readonly PoolScheduler[];
+};
+
+/** Time after which a VM that was ordered to move counts as arrived or lost, in milliseconds: twice what a move takes. */
+const arrivalMs = 4000;
+/** Orders given in one look; the control of VMs answers some tens a second. */
+const ordersPerLook = 8;
+
+/** Keeps the pools at the sizes that their queues ask for. */
+export class PoolSizer {
+	static create(options: PoolSizerOptions): PoolSizer {
+		return new PoolSizer(options);
+	}
+
+	readonly #options: PoolSizerOptions;
+	readonly #moving = new Map<VmId, {readonly to: PoolName; readonly at: number}>();
+
+	private constructor(options: PoolSizerOptions) {
+		this.#options = options;
+	}
+
+	/** Plans and orders the moves of one look; `isReserved` tells of VMs that a wave empties. */
+	async resize(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): Promise<void> {
+		this.#observe(vms);
+		const pools = this.#describePools(vms, isReserved);
+		const moves = planSizes(pools).slice(0, ordersPerLook);
+		await Promise.all(moves.map(async move => this.#order(move, vms)));
+	}
+
+	/** Forgets moves that have ended. */
+	#observe(vms: readonly FleetVm[]): void {
+		const now = this.#options.clock.readMonotonic();
+		for (const vm of vms) {
+			const move = this.#moving.get(vm.id);
+			const isThere = vm.pool === move?.to && vm.state === 'up' && (vm.worker === undefined || this.#findSession(vm) !== undefined);
+			if (move !== undefined && (isThere || now - move.at > arrivalMs)) {
+				this.#moving.delete(vm.id);
+			}
+		}
+	}
+
+	#describePools(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): SizedPool[] {
+		const schedulers = new Map(this.#options.listPools().map(pool => [pool.service as string, pool]));
+		return (this.#options.operator.configuration?.pools ?? []).map(({name, isSpare}) => {
+			const scheduler = schedulers.get(name);
+			const load = scheduler?.describeLoad();
+			return {
+				name: name as string as PoolName,
+				isSpare,
+				vms: vms.filter(vm => vm.pool as string === name && vm.state === 'up' && !this.#moving.has(vm.id)).map(vm => ({
+					id: vm.id, cpu: vm.capacity.cpu, idleMs: isReserved(vm.id) ? undefined : this.#computeIdleMs(vm, isSpare),
+				})),
+				incoming: [...this.#moving.values()].filter(move => move.to as string === name).length,
+				usedCpu: load?.usedCpu ?? 0,
+				waitingCpu: load?.waitingCpu ?? 0,
+				spreadVms: load?.spreadVms ?? 0,
+			};
+		});
+	}
+
+	#computeIdleMs(vm: FleetVm, isSpare: boolean): number | undefined {
+		const session = this.#findSession(vm);
+		if (session === undefined) {
+			return isSpare ? Number.POSITIVE_INFINITY : undefined;
+		}
+
+		return session.isOpen && session.emptySince !== undefined ? this.#options.clock.readMonotonic() - session.emptySince : undefined;
+	}
+
+	async #order({vm, from, to}: SizingMove, vms: readonly FleetVm[]): Promise<void> {
+		const {clock, fleet, log, fence, canOrder} = this.#options;
+		const session = this.#findSession(vms.find(other => other.id === vm)!);
+		if (!canOrder() || (session !== undefined && session.tasks.size > 0)) {
+			return;
+		}
+
+		if (session !== undefined) {
+			session.isEmptying = true;
+		}
+
+		this.#moving.set(vm, {to, at: clock.readMonotonic()});
+		try {
+			const outcome = await fleet.moveVm(vm, to, fence);
+			log.info('VM moved', {
+				vm, from, to, outcome, worker: session?.name,
+			});
+			if (outcome === 'accepted') {
+				session?.endByOrder('move');
+				return;
+			}
+
+			this.#moving.delete(vm);
+			if (session !== undefined) {
+				session.isEmptying = false;
+			}
+		} catch (error) {
+			// The order may still be carried out: the VM gets no work until the list tells where it is.
+			log.warn('move not answered', {
+				vm, from, to, error: readErrorMessage(error),
+			});
+		}
+	}
+
+	#findSession({worker}: FleetVm): WorkerSession | undefined {
+		return this.#options.listPools().flatMap(pool => [...pool.sessions]).find(session => session.record.id === worker);
+	}
+}
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -67,6 +67,7 @@
 	readonly #wake = Signal.create();
 	readonly #stops = new Map<Task, {run: number; ackedAt: number | undefined; isSending: boolean}>();
 	#lease: WorkerLease;
+	#emptySince: number;
 	#seenEnds = 0;
 	#failures = 0;
 	#isListed = false;
@@ -77,6 +78,7 @@
 		this.record = options.record;
 		this.health = WorkerHealth.create();
 		this.#lease = WorkerLease.create(options.unknownUntil);
+		this.#emptySince = options.clock.readMonotonic();
 		void this.#run();
 	}
 
@@ -164,9 +166,15 @@
 		return stop?.run === task.run && stop.ackedAt !== undefined && stop.ackedAt <= sentAt;
 	}
 
+	/** When the last task left, on the monotonic clock; `undefined` while there are any. */
+	get emptySince(): number | undefined {
+		return this.tasks.size === 0 && this.strays.size === 0 ? this.#emptySince : undefined;
+	}
+
 	/** Takes a task off the worker. */
 	removeTask(task: Task): void {
 		this.tasks.delete(task);
+		this.#emptySince = this.#options.clock.readMonotonic();
 		this.#stops.delete(task);
 	}
 
