--- a/packages/scheduling/tests/sizings.test.ts
+++ b/packages/scheduling/tests/sizings.test.ts
@@ -21,40 +21,35 @@
 const spare = createPool('spare', {count: 3, idle: 3, isSpare: true});
 const noSpare = createPool('spare', {count: 0, isSpare: true});
 
-type Case = {readonly name: string; readonly pools: readonly SizedPool[]; readonly moves: Readonly<Record<string, number>>};
+type Case = {readonly name: string; readonly pools: readonly SizedPool[]; readonly moves: readonly string[]};
 
 const cases: readonly Case[] = [
-	{name: 'a pool at its least size keeps it', pools: [createPool('north', {count: 5, idle: 5}), spare], moves: {}},
-	{name: 'idle VMs are switched off', pools: [createPool('north', {count: 8, idle: 8}), spare], moves: {'north>spare': 3}},
-	{name: 'VMs that have just become idle stay', pools: [createPool('north', {count: 8, idle: 8, idleMs: 100}), spare], moves: {}},
+	{name: 'a pool at its least size keeps it', pools: [createPool('north', {count: 5, idle: 5}), spare], moves: []},
+	{name: 'idle VMs are switched off', pools: [createPool('north', {count: 8, idle: 8}), spare], moves: Array.from({length: 3}, () => 'north>spare')},
+	{name: 'VMs that have just become idle stay', pools: [createPool('north', {count: 8, idle: 8, idleMs: 100}), spare], moves: []},
 	{
-		name: 'a queue that waits gets spare VMs', pools: [createPool('north', {count: 8, usedCpu: 68_000, waitingCpu: 10_000}), spare], moves: {'spare>north': 3},
+		name: 'a queue that waits gets spare VMs', pools: [createPool('north', {count: 8, usedCpu: 68_000, waitingCpu: 10_000}), spare], moves: Array.from({length: 3}, () => 'spare>north'),
 	},
 	{
 		name: 'idle VMs of another pool go before those that are off',
 		pools: [createPool('north', {count: 8, usedCpu: 68_000, waitingCpu: 2000}), createPool('south', {count: 8, idle: 8, idleMs: 500}), spare],
-		moves: {'south>north': 3},
+		moves: Array.from({length: 3}, () => 'south>north'),
 	},
 	{
 		name: 'a pool keeps what its lasting steps are spread over',
 		pools: [createPool('north', {count: 8, usedCpu: 68_000, waitingCpu: 2000}), createPool('south', {count: 8, idle: 8, spreadVms: 7}), noSpare],
-		moves: {},
+		moves: [],
 	},
 	{
 		name: 'VMs on their way count', pools: [createPool('north', {
 			count: 8, usedCpu: 68_000, waitingCpu: 10_000, incoming: 4,
-		}), spare], moves: {},
+		}), spare], moves: [],
 	},
-	{name: 'without a spare pool nothing is switched off', pools: [createPool('north', {count: 9, idle: 9})], moves: {}},
+	{name: 'without a spare pool nothing is switched off', pools: [createPool('north', {count: 9, idle: 9})], moves: []},
 ];
 
 for (const {name, pools, moves} of cases) {
 	test(`sizes: ${name}`, t => {
-		const counts: Record<string, number> = {};
-		for (const {from, to} of planSizes(pools)) {
-			counts[`${from}>${to}`] = (counts[`${from}>${to}`] ?? 0) + 1;
-		}
-
-		t.deepEqual(counts, moves);
+		t.deepEqual(planSizes(pools).map(({from, to}) => `${from}>${to}`), [...moves]);
 	});
 }
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -5,7 +5,7 @@
 	VerdictError, type JobId, type PoolName, type RandomSource, type VmId, type ZoneName,
 } from '@tamarackwind/core';
 import {
-	addResources, getReservation, isWithin, type Resources, type StepSpec,
+	addResources, getReservation, isWithin, noResources, type Resources, type StepSpec,
 } from '@tamarackwind/scheduling';
 import {
 	FleetControl, formatTask, WorkerControl, WorkerRegistry, type FleetFence, type FleetOrderOutcome, type FleetVm, type HoldOrder, type HoldOutcome, type Job, type ListedEnd,
@@ -88,7 +88,10 @@
 	}
 
 	readonly violations: string[] = [];
-	readonly counts = {starts: 0, done: 0, failed: 0, lapsed: 0, late: 0, lost: 0, upkeeps: 0, moves: 0};
+	readonly counts = {
+		starts: 0, done: 0, failed: 0, lapsed: 0, late: 0, lost: 0, upkeeps: 0, moves: 0,
+	};
+
 	readonly jobs = new Map<JobId, {readonly job: Job; readonly durationMs: number; readonly failingTasks: ReadonlySet<string>}>();
 	/** Times at which cancellations were acknowledged. */
 	readonly cancelledAt = new Map<JobId, number>();
@@ -262,7 +265,7 @@
 		}
 
 		const task = this.#describeTask(order.key);
-		const used = [...life.runs.values()].reduce((sum, run) => addResources(sum, getReservation(run.task.step)), {cpu: 0, memory: 0, gpu: 0});
+		const used = sumReservations(life);
 		if (!isWithin(getReservation(task.step), addResources(capacity, used, -1))) {
 			return {status: 'refused', reason: 'no-room'};
 		}
@@ -480,6 +483,15 @@
 	}
 }
 
+function sumReservations(life: EmulatedLife): Resources {
+	let sum = noResources;
+	for (const run of life.runs.values()) {
+		sum = addResources(sum, getReservation(run.task.step));
+	}
+
+	return sum;
+}
+
 /** Progress of a run in percent; a lasting task is at work after a short startup. */
 function computePercent({task, startedAt}: EmulatedRun, now: number): number {
 	const total = task.step.isLongRunning ? startupMs : task.durationMs;
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -22,8 +22,21 @@
 };
 
 export const faultKinds = [
-	'kill holder', 'kill entry', 'stop holder', 'cut holder from tables', 'tables down', 'tables silent', 'tables slow', 'answers lost', 'writes late', 'history gone', 'worker crash',
-	'worker cut', 'orders lost', 'orders late', 'wave',
+	'kill holder',
+	'kill entry',
+	'stop holder',
+	'cut holder from tables',
+	'tables down',
+	'tables silent',
+	'tables slow',
+	'answers lost',
+	'writes late',
+	'history gone',
+	'worker crash',
+	'worker cut',
+	'orders lost',
+	'orders late',
+	'wave',
 ] as const;
 
 export type FaultKind = (typeof faultKinds)[number];
@@ -122,15 +135,21 @@
 	const actions: Record<FaultKind, () => void> = {
 		'kill holder'() {
 			system.killEntry(holder);
-			restore(() => system.startEntry());
+			restore(() => {
+				system.startEntry();
+			});
 		},
 		'kill entry'() {
 			system.killEntry(random.pickItem(system.entries)!);
-			restore(() => system.startEntry());
+			restore(() => {
+				system.startEntry();
+			});
 		},
 		'stop holder'() {
 			void stopEntry(system, holder);
-			restore(() => system.startEntry());
+			restore(() => {
+				system.startEntry();
+			});
 		},
 		'cut holder from tables'() {
 			holder.tables.faults.isSilent = true;
--- a/packages/testing/tests/system-histories.test.ts
+++ b/packages/testing/tests/system-histories.test.ts
@@ -14,6 +14,10 @@
 	[1002, 'takeovers beside waves', ['kill holder', 'wave', 'cut holder from tables']],
 	[1003, 'orders carried out late beside cut workers', ['orders late', 'worker cut', 'kill holder']],
 	[1004, 'writes carried out late', ['writes late', 'answers lost']],
+	[2000, 'an upkeep that was done before was taken for a new one (fixture site, trouble-1 seed 958153134371)', ['wave', 'wave', 'kill holder', 'answers lost', 'tables silent', 'cut holder from tables']],
+	[2012, 'the same after two takeovers', ['wave', 'wave', 'kill holder', 'answers lost', 'tables silent', 'cut holder from tables']],
+	[2006, 'ends acknowledged before they are durable would be caught', undefined],
+	[2015, 'an unanswered start that is not stopped would be caught', undefined],
 	[1005, 'outages of the tables', ['tables down', 'tables silent', 'tables slow', 'history gone']],
 ];
 
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -89,7 +89,7 @@
 	async #run(): Promise<void> {
 		const {clock, log, operator} = this.#options;
 		while (!this.#isClosed) {
-			await this.#resizeSafely();
+			await this.#updateSizes();
 			for (const wave of operator.waves.values()) {
 				try {
 					await this.#advanceWave(wave);
@@ -102,7 +102,7 @@
 		}
 	}
 
-	async #resizeSafely(): Promise<void> {
+	async #updateSizes(): Promise<void> {
 		const {fleet, log} = this.#options;
 		if (!this.#canOrder) {
 			return;
@@ -110,7 +110,7 @@
 
 		try {
 			const reserved = new Set([...this.#waves.values()].flatMap(wave => [...wave.emptying.keys(), ...wave.down.keys()]));
-			await this.#sizer.resize(await fleet.listVms(), vm => reserved.has(vm));
+			await this.#sizer.update(await fleet.listVms(), vm => reserved.has(vm));
 		} catch (error) {
 			log.warn('pools not resized', {error: readErrorMessage(error)});
 		}
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -40,11 +40,11 @@
 	}
 
 	/** Plans and orders the moves of one look; `isReserved` tells of VMs that a wave empties. */
-	async resize(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): Promise<void> {
+	async update(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): Promise<void> {
 		this.#observe(vms);
 		const pools = this.#describePools(vms, isReserved);
 		const moves = planSizes(pools).slice(0, ordersPerLook);
-		await Promise.all(moves.map(async move => this.#order(move, vms)));
+		await Promise.all(moves.map(async move => this.#moveVm(move, vms)));
 	}
 
 	/** Forgets moves that have ended. */
@@ -87,7 +87,7 @@
 		return session.isOpen && session.emptySince !== undefined ? this.#options.clock.readMonotonic() - session.emptySince : undefined;
 	}
 
-	async #order({vm, from, to}: SizingMove, vms: readonly FleetVm[]): Promise<void> {
+	async #moveVm({vm, from, to}: SizingMove, vms: readonly FleetVm[]): Promise<void> {
 		const {clock, fleet, log, fence, canOrder} = this.#options;
 		const session = this.#findSession(vms.find(other => other.id === vm)!);
 		if (!canOrder() || (session !== undefined && session.tasks.size > 0)) {
--- a/packages/workflows/tests/intakes.test.ts
+++ b/packages/workflows/tests/intakes.test.ts
@@ -98,7 +98,7 @@
 		}
 
 		const row = await tables.getRow(getJobKey(service, '0123456789abcdef' as JobId));
-		t.is(row !== undefined && !('isRefused' in (row.value as object)), isStored);
+		t.is(row !== undefined && !('isRefused' in (row.value as Record<string, unknown>)), isStored);
 	});
 }
 
