Let a restarted holder take its duty at once; refuse submissions at once while the store is in doubt

Causes: after a power loss of all entries the duty stood still for its whole lease of 2.4 s (both recorded incidents); submissions queued behind one that the silent store did not answer, and ended as 504 near their deadline (notebook incident).

--- a/packages/clients/src/duties.ts
+++ b/packages/clients/src/duties.ts
@@ -32,6 +32,8 @@
 	readonly holder: string;
 	/** Time without a renewal after which others may take the duty over, in milliseconds. */
 	readonly termMs?: number;
+	/** Set when holders are named by VMs on which one process runs at a time: a process takes over at once from an earlier one of its name. */
+	readonly isHolderUnique?: boolean;
 	/** Partition of the duty's rows. */
 	readonly partition?: string;
 	/** What the holder tells the others with each renewal. */
@@ -179,7 +181,10 @@
 		}
 
 		// Spread over time, so that applicants do not all write at once.
-		const waitMs = isVacant ? vacancyMs ?? random.readFraction() * vacancySpreadMs : this.#termMs * (1 + (random.readFraction() / 4));
+		const isOwn = this.#options.isHolderUnique === true && lease?.value.holder === this.#options.holder;
+		const occupiedMs = this.#termMs * (1 + (random.readFraction() / 4));
+		const vacantMs = vacancyMs ?? random.readFraction() * vacancySpreadMs;
+		const waitMs = isVacant ? vacantMs : (isOwn ? 0 : occupiedMs);
 		this.#observation = {
 			leaseVersion, heartbeatVersion, takeAt: readAt + waitMs, changedAt: readAt, readAt,
 		};
--- a/packages/clients/tests/duties.test.ts
+++ b/packages/clients/tests/duties.test.ts
@@ -116,3 +116,22 @@
 		return true;
 	}), {seed: 5, numRuns: 200}));
 });
+
+const restartCases: ReadonlyArray<[string, boolean, string, boolean]> = [
+	['a restarted holder takes its duty over at once', true, 'entry-1', true],
+	['another entry waits for the term', true, 'entry-2', false],
+	['a name that several processes may bear is waited for', false, 'entry-1', false],
+];
+
+for (const [name, isHolderUnique, holder, isHeld] of restartCases) {
+	test(name, async t => {
+		const {clock, tables, leases} = createLeases(1);
+		await runTurns(clock, leases, 10);
+		t.true(leases[0]!.isHeld);
+		const restarted = DutyLease.create({
+			tables, clock, random: SeededRandom.create(9), duty: 'fleet', holder, termMs, isHolderUnique,
+		});
+		t.is(await restarted.refresh(), isHeld);
+		t.is(restarted.epoch, isHeld ? 2 : undefined);
+	});
+}
--- a/packages/workflows/src/intakes.ts
+++ b/packages/workflows/src/intakes.ts
@@ -27,6 +27,8 @@
 const batchJobs = 40;
 /** Time in which submissions gather, in milliseconds. */
 const gatherMs = 3;
+/** Time without an answer after which a transaction is in doubt, in milliseconds: above that of a store sixty times slower. */
+const doubtMs = 700;
 /** Tries to settle a write whose answer was lost, before its outcome counts as unknown. */
 const settleTries = 2;
 
@@ -40,13 +42,22 @@
 
 	readonly #options: IntakeOptions;
 	readonly #queues = new Map<ServiceName, Pending[]>();
+	/** When the transaction in flight of each service was sent, on the monotonic clock. */
+	readonly #sentAt = new Map<ServiceName, number>();
+	/** Writes of each service whose outcome is being found out. */
+	readonly #unsettled = new Map<ServiceName, number>();
 
 	private constructor(options: IntakeOptions) {
 		this.#options = options;
 	}
 
-	/** Submits a job; a job that is already there is accepted again. */
+	/** Submits a job; a job that is already there is accepted again. While the store is in doubt, it is refused at once and untried. */
 	async submit(job: Job): Promise<SubmitOutcome> {
+		if (this.#isInDoubt(job.service)) {
+			this.#options.log.info('submission refused', {job: job.id, queue: job.queue, reason: 'earlier submissions are not answered'});
+			return 'refused';
+		}
+
 		return new Promise(resolve => {
 			const pending = {job, resolve, expectedVersion: absentVersion};
 			const queue = this.#queues.get(job.service);
@@ -81,20 +92,37 @@
 		return outcome.status === 'committed' || await tables.getRow(getCancelKey(service, id)) !== undefined;
 	}
 
+	#isInDoubt(service: ServiceName): boolean {
+		const sentAt = this.#sentAt.get(service);
+		return (this.#unsettled.get(service) ?? 0) > 0 || (sentAt !== undefined && this.#options.clock.readMonotonic() - sentAt > doubtMs);
+	}
+
 	async #drain(service: ServiceName, queue: Pending[]): Promise<void> {
-		await this.#options.clock.sleep(gatherMs);
+		const {clock} = this.#options;
+		await clock.sleep(gatherMs);
 		while (queue.length > 0) {
 			const batch = queue.splice(0, batchJobs);
+			this.#sentAt.set(service, clock.readMonotonic());
 			try {
 				await this.#commit(batch);
 			} catch (error) {
-				await this.#settle(batch, error);
+				void this.#settle(service, batch, error);
+				this.#refuseUnsent(queue.splice(0));
 			}
 		}
 
+		this.#sentAt.delete(service);
 		this.#queues.delete(service);
 	}
 
+	/** Refuses jobs that have not been sent: they need not wait for what becomes of those before them. */
+	#refuseUnsent(unsent: readonly Pending[]): void {
+		for (const {job, resolve} of unsent) {
+			this.#options.log.info('submission refused', {job: job.id, queue: job.queue, reason: 'the store did not answer the one before'});
+			resolve('refused');
+		}
+	}
+
 	/** Commits a batch; jobs that are already there are left out and the rest tried again. */
 	async #commit(batch: readonly Pending[]): Promise<void> {
 		let open = [...batch];
@@ -139,7 +167,8 @@
 	}
 
 	/** Finds out what became of a batch whose transaction failed. */
-	async #settle(batch: readonly Pending[], error: unknown): Promise<void> {
+	async #settle(service: ServiceName, batch: readonly Pending[], error: unknown): Promise<void> {
+		this.#unsettled.set(service, (this.#unsettled.get(service) ?? 0) + 1);
 		const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
 		this.#options.log.warn('submissions not written', {
 			jobs: batch.map(({job}) => job.id).slice(0, 5), count: batch.length, isUnsent, error: readErrorMessage(error),
@@ -147,6 +176,7 @@
 		await Promise.all(batch.map(async pending => {
 			pending.resolve(isUnsent ? 'refused' : await this.#settleOne(pending));
 		}));
+		this.#unsettled.set(service, (this.#unsettled.get(service) ?? 1) - 1);
 	}
 
 	/** Reads a job back, or writes a tombstone in its place so that a late write of it fails. */
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -76,7 +76,7 @@
 	private constructor(options: SchedulerOptions) {
 		this.#options = options;
 		this.#lease = DutyLease.create({
-			...options, duty: 'scheduler', partition: 'scheduler', termMs, describeNews: () => this.#describeNews(),
+			...options, duty: 'scheduler', partition: 'scheduler', termMs, isHolderUnique: true, describeNews: () => this.#describeNews(),
 		});
 	}
 
--- a/packages/workflows/tests/intakes.test.ts
+++ b/packages/workflows/tests/intakes.test.ts
@@ -113,3 +113,38 @@
 	t.true(await intake.cancel(service, 'new' as JobId));
 	t.false(await intake.cancel(service, 'other' as JobId));
 });
+
+test('while a write is in doubt, what has not been sent is refused at once', async t => {
+	const clock = ManualClock.create();
+	const tables = MemoryTableService.create(clock);
+	const commit = tables.commit.bind(tables);
+	tables.commit = async (transaction: Transaction): Promise<CommitOutcome> => {
+		await clock.sleep(1000);
+		throw new VerdictError('no answer', {verdict: 'may-have-run', code: 'platform_unavailable'});
+	};
+
+	const intake = Intake.create({clock, tables, log: DecisionLog.create(Log.createSilent(), clock)});
+	const outcomes = new Map<string, SubmitOutcome>();
+	const submit = async (id: string): Promise<void> => {
+		outcomes.set(id, await intake.submit(createJob(id)));
+	};
+
+	const submissions = [submit('sent')];
+	await clock.advance(50);
+	submissions.push(submit('queued'));
+	await clock.advance(750);
+	submissions.push(submit('in doubt'));
+	await clock.advance(0);
+	t.deepEqual([...outcomes], [['in doubt', 'refused']]);
+	await clock.advance(250);
+	t.is(outcomes.get('queued'), 'refused');
+	t.is(outcomes.get('sent'), undefined);
+	tables.commit = commit;
+	await clock.advance(2000);
+	await Promise.all(submissions);
+	t.is(outcomes.get('sent'), 'refused');
+	const later = submit('later');
+	await clock.advance(100);
+	await later;
+	t.is(outcomes.get('later'), 'accepted');
+});
