--- a/packages/clients/src/memories.ts
+++ b/packages/clients/src/memories.ts
@@ -81,7 +81,7 @@
 				return {status: 'expired'};
 			}
 
-			const changes = this.#history.filter(change => change.table === table && change.version > after);
+			const changes = this.#listChanges(table, after);
 			const remainingMs = endsAt - this.#clock.readMonotonic();
 			if (changes.length > 0 || remainingMs <= 0) {
 				return {status: 'changes', changes, version: this.#version};
@@ -108,6 +108,16 @@
 		this.#tables.clear();
 	}
 
+	/** Changes of a table after a version; the history is in order of versions, and most watches ask for its end. */
+	#listChanges(table: string, after: number): RowChange[] {
+		let start = this.#history.length;
+		while (start > 0 && this.#history[start - 1]!.version > after) {
+			start--;
+		}
+
+		return this.#history.slice(start).filter(change => change.table === table);
+	}
+
 	/** Resolves with the next commit, or after `ms` milliseconds. */
 	async #waitForChange(ms: number): Promise<void> {
 		const abort = new AbortController();
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -109,13 +109,16 @@
 
 	state: JobState = 'queued';
 	endedAt: number | undefined;
+	readonly isLongRunning: boolean;
 	/** Set once a cancellation was seen. */
 	isCancelled = false;
 	/** Submission on the monotonic clock, from which objectives count. */
 	readonly submittedAt: number;
+	#rank: {readonly doneSteps: number; readonly described: RankedJob} | undefined;
 	readonly #occurrences = new Map<number, readonly StepState[]>();
 
 	private constructor(readonly job: Job, now: {readonly monotonic: number; readonly wall: number}) {
+		this.isLongRunning = job.steps.some(step => step.isLongRunning);
 		// Entries' wall clocks differ a little; a submission from the future counts as made now.
 		this.submittedAt = now.monotonic - Math.max(0, now.wall - job.submittedAt);
 	}
@@ -124,9 +127,6 @@
 		return isTerminal(this.state);
 	}
 
-	get isLongRunning(): boolean {
-		return this.job.steps.some(step => step.isLongRunning);
-	}
 
 	/** Every step that exists so far. */
 	get steps(): StepState[] {
@@ -168,16 +168,26 @@
 		return this.#occurrences.get(occurrence)?.[step]?.tasks[index];
 	}
 
-	/** Describes the job for the order of work. */
+	/** Describes the job for the order of work; what does not change is worked out once. */
 	describeRank(): RankedJob {
-		const {policy, steps} = this.job;
-		const chainMs = computeChainMs(steps, step => step.estimatedMs);
-		const newest = this.#occurrences.get(this.#occurrences.size - 1);
-		const remainingMs = computeChainMs(steps, (step, index) => newest?.[index]?.isDone ? 0 : step.estimatedMs);
-		const dueAt = this.job.schedule === undefined ? 0 : this.job.schedule.firstAt - this.job.submittedAt;
-		return {
-			policy, isLongRunning: this.isLongRunning, submittedAt: this.submittedAt + Math.max(0, dueAt), chainMs, remainingMs,
-		};
+		const newest = this.#occurrences.get(this.#occurrences.size - 1) ?? [];
+		const doneSteps = newest.filter(step => step.isDone).length;
+		if (this.#rank?.doneSteps !== doneSteps) {
+			const {policy, steps, schedule, submittedAt} = this.job;
+			const dueAt = schedule === undefined ? 0 : schedule.firstAt - submittedAt;
+			this.#rank = {
+				doneSteps,
+				described: {
+					policy,
+					isLongRunning: this.isLongRunning,
+					submittedAt: this.submittedAt + Math.max(0, dueAt),
+					chainMs: computeChainMs(steps, step => step.estimatedMs),
+					remainingMs: computeChainMs(steps, (step, index) => newest[index]?.isDone ? 0 : step.estimatedMs),
+				},
+			};
+		}
+
+		return this.#rank.described;
 	}
 
 	/** Works out the state from the tasks; a terminal state stays. */
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -46,7 +46,7 @@
 /** Longest pause between two plans, in milliseconds: bounds what depends on time alone, such as lapses and due times. */
 const planIntervalMs = 100;
 /** Least pause between two plans, in milliseconds: lets ends and submissions gather. */
-const planGapMs = 4;
+const planGapMs = 15;
 /** Time without progress after which a run counts as stalled, in milliseconds: several listings, at worker speeds down to a tenth. */
 const stallMs = 3000;
 /** Pause before a task that lasts is started again after it failed at once, in milliseconds. */
@@ -304,7 +304,7 @@
 		for (const task of this.#orphans) {
 			if (isSameLife(task.life, record)) {
 				this.#orphans.delete(task);
-				session.tasks.add(task);
+				session.addTask(task);
 			} else if (task.life?.id === record.id) {
 				this.#releaseOrphan(task);
 			}
@@ -669,7 +669,7 @@
 		task.run = run;
 		task.phase = 'recorded';
 		task.life = {id: session.record.id, bornAt: session.record.bornAt};
-		session.tasks.add(task);
+		session.addTask(task);
 		const index = candidates.findIndex(candidate => candidate.id === choice.id);
 		const free: Resources = addResources(candidates[index]!.free, getReservation(task.spec), -1);
 		candidates[index] = {...candidates[index]!, free};
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -59,8 +59,9 @@
 	/** Set while its VM is being emptied for upkeep or a move. */
 	isEmptying = false;
 	readonly health: WorkerHealth;
-	/** Tasks assigned here whose end is not known. */
-	readonly tasks = new Set<Task>();
+	readonly #tasks = new Set<Task>();
+	/** What the tasks reserve. */
+	#used: Resources = noResources;
 	/** Runs found here that no task accounts for; they are being stopped. */
 	readonly strays = new Map<string, RunKey>();
 	readonly #options: WorkerSessionOptions;
@@ -105,27 +106,29 @@
 		return this.#lease.lapsesAt;
 	}
 
+	/** Tasks assigned here whose end is not known. */
+	get tasks(): ReadonlySet<Task> {
+		return this.#tasks;
+	}
+
 	get isClosed(): boolean {
 		return this.#isClosed;
 	}
 
 	/** Room that is neither in use nor reserved. */
 	get free(): Resources {
-		if (this.strays.size > 0) {
-			return noResources;
-		}
-
-		let {capacity: free} = this.record;
-		for (const task of this.tasks) {
-			free = addResources(free, getReservation(task.spec), -1);
-		}
-
-		return free;
+		return this.strays.size > 0 ? noResources : addResources(this.record.capacity, this.#used, -1);
 	}
 
 	/** Describes the worker for a placement. */
 	describe(now: number): Candidate & {readonly session: WorkerSession} {
-		const tasks = [...this.tasks];
+		let servingTasks = 0;
+		let fillerTasks = 0;
+		for (const {spec} of this.#tasks) {
+			servingTasks += spec.targetMs === undefined ? 0 : 1;
+			fillerTasks += spec.isFiller ? 1 : 0;
+		}
+
 		return {
 			session: this,
 			id: this.record.id,
@@ -134,8 +137,8 @@
 			capacity: this.record.capacity,
 			free: this.free,
 			doubt: this.health.computeDoubt(now),
-			servingTasks: tasks.filter(task => task.spec.targetMs !== undefined).length,
-			fillerTasks: tasks.filter(task => task.spec.isFiller).length,
+			servingTasks,
+			fillerTasks,
 		};
 	}
 
@@ -171,9 +174,20 @@
 		return this.tasks.size === 0 && this.strays.size === 0 ? this.#emptySince : undefined;
 	}
 
+	/** Assigns a task to the worker and reserves its room. */
+	addTask(task: Task): void {
+		if (!this.#tasks.has(task)) {
+			this.#tasks.add(task);
+			this.#used = addResources(this.#used, getReservation(task.spec));
+		}
+	}
+
 	/** Takes a task off the worker. */
 	removeTask(task: Task): void {
-		this.tasks.delete(task);
+		if (this.#tasks.delete(task)) {
+			this.#used = addResources(this.#used, getReservation(task.spec), -1);
+		}
+
 		this.#emptySince = this.#options.clock.readMonotonic();
 		this.#stops.delete(task);
 	}
