Close sessions of workers that are no longer listed and have no tasks

Cause: a VM that had left its pool stayed listed for a moment; its session asked the dead address seven times a second until the leases of an earlier holder had run out.

--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -228,6 +228,9 @@
 
 		for (const session of this.#sessions.values()) {
 			session.isRegistered = listed.has(session.record.id);
+			if (!session.isRegistered && session.tasks.size === 0) {
+				this.#closeSession(session);
+			}
 		}
 
 		this.#wake.set();
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -19,6 +19,8 @@
 const holdWaitMs = 1000;
 /** Pause after a call that failed, in milliseconds. */
 const failurePauseMs = 150;
+/** Longest pause after several calls that failed, in milliseconds: a worker that is back is seen within it. */
+const maxFailurePauseMs = 600;
 /** Longest wait for ends to be made durable before the lease is renewed without acknowledging them, in milliseconds. */
 const durableWaitMs = 1500;
 /** Calls that fail one after the other before a worker gets no new work. */
@@ -229,7 +231,7 @@
 				}
 			} catch (error) {
 				log.warn('worker not listed', {worker: this.name, failures: ++this.#failures, error: readErrorMessage(error)});
-				await clock.sleep(failurePauseMs);
+				await clock.sleep(Math.min(maxFailurePauseMs, this.#failures * failurePauseMs));
 			}
 		}
 	}
