--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -127,7 +127,6 @@
 		return isTerminal(this.state);
 	}
 
-
 	/** Every step that exists so far. */
 	get steps(): StepState[] {
 		return [...this.#occurrences.values()].flat();
