--- /dev/null
+++ b/scripts/play-histories.js
@@ -0,0 +1,26 @@
+/**
+ * `npm run histories [-- SEED [RUNS]]`: plays random histories of the emulated system and prints those that break a promise.
+ */
+import {randomInt} from 'node:crypto';
+import process from 'node:process';
+import {playHistory} from '../packages/testing/dist/src/index.js';
+
+const maxSeed = 2 ** 31;
+const defaultRuns = 100;
+const [first = randomInt(maxSeed), runs = defaultRuns] = process.argv.slice(2).map(Number);
+const faults = {};
+let broken = 0;
+for (let seed = first; seed < first + runs; seed++) {
+	const history = await playHistory({seed});
+	for (const [kind, count] of Object.entries(history.faults)) {
+		faults[kind] = (faults[kind] ?? 0) + count;
+	}
+
+	if (history.violations.length > 0) {
+		broken++;
+		console.log(`seed ${seed}: ${JSON.stringify(history.faults)}\n  ${history.violations.join('\n  ')}`);
+	}
+}
+
+console.log(`${runs} histories from seed ${first}, ${broken} broken; faults met: ${JSON.stringify(faults)}`);
+process.exitCode = broken === 0 ? 0 : 1;
