--- a/packages/testing/tests/system-histories.test.ts
+++ b/packages/testing/tests/system-histories.test.ts
@@ -18,6 +18,7 @@
 	[2012, 'the same after two takeovers', ['wave', 'wave', 'kill holder', 'answers lost', 'tables silent', 'cut holder from tables']],
 	[2006, 'ends acknowledged before they are durable would be caught', undefined],
 	[2015, 'an unanswered start that is not stopped would be caught', undefined],
+	[2100, 'a worker that is cut off runs on until its lease has lapsed', ['worker cut']],
 	[1005, 'outages of the tables', ['tables down', 'tables silent', 'tables slow', 'history gone']],
 ];
 
--- a/packages/workflows/src/workers.ts
+++ b/packages/workflows/src/workers.ts
@@ -5,7 +5,7 @@
 	type JobId, type PoolName, type VmId, type ZoneName,
 } from '@tamarackwind/core';
 import {type Resources} from '@tamarackwind/scheduling';
-import {type RunKey, type TaskKey, type WorkerLife} from './jobs.js';
+import {type RunKey, type WorkerLife} from './jobs.js';
 
 /** A worker as the registry lists it. */
 export type WorkerRecord = WorkerLife & {
@@ -152,11 +152,3 @@
 	/** Takes a VM through its upkeep; all that runs on it ends at once. */
 	abstract maintainVm(vm: VmId, wave: string, fence: FleetFence): Promise<FleetOrderOutcome>;
 }
-
-/** Gives the name of the task of a run. */
-export function getTask({job, occurrence, step, index}: RunKey): TaskKey {
-	return {
-		job, occurrence, step, index,
-	};
-}
-
