--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -22,6 +22,8 @@
 const stopMs = 300;
 const upkeepMs = 2000;
 const gangMs = 3000;
+/** Time within which the loss of a task must have been noticed, in milliseconds. */
+const noticeMs = 4500;
 const moveMs = 1500;
 /** Pool whose VMs are off. */
 export const sparePool = 'spare' as PoolName;
@@ -42,7 +44,7 @@
 	isOver = false;
 	#sequence = 0;
 
-	constructor(readonly record: WorkerRecord, readonly bornAt: number, readonly clockRate: number) {}
+	constructor(readonly record: WorkerRecord, readonly bornAt: number, readonly clockRate: number, readonly onEnd: (task: string, isOrdered: boolean) => void) {}
 
 	readClock(now: number): number {
 		return (now - this.bornAt) * this.clockRate;
@@ -50,6 +52,7 @@
 
 	endRun(run: EmulatedRun, ending: RunEnding): void {
 		const name = formatTask(run.key);
+		this.onEnd(name, ending === 'stopped');
 		this.runs.delete(name);
 		this.closedRuns.set(name, Math.max(run.key.run, this.closedRuns.get(name) ?? 0));
 		this.#sequence++;
@@ -106,6 +109,8 @@
 	readonly #notedDone = new Set<string>();
 	readonly #done = new Map<string, number>();
 	readonly #failures = new Map<string, number>();
+	/** When each task last stopped being at work, and whether an order did it. */
+	readonly #awaySince = new Map<string, {readonly at: number; readonly isOrdered: boolean}>();
 	#born = 0;
 
 	private constructor(options: EmulatedFleetOptions) {
@@ -133,7 +138,7 @@
 	/** Ends a VM's worker without notice; another begins after `downMs` milliseconds. */
 	crashVm(id: VmId, downMs: number): void {
 		const vm = this.#findVm(id);
-		this.#endLife(vm);
+		this.#endLife(vm, false);
 		vm.state = 'down';
 		this.#options.clock.schedule(downMs, () => {
 			vm.state = 'up';
@@ -173,7 +178,7 @@
 		this.#checkBudget(vm);
 		vm.upkeeps.add(wave);
 		this.counts.upkeeps++;
-		this.#endLife(vm);
+		this.#endLife(vm, true);
 		vm.state = 'upkeep';
 		this.#options.clock.schedule(upkeepMs, () => {
 			vm.state = 'up';
@@ -195,7 +200,7 @@
 
 		this.#checkBudget(vm);
 		this.counts.moves++;
-		this.#endLife(vm);
+		this.#endLife(vm, true);
 		vm.pool = pool;
 		vm.state = 'moving';
 		this.#options.clock.schedule(moveMs, () => {
@@ -346,11 +351,17 @@
 		const record: WorkerRecord = {
 			id: `worker-${this.#born}` as VmId, bornAt, pool: vm.pool, address: `${vm.id}:1`, zone: 'zone-a' as ZoneName, isDraining: false, capacity, labels: [],
 		};
-		vm.life = new EmulatedLife(record, bornAt, 1 - (random.readFraction() * 0.02));
+		vm.life = new EmulatedLife(record, bornAt, 1 - (random.readFraction() * 0.02), (task, isOrdered) => {
+			this.#awaySince.set(task, {at: clock.readMonotonic(), isOrdered});
+		});
 	}
 
-	#endLife(vm: EmulatedVm): void {
+	#endLife(vm: EmulatedVm, isOrdered: boolean): void {
 		if (vm.life !== undefined) {
+			for (const name of vm.life.runs.keys()) {
+				vm.life.onEnd(name, isOrdered);
+			}
+
 			vm.life.isOver = true;
 			vm.life.runs.clear();
 			vm.life = undefined;
@@ -467,20 +478,37 @@
 		}
 	}
 
-	/** An upkeep may not end more tasks of a step than its disruption budget allows. */
+	/**
+	 * An order may not end more tasks of a step than its disruption budget allows. Tasks count as away that an order has ended, and
+	 * those that have not been at work for the time within which it must have been noticed.
+	 */
 	#checkBudget(vm: EmulatedVm): void {
 		const now = this.#options.clock.readMonotonic();
 		for (const run of vm.life?.runs.values() ?? []) {
 			const {mayMiss, count} = run.task.step;
 			if (mayMiss !== undefined && computePercent(run, now) === percentScale && !this.cancelSent.has(run.key.job)) {
-				const elsewhere = this.#vms.filter(other => other !== vm).flatMap(other => [...other.life?.runs.values() ?? []])
-					.filter(other => other.key.job === run.key.job && other.key.step === run.key.step && computePercent(other, now) === percentScale).length;
-				if (count - elsewhere > mayMiss) {
-					this.violations.push(`${Math.round(now)}: upkeep of ${vm.id} leaves ${elsewhere} of ${count} tasks of ${run.key.job} at work`);
+				const fellows = Array.from({length: count}, (_, index) => ({...run.key, index}));
+				const away = fellows.filter(key => this.#isAway(key, vm, now)).length;
+				if (away > mayMiss) {
+					this.violations.push(`${Math.round(now)}: order to ${vm.id} leaves ${count - away} of ${count} tasks of ${run.key.job} at work`);
 				}
 			}
 		}
 	}
+
+	/** Tells whether a task counts as away once the worker of a VM has been ended by an order. */
+	#isAway(key: RunKey, ended: EmulatedVm, now: number): boolean {
+		const name = formatTask(key);
+		const place = this.#vms.find(vm => vm.life?.runs.has(name));
+		const isAtWork = place !== undefined && computePercent(place.life!.runs.get(name)!, now) === percentScale;
+		if (isAtWork) {
+			return place === ended;
+		}
+
+		const since = this.#awaySince.get(name);
+		const awayAt = since?.at ?? this.jobs.get(key.job)!.job.submittedAt;
+		return (since?.isOrdered ?? false) || now - awayAt >= noticeMs;
+	}
 }
 
 function sumReservations(life: EmulatedLife): Resources {
