--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -15,7 +15,7 @@
 import {type RunKey, type WorkerLife} from './jobs.js';
 import {Ledger} from './ledgers.js';
 import {PaceKeeper} from './pace-keepers.js';
-import {RunStarter} from './run-starters.js';
+import {RunStarter} from './start-orders.js';
 import {Signal} from './signals.js';
 import {
 	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
