Follow the duty by its feed, hand over which VMs were ordered, tell counts only of loaded services

Ruled out: shorter terms of the lease (a slow store needs them); ordering at once after a crash (orders of the dead holder may be late). Conclusion: takeovers cost less; the registry's feed replaces its polling.

--- a/packages/clients/src/duties.ts
+++ b/packages/clients/src/duties.ts
@@ -3,7 +3,7 @@
  */
 import {type Clock, type RandomSource} from '@tamarackwind/core';
 import {
-	absentVersion, type Check, type Row, type RowKey, type TableService,
+	absentVersion, type Check, type Row, type RowChange, type RowKey, type TableService, type WatchedTableService,
 } from './tables.js';
 
 /** Table of the lease rows; a row changes only when its holder does. */
@@ -20,6 +20,8 @@
 	readonly epoch: number;
 	/** Write token by which a holder recognises its own row after a lost answer. */
 	readonly token: string;
+	/** What a holder that gave the duty up left for the next one. */
+	readonly handover?: unknown;
 };
 
 export type DutyLeaseOptions = {
@@ -40,6 +42,8 @@
 	readonly describeNews?: () => unknown;
 	/** Time that an applicant waits before it takes a vacant duty, in milliseconds; random up to half a second by default. */
 	readonly vacancyMs?: number;
+	/** Processor time of the applicant in cores; when given, larger applicants take a vacant duty before smaller ones. */
+	readonly cores?: number;
 };
 
 /** What a process last read of a duty. */
@@ -54,6 +58,8 @@
 	readonly changedAt: number;
 };
 
+type DutyRows = {readonly lease: Row<DutyRow> | undefined; readonly heartbeat: Row<HeartbeatRow> | undefined};
+
 type HeartbeatRow = {readonly epoch: number; readonly news?: unknown};
 
 type Observation = {readonly leaseVersion: number; readonly heartbeatVersion: number; readonly takeAt: number; readonly changedAt: number; readonly readAt: number};
@@ -63,6 +69,10 @@
 const defaultTermMs = 5000;
 const renewalsPerTerm = 4;
 const vacancySpreadMs = 500;
+/** Wait of an applicant of one core before it takes a vacant duty, in milliseconds: some transactions, so that a larger one is first. */
+const corePauseMs = 30;
+/** Random part of that wait, in milliseconds, so that equal applicants do not all write at once. */
+const coreSpreadMs = 60;
 
 /**
  * The lease of one duty. Expiry is judged by rows that stay unchanged for the term on this process's monotonic clock,
@@ -86,6 +96,9 @@
 	#takeToken: string | undefined;
 	#takeStartedAt = 0;
 	#takeovers = 0;
+	#handover: unknown;
+	/** Rows as the feed of changes has told them so far, while the duty is not held. */
+	#followed: (DutyRows & {readonly version: number}) | undefined;
 	#news: DutyNews | undefined;
 
 	private constructor(options: DutyLeaseOptions) {
@@ -129,7 +142,39 @@
 			return this.#renewIfDue();
 		}
 
-		const {lease, heartbeat} = await this.#readRows();
+		return this.#applyRows(await this.#readRows());
+	}
+
+	/**
+	 * Waits at most `waitMs` for a change of a duty that is not held, and applies for it as is due. Compared with calls of
+	 * `refresh`, a release shows at once. Resolves to whether the duty is held.
+	 */
+	async watch(tables: WatchedTableService, waitMs: number): Promise<boolean> {
+		if (this.#holding !== undefined) {
+			return this.#renewIfDue();
+		}
+
+		const untilTakeMs = this.#observation === undefined ? waitMs : this.#observation.takeAt - this.#options.clock.readMonotonic();
+		this.#followed = await this.#watchRows(tables, Math.max(1, Math.ceil(Math.min(waitMs, untilTakeMs))));
+		return this.#applyRows(this.#followed);
+	}
+
+	async #watchRows(tables: WatchedTableService, waitMs: number): Promise<DutyRows & {readonly version: number}> {
+		if (this.#followed !== undefined) {
+			const outcome = await tables.watchRows(dutyTable, {after: this.#followed.version, waitMs});
+			if (outcome.status === 'changes') {
+				const {lease, heartbeat} = this.#followed;
+				return {
+					lease: findChanged(outcome.changes, this.#leaseKey, lease), heartbeat: findChanged(outcome.changes, this.#heartbeatKey, heartbeat), version: outcome.version,
+				};
+			}
+		}
+
+		const {rows, version} = await tables.listRange(dutyTable, {partition: this.#options.partition});
+		return {lease: findChanged(rows, this.#leaseKey), heartbeat: findChanged(rows, this.#heartbeatKey), version};
+	}
+
+	async #applyRows({lease, heartbeat}: DutyRows): Promise<boolean> {
 		if (lease !== undefined && this.#takeToken === lease.value.token) {
 			this.#recordHolding(lease.version, lease.value.epoch, this.#takeStartedAt);
 			return this.isHeld;
@@ -142,12 +187,24 @@
 		return this.#options.clock.readMonotonic() >= observation.takeAt && this.#take(lease, heartbeat);
 	}
 
+	/** What the earlier holder left when it gave the duty up; `undefined` when it lost the duty some other way. */
+	get handover(): unknown {
+		return this.#handover;
+	}
+
+	/** Tells whether this process was the first ever to hold the duty. */
+	get isFirst(): boolean {
+		return this.#holding?.epoch === 1;
+	}
+
 	/** Gives the duty up at once, so that another process need not wait for the term. */
-	async release(): Promise<void> {
+	async release(handover?: unknown): Promise<void> {
 		const holding = this.#holding;
 		this.#holding = undefined;
 		if (holding !== undefined) {
-			const value: DutyRow = {holder: '', epoch: holding.epoch, token: ''};
+			const value: DutyRow = {
+				holder: '', epoch: holding.epoch, token: '', handover,
+			};
 			await this.#options.tables.commit({checks: [holding.check], writes: [{...this.#leaseKey, value}]});
 		}
 	}
@@ -160,7 +217,7 @@
 		return {table: dutyTable, key: `${this.#options.duty}${heartbeatSuffix}`, partition: this.#options.partition};
 	}
 
-	async #readRows(): Promise<{lease: Row<DutyRow> | undefined; heartbeat: Row<HeartbeatRow> | undefined}> {
+	async #readRows(): Promise<DutyRows> {
 		const [lease, heartbeat] = await this.#options.tables.getRows([this.#leaseKey, this.#heartbeatKey]);
 		return {lease: lease as Row<DutyRow> | undefined, heartbeat: heartbeat as Row<HeartbeatRow> | undefined};
 	}
@@ -169,7 +226,7 @@
 		const leaseVersion = lease?.version ?? absentVersion;
 		const heartbeatVersion = heartbeat?.version ?? absentVersion;
 		const known = this.#observation;
-		const {clock, random, vacancyMs} = this.#options;
+		const {clock} = this.#options;
 		const readAt = clock.readMonotonic();
 		const isVacant = lease === undefined || lease.value.holder === '';
 		if (known?.leaseVersion === leaseVersion && known.heartbeatVersion === heartbeatVersion) {
@@ -182,21 +239,33 @@
 
 		// Spread over time, so that applicants do not all write at once.
 		const isOwn = this.#options.isHolderUnique === true && lease?.value.holder === this.#options.holder;
-		const occupiedMs = this.#termMs * (1 + (random.readFraction() / 4));
-		const vacantMs = vacancyMs ?? random.readFraction() * vacancySpreadMs;
-		const waitMs = isVacant ? vacantMs : (isOwn ? 0 : occupiedMs);
+		const waitMs = isVacant ? this.#computeVacancyMs() : (isOwn ? 0 : this.#computeOccupiedMs());
 		this.#observation = {
 			leaseVersion, heartbeatVersion, takeAt: readAt + waitMs, changedAt: readAt, readAt,
 		};
 		return this.#observation;
 	}
 
+	/** Wait before a vacant duty is taken. */
+	#computeVacancyMs(): number {
+		const {random, vacancyMs, cores} = this.#options;
+		return cores === undefined ? vacancyMs ?? random.readFraction() * vacancySpreadMs : (corePauseMs + (random.readFraction() * coreSpreadMs)) / cores;
+	}
+
+	/** Wait before the duty of a holder that renews nothing is taken. */
+	#computeOccupiedMs(): number {
+		const {random, cores} = this.#options;
+		return cores === undefined ? this.#termMs * (1 + (random.readFraction() / 4)) : this.#termMs + this.#computeVacancyMs();
+	}
+
 	async #take(lease: Row<DutyRow> | undefined, heartbeat: Row | undefined): Promise<boolean> {
 		const {tables, clock, random, holder} = this.#options;
 		const epoch = (lease?.value.epoch ?? 0) + 1;
 		this.#takeToken = random.createToken();
 		this.#takeStartedAt = clock.readBoot();
 		this.#observation = undefined;
+		this.#followed = undefined;
+		this.#handover = lease?.value.holder === '' ? lease.value.handover : undefined;
 		const outcome = await tables.commit({
 			checks: [{...this.#leaseKey, version: lease?.version ?? absentVersion}, {...this.#heartbeatKey, version: heartbeat?.version ?? absentVersion}],
 			writes: [{...this.#leaseKey, value: {holder, epoch, token: this.#takeToken} satisfies DutyRow}],
@@ -228,3 +297,9 @@
 		return this.isHeld;
 	}
 }
+
+/** Finds the newest state of a row among changes; `known` when they don't name it. */
+function findChanged<T>(changes: ReadonlyArray<Row | RowChange>, {key, partition}: RowKey, known?: Row<T>): Row<T> | undefined {
+	const change = changes.findLast(other => other.key === key && (other.partition ?? '') === (partition ?? ''));
+	return change === undefined ? known : (change.value === undefined ? undefined : change as Row<T>);
+}
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -31,6 +31,8 @@
 const startupMs = 300;
 const maxLeaseMs = 10_000;
 const networkMs = 1;
+/** Time for which the registry goes on listing a worker that has ended, in milliseconds. */
+const registryLagMs = 4500;
 
 /** One life of a worker. */
 class EmulatedLife {
@@ -66,7 +68,7 @@
 }
 
 type EmulatedVm = {
-	readonly id: VmId; pool: PoolName; life: EmulatedLife | undefined; state: FleetVm['state']; isCut: boolean; upkeeps: Set<string>; registeredUntil: number;
+	readonly id: VmId; pool: PoolName; life: EmulatedLife | undefined; state: FleetVm['state']; isCut: boolean; upkeeps: Set<string>;
 };
 
 /** Chances of faults of an order, each from 0 to 1. */
@@ -111,6 +113,8 @@
 	readonly #failures = new Map<string, number>();
 	/** When each task last stopped being at work, and whether an order did it. */
 	readonly #awaySince = new Map<string, {readonly at: number; readonly isOrdered: boolean}>();
+	/** Ended workers that the registry still lists, with the time until which it does. */
+	#lingering: Array<{readonly record: WorkerRecord; readonly until: number}> = [];
 	#born = 0;
 
 	private constructor(options: EmulatedFleetOptions) {
@@ -118,7 +122,7 @@
 		for (const [pool, count] of options.pools) {
 			for (let index = 0; index < count; index++) {
 				const vm: EmulatedVm = {
-					id: `vm-${pool}-${index}` as VmId, pool, life: undefined, state: 'up', isCut: false, upkeeps: new Set(), registeredUntil: 0,
+					id: `vm-${pool}-${index}` as VmId, pool, life: undefined, state: 'up', isCut: false, upkeeps: new Set(),
 				};
 				this.#vms.push(vm);
 				this.#beginLife(vm);
@@ -156,7 +160,9 @@
 	}
 
 	listRecords(): WorkerRecord[] {
-		return this.#vms.flatMap(vm => vm.life === undefined || vm.isCut ? [] : [vm.life.record]);
+		const now = this.#options.clock.readMonotonic();
+		this.#lingering = this.#lingering.filter(({until}) => until > now);
+		return [...this.#vms.flatMap(vm => vm.life === undefined || vm.isCut ? [] : [vm.life.record]), ...this.#lingering.map(({record}) => record)];
 	}
 
 	listVms(): FleetVm[] {
@@ -364,6 +370,7 @@
 
 			vm.life.isOver = true;
 			vm.life.runs.clear();
+			this.#lingering.push({record: vm.life.record, until: this.#options.clock.readMonotonic() + registryLagMs});
 			vm.life = undefined;
 		}
 	}
@@ -579,15 +586,16 @@
 
 /** The registry as it lists the emulated workers. */
 export class EmulatedRegistry extends WorkerRegistry {
-	static create(fleet: EmulatedFleet): EmulatedRegistry {
-		return new EmulatedRegistry(fleet);
+	static create(fleet: EmulatedFleet, clock: SimulatedClock): EmulatedRegistry {
+		return new EmulatedRegistry(fleet, clock);
 	}
 
-	private constructor(private readonly fleet: EmulatedFleet) {
+	private constructor(private readonly fleet: EmulatedFleet, private readonly clock: SimulatedClock) {
 		super();
 	}
 
-	override async listWorkers(): Promise<WorkerRecord[]> {
+	override async watchWorkers(waitMs: number): Promise<WorkerRecord[]> {
+		await this.clock.sleep(waitMs);
 		return this.fleet.listRecords();
 	}
 }
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -112,6 +112,8 @@
 	readonly isLongRunning: boolean;
 	/** Set once a cancellation was seen. */
 	isCancelled = false;
+	/** Set once a worker has confirmed a run, or an earlier holder wrote that one had ended. */
+	hasBegun = false;
 	/** Submission on the monotonic clock, from which objectives count. */
 	readonly submittedAt: number;
 	#rank: {readonly doneSteps: number; readonly described: RankedJob} | undefined;
@@ -229,6 +231,7 @@
 		this.state = progress.state;
 		this.endedAt = progress.endedAt;
 		this.isCancelled ||= progress.state === 'cancelled';
+		this.hasBegun ||= progress.steps.some(({done, open}) => done.length > 0 || open.some(({failures, checkpoint}) => failures > 0 || checkpoint !== ''));
 		for (const saved of progress.steps) {
 			for (let occurrence = this.#occurrences.size; occurrence <= saved.occurrence; occurrence++) {
 				this.#openOccurrence(occurrence);
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -9,6 +9,7 @@
 import {type Task} from './active-jobs.js';
 import {type WaveRequest} from './configurations.js';
 import {type DecisionLog} from './decision-logs.js';
+import {FleetOrders, type FleetHandover} from './fleet-orders.js';
 import {type DeclarationCodec, type OperatorWatch} from './operator-watches.js';
 import {type PoolScheduler} from './pool-schedulers.js';
 import {PoolSizer} from './pool-sizers.js';
@@ -27,6 +28,10 @@
 	readonly fleetLeaseMs: number;
 	readonly returnMs: number;
 	readonly canOrder: () => boolean;
+	/** Tells whether it is known what runs on the VMs: all pools are open and the registry was read. */
+	readonly isReady: () => boolean;
+	/** What the earlier holder left; `undefined` when any VM may have been ordered until just now. */
+	readonly handover: FleetHandover | undefined;
 	readonly listPools: () => readonly PoolScheduler[];
 };
 
@@ -67,23 +72,22 @@
 	readonly #options: FleetKeeperOptions;
 	readonly #waves = new Map<string, WaveProgress>();
 	readonly #sizer: PoolSizer;
-	readonly #createdAt: number;
+	readonly #orders: FleetOrders;
 	#isClosed = false;
 
 	private constructor(options: FleetKeeperOptions) {
 		this.#options = options;
-		this.#createdAt = options.clock.readMonotonic();
-		this.#sizer = PoolSizer.create({...options, fence: {holder: options.holder, fencingToken: options.epoch}, canOrder: () => this.#canOrder});
+		this.#orders = FleetOrders.create({...options, canOrder: () => !this.#isClosed && options.canOrder() && options.isReady()});
+		this.#sizer = PoolSizer.create({...options, fence: {holder: options.holder, fencingToken: options.epoch}, orders: this.#orders});
 	}
 
-	close(): void {
-		this.#isClosed = true;
+	/** What the next holder has to know when this one gives the duty up; `undefined` when that is not known. */
+	describeHandover(): FleetHandover | undefined {
+		return this.#orders.describeHandover();
 	}
 
-	/** Orders of an earlier holder must be over before the first of this one. */
-	get #canOrder(): boolean {
-		const {clock, fleetLeaseMs, canOrder} = this.#options;
-		return !this.#isClosed && canOrder() && clock.readMonotonic() - this.#createdAt > fleetLeaseMs;
+	close(): void {
+		this.#isClosed = true;
 	}
 
 	async #run(): Promise<void> {
@@ -104,7 +108,7 @@
 
 	async #updateSizes(): Promise<void> {
 		const {fleet, log} = this.#options;
-		if (!this.#canOrder) {
+		if (!this.#orders.isOpen) {
 			return;
 		}
 
@@ -118,7 +122,7 @@
 
 	async #advanceWave(wave: WaveRequest): Promise<void> {
 		const progress = this.#waves.get(wave.id) ?? await this.#loadWave(wave);
-		if (progress.state === 'succeeded' || !this.#canOrder) {
+		if (progress.state === 'succeeded' || !this.#orders.isOpen) {
 			return;
 		}
 
@@ -143,8 +147,8 @@
 		const progress: WaveProgress = {
 			wave,
 			begun: new Set(saved?.begun),
-			// What an earlier holder ordered last may still be down.
-			down: new Map(saved?.begun.map(id => [id, now])),
+			// What an earlier holder ordered last may still be down, or go down yet.
+			down: new Map([...saved?.begun ?? [], ...wave.vms.filter(id => !this.#orders.isOrderable(id))].map(id => [id, now])),
 			emptying: new Map(),
 			missing: new Map(),
 			state: saved?.state ?? 'running',
@@ -177,7 +181,7 @@
 			missing.delete(id);
 			if (vm.state === 'upkeep') {
 				down.set(id, Math.min(now, down.get(id) ?? now));
-			} else if (vm.state === 'up' && now - (down.get(id) ?? now) > returnMs) {
+			} else if (vm.state === 'up' && now - (down.get(id) ?? now) > returnMs && this.#orders.isOrderable(id)) {
 				down.delete(id);
 			}
 		}
@@ -204,10 +208,11 @@
 		const {wave, begun, down, emptying} = progress;
 		const session = this.#findSession(vm);
 		const waitedMs = clock.readMonotonic() - (emptying.get(vm.id) ?? 0);
-		if (vm.state !== 'up' || !this.#isEmptied(session, waitedMs) || !this.#canOrder) {
+		if (vm.state !== 'up' || !this.#isEmptied(session, waitedMs) || !this.#orders.isOrderable(vm.id)) {
 			return;
 		}
 
+		this.#orders.noteOrder(vm.id);
 		const outcome = await fleet.maintainVm(vm.id, wave.id, {holder, fencingToken: epoch});
 		log.info('upkeep ordered', {
 			wave: wave.id, vm: vm.id, worker: vm.worker, outcome, waitedMs: Math.round(waitedMs), tasks: session?.tasks.size ?? 0, down: down.size, cap: wave.cap,
@@ -251,6 +256,10 @@
 		}
 
 		session.isEmptying = true;
+		if (session.isReachable && !session.isListed) {
+			return false;
+		}
+
 		const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session, task)}));
 		const movable = plans.find(({task, plan}) => plan === 'one-by-one' && isAtWork(task));
 		if (movable !== undefined) {
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -12,6 +12,7 @@
 export * from './worker-sessions.js';
 export * from './job-feeds.js';
 export * from './pool-schedulers.js';
+export * from './fleet-orders.js';
 export * from './fleet-keepers.js';
 export * from './intakes.js';
 export * from './operator-watches.js';
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -12,7 +12,7 @@
 import {AdviceCache} from './advice-caches.js';
 import {type DecisionLog} from './decision-logs.js';
 import {JobFeed, type JobNews} from './job-feeds.js';
-import {type RunKey, type WorkerLife} from './jobs.js';
+import {formatLife, type RunKey, type WorkerLife} from './jobs.js';
 import {Ledger} from './ledgers.js';
 import {PaceKeeper} from './pace-keepers.js';
 import {RunStarter} from './start-orders.js';
@@ -53,6 +53,8 @@
 const restartPauseMs = 150;
 /** Refusal of an unhealthy worker keeps work away for this long, in milliseconds. */
 const refusalMs = 1000;
+/** Time for which an ended life of a worker is known as such, in milliseconds: above the three heartbeats after which the registry forgets it. */
+const endedLifeMs = 10_000;
 /** Most steps that were planned in vain before a plan ends. */
 const vainSteps = 24;
 
@@ -91,6 +93,8 @@
 	readonly #sessions = new Map<VmId, WorkerSession>();
 	/** Tasks that an earlier holder assigned to a life of a worker that is not listed. */
 	readonly #orphans = new Set<Task>();
+	/** Lives of workers that have ended, by the time when that was learned; the registry may list them for some seconds more. */
+	readonly #endedLives = new Map<string, number>();
 	readonly #wake = Signal.create();
 	#isClosed = false;
 
@@ -138,11 +142,11 @@
 		return this.#sessions.values();
 	}
 
-	/** Submitted jobs of each queue without a run so far. */
+	/** Submitted jobs of each queue of which no task is known to have begun. */
 	countWaiting(): Map<string, number> {
 		const counts = new Map<string, number>();
 		for (const active of this.#jobs.values()) {
-			if (active.state === 'queued') {
+			if (!active.isTerminal && !active.hasBegun) {
 				counts.set(active.job.queue, (counts.get(active.job.queue) ?? 0) + 1);
 			}
 		}
@@ -211,7 +215,7 @@
 	/** Takes in the workers that the registry lists for this pool. */
 	updateWorkers(records: readonly WorkerRecord[]): void {
 		const listed = new Set<VmId>();
-		for (const record of records) {
+		for (const record of records.filter(({id, bornAt}) => !this.#endedLives.has(formatLife({id, bornAt})))) {
 			listed.add(record.id);
 			const known = this.#sessions.get(record.id);
 			if (known?.record.bornAt === record.bornAt) {
@@ -273,6 +277,7 @@
 	override endLife(session: WorkerSession, reason: string): void {
 		const {log} = this.#options;
 		log.info('worker life ended', {worker: session.name, reason, tasks: session.tasks.size});
+		this.#endedLives.set(session.name, this.#options.clock.readMonotonic());
 		const changed = new Set<ActiveJob>();
 		for (const task of session.tasks) {
 			this.#releaseTask(task, changed);
@@ -405,6 +410,7 @@
 			saveCheckpoint(task, checkpoint);
 		}
 
+		task.job.hasBegun = true;
 		this.#releaseTask(task, changed);
 		if (ending === 'done' && !task.spec.isLongRunning) {
 			session.health.recordEnding(key.job, false, now);
@@ -546,6 +552,12 @@
 			}
 		}
 
+		for (const [life, endedAt] of this.#endedLives) {
+			if (now - endedAt > endedLifeMs) {
+				this.#endedLives.delete(life);
+			}
+		}
+
 		for (const [id, active] of this.#jobs) {
 			if (active.isTerminal && !active.tasks.some(task => task.isOut)) {
 				this.#feed.scheduleRemoval(active);
@@ -699,6 +711,7 @@
 }
 
 function observeRun(task: Task, run: ListedRun, now: number): void {
+	task.job.hasBegun = true;
 	if (task.phase === 'starting') {
 		task.phase = 'running';
 	}
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -6,6 +6,7 @@
 } from '@tamarackwind/core';
 import {planSizes, type SizedPool, type SizingMove} from '@tamarackwind/scheduling';
 import {type DecisionLog} from './decision-logs.js';
+import {type FleetOrders} from './fleet-orders.js';
 import {type OperatorWatch} from './operator-watches.js';
 import {type PoolScheduler} from './pool-schedulers.js';
 import {type FleetControl, type FleetFence, type FleetVm} from './workers.js';
@@ -17,7 +18,7 @@
 	readonly fleet: FleetControl;
 	readonly log: DecisionLog;
 	readonly fence: FleetFence;
-	readonly canOrder: () => boolean;
+	readonly orders: FleetOrders;
 	readonly listPools: () => readonly PoolScheduler[];
 };
 
@@ -68,7 +69,7 @@
 				name: name as string as PoolName,
 				isSpare,
 				vms: vms.filter(vm => vm.pool as string === name && vm.state === 'up' && !this.#moving.has(vm.id)).map(vm => ({
-					id: vm.id, cpu: vm.capacity.cpu, idleMs: isReserved(vm.id) ? undefined : this.#computeIdleMs(vm, isSpare),
+					id: vm.id, cpu: vm.capacity.cpu, idleMs: isReserved(vm.id) || !this.#options.orders.isOrderable(vm.id) ? undefined : this.#computeIdleMs(vm, isSpare),
 				})),
 				incoming: [...this.#moving.values()].filter(move => move.to as string === name).length,
 				usedCpu: load?.usedCpu ?? 0,
@@ -88,9 +89,9 @@
 	}
 
 	async #moveVm({vm, from, to}: SizingMove, vms: readonly FleetVm[]): Promise<void> {
-		const {clock, fleet, log, fence, canOrder} = this.#options;
+		const {clock, fleet, log, fence, orders} = this.#options;
 		const session = this.#findSession(vms.find(other => other.id === vm)!);
-		if (!canOrder() || (session !== undefined && session.tasks.size > 0)) {
+		if (!orders.isOrderable(vm) || (session !== undefined && session.tasks.size > 0)) {
 			return;
 		}
 
@@ -99,6 +100,7 @@
 		}
 
 		this.#moving.set(vm, {to, at: clock.readMonotonic()});
+		orders.noteOrder(vm);
 		try {
 			const outcome = await fleet.moveVm(vm, to, fence);
 			log.info('VM moved', {
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -7,6 +7,7 @@
 import {DutyLease, type WatchedTableService} from '@tamarackwind/clients';
 import {type DecisionLog} from './decision-logs.js';
 import {FleetKeeper} from './fleet-keepers.js';
+import {type FleetHandover} from './fleet-orders.js';
 import {type DeclarationCodec, type OperatorWatch} from './operator-watches.js';
 import {PoolScheduler} from './pool-schedulers.js';
 import {
@@ -26,6 +27,8 @@
 	readonly log: DecisionLog;
 	/** Name of this entry. */
 	readonly holder: string;
+	/** Processor time of this entry in cores; larger entries take the duty before smaller ones. */
+	readonly cores: number;
 	/** Time for which ended jobs are kept, in milliseconds. */
 	readonly retentionMs: number;
 	/** Least time between orders of two holders for one VM, in milliseconds. */
@@ -38,20 +41,26 @@
 
 /** What the holder tells all entries with each renewal. */
 export type SchedulerNews = {
-	/** Jobs of each queue without a run. */
-	readonly waiting: Readonly<Record<string, number>>;
+	/** Jobs of each queue that have not begun, by service; a service that the holder has not loaded yet is left out. */
+	readonly waiting: Readonly<Record<ServiceName, Readonly<Record<string, number>>>>;
 	/** Work of each pool that is submitted and not done, in milliseconds of the whole pool. */
 	readonly backlogMs: Readonly<Record<string, number>>;
 };
 
 /** Time without a renewal after which another entry takes the duty, in milliseconds: above two renewals at a store sixty times slower. */
 const termMs = 2400;
-/** Pause between two looks at the duty, in milliseconds. */
+/** Pause between two looks of the holder at its lease, in milliseconds. */
 const refreshMs = 400;
+/** Longest wait for a change of another entry's duty, in milliseconds: well under the half of the term after which a gap is assumed. */
+const followMs = 500;
+/** Pause between two such waits, in milliseconds: changes that come together are read together. */
+const followPauseMs = 10;
 /** Time since its last renewal for which a holder goes on renewing the leases of what runs, in milliseconds: covers long outages of the store. */
 const holdMs = 12_000;
-/** Pause between two readings of the registry, in milliseconds. */
-const registryMs = 300;
+/** Longest wait for a change of the registry, in milliseconds: bounds the age at which lost workers are asked about. */
+const registryWaitMs = 300;
+/** Pause between two such waits, in milliseconds: changes that come together are read together. */
+const registryPauseMs = 20;
 const clockSlackFactor = 1.03;
 
 /** Takes part in the duty and does it while it is held. */
@@ -71,6 +80,8 @@
 	/** Epoch under which the pools are scheduled. */
 	#epoch: number | undefined;
 	#tookAt = 0;
+	/** Whether the registry was read since all pools were opened. */
+	#isRegistryRead = false;
 	#isClosed = false;
 
 	private constructor(options: SchedulerOptions) {
@@ -108,10 +119,11 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		const wasHeld = this.#epoch !== undefined;
+		const handover = this.#fleet?.describeHandover();
 		this.#closePools();
 		if (wasHeld) {
-			this.#options.log.info('duty released', {duty: 'scheduler'});
-			await this.#lease.release();
+			this.#options.log.info('duty released', {duty: 'scheduler', recentVms: handover?.recentVms});
+			await this.#lease.release(handover);
 		}
 	}
 
@@ -125,16 +137,16 @@
 	}
 
 	async #runDuty(): Promise<void> {
-		const {clock, log} = this.#options;
+		const {clock, log, tables} = this.#options;
 		while (!this.#isClosed) {
 			try {
-				await this.#lease.refresh();
+				const isHeld = await this.#lease.watch(tables, followMs);
 				this.#applyLease();
+				await clock.sleep(isHeld ? refreshMs : followPauseMs);
 			} catch (error) {
 				log.warn('duty not refreshed', {duty: 'scheduler', isHeld: this.#lease.isHeld, error: readErrorMessage(error)});
+				await clock.sleep(refreshMs);
 			}
-
-			await clock.sleep(refreshMs);
 		}
 	}
 
@@ -151,7 +163,12 @@
 			this.#tookAt = clock.readMonotonic();
 			log.info('duty taken', {duty: 'scheduler', epoch, holder});
 			this.#fleet = FleetKeeper.create({
-				...this.#options, epoch, canOrder: () => this.#canOrder, listPools: () => [...this.#pools.values()],
+				...this.#options,
+				epoch,
+				canOrder: () => this.#canOrder,
+				isReady: () => this.#isRegistryRead,
+				handover: this.#lease.isFirst ? {recentVms: []} : this.#lease.handover as FleetHandover | undefined,
+				listPools: () => [...this.#pools.values()],
 			});
 		}
 
@@ -202,6 +219,7 @@
 
 	#closePools(): void {
 		this.#epoch = undefined;
+		this.#isRegistryRead = false;
 		this.#fleet?.close();
 		this.#fleet = undefined;
 		for (const pool of this.#pools.values()) {
@@ -214,24 +232,25 @@
 	async #runRegistry(): Promise<void> {
 		const {clock, log} = this.#options;
 		while (!this.#isClosed) {
-			if (this.#pools.size > 0) {
-				try {
-					await this.#updateWorkers();
-				} catch (error) {
-					log.warn('workers not listed', {error: readErrorMessage(error)});
-				}
+			try {
+				await (this.#pools.size > 0 ? this.#updateWorkers() : clock.sleep(registryPauseMs));
+				await clock.sleep(registryPauseMs);
+			} catch (error) {
+				log.warn('workers not listed', {error: readErrorMessage(error)});
+				await clock.sleep(registryWaitMs);
 			}
-
-			await clock.sleep(registryMs);
 		}
 	}
 
 	async #updateWorkers(): Promise<void> {
-		const records = await this.#options.registry.listWorkers();
+		const epoch = this.#epoch;
+		const areAllOpen = (this.#options.operator.configuration?.pools ?? []).every(({name}) => this.#pools.has(name));
+		const records = await this.#options.registry.watchWorkers(this.#isRegistryRead ? registryWaitMs : 1);
 		for (const pool of this.#pools.values()) {
 			pool.updateWorkers(records.filter(record => record.pool as string === pool.service as string));
 		}
 
+		this.#isRegistryRead ||= areAllOpen && epoch !== undefined && epoch === this.#epoch;
 		await this.#endDeadLives();
 	}
 
@@ -248,13 +267,10 @@
 	}
 
 	#describeNews(): SchedulerNews {
-		const waiting: Record<string, number> = {};
+		const waiting: Record<ServiceName, Record<string, number>> = {};
 		const backlogMs: Record<string, number> = {};
 		for (const pool of this.#pools.values()) {
-			for (const [queue, count] of pool.countWaiting()) {
-				waiting[queue] = count;
-			}
-
+			waiting[pool.service] = Object.fromEntries(pool.countWaiting());
 			const {work, cpu} = pool.describeLoad();
 			backlogMs[pool.service] = Math.round(work / Math.max(1, cpu));
 		}
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -230,6 +230,11 @@
 					await clock.sleep(failurePauseMs);
 				}
 			} catch (error) {
+				if (this.#isClosed) {
+					// Why the session was closed has been logged; that its last call fails follows from it.
+					return;
+				}
+
 				log.warn('worker not listed', {worker: this.name, failures: ++this.#failures, error: readErrorMessage(error)});
 				await clock.sleep(Math.min(maxFailurePauseMs, this.#failures * failurePauseMs));
 			}
--- a/packages/workflows/src/workers.ts
+++ b/packages/workflows/src/workers.ts
@@ -111,8 +111,8 @@
 
 /** The list of workers that are up. */
 export abstract class WorkerRegistry {
-	/** Lists the workers that can be understood; entries that can't be read name no worker. */
-	abstract listWorkers(): Promise<WorkerRecord[]>;
+	/** Lists the workers that can be understood, as soon as the list has changed or after `waitMs`; entries that can't be read name no worker. */
+	abstract watchWorkers(waitMs: number): Promise<WorkerRecord[]>;
 }
 
 /** A placement policy outside of the product. */
