Move VMs at the rate that their control accepts, evenly over the pools that ask, apart from waves

A pool that asked for 6 VMs waited 15 s behind one that asked for 150. Ruled out: placement (free VMs were full at once), the store (95 of 100 starts waited for room).

--- a/packages/scheduling/src/sizings.ts
+++ b/packages/scheduling/src/sizings.ts
@@ -61,18 +61,22 @@
 	const spares = pools.filter(pool => pool.isSpare);
 	const spareVms = spares.flatMap(pool => pool.vms.filter(vm => vm.idleMs !== undefined).map(vm => ({vm, from: pool.name})));
 	const moves: SizingMove[] = [];
-	const needy = states.filter(({pool, surplus}) => surplus < 0 && pool.waitingCpu > 0).toSorted((a, b) => a.surplus - b.surplus);
-	for (const {pool, surplus} of needy) {
-		const lent = states.filter(state => state.surplus > 0)
-			.flatMap(state => state.idle.splice(0, state.surplus).filter(vm => vm.idleMs! >= options.lendMs).map(vm => ({vm, from: state.pool.name})));
-		const sources = [...lent, ...spareVms.splice(0, Math.max(0, -surplus - lent.length))].slice(0, -surplus);
-		moves.push(...sources.map(({vm, from}) => ({vm: vm.id, from, to: pool.name})));
+	const lent = states.filter(state => state.surplus > 0).flatMap(({pool, surplus, idle}) => idle.slice(0, surplus)
+		.filter(vm => vm.idleMs! >= options.lendMs).map(vm => ({vm, from: pool.name})));
+	const sources = [...lent, ...spareVms];
+	// One VM each in turn: a pool that asks for few is not kept waiting by one that asks for many.
+	const needy = states.filter(({pool, surplus}) => surplus < 0 && pool.waitingCpu > 0).map(({pool, surplus}) => ({pool, missing: -surplus}));
+	for (let round = 1; sources.length > 0 && needy.some(({missing}) => missing >= round); round++) {
+		for (const {pool} of needy.filter(({missing}) => missing >= round).slice(0, sources.length)) {
+			const {vm, from} = sources.shift()!;
+			moves.push({vm: vm.id, from, to: pool.name});
+		}
 	}
 
 	const [spare] = spares;
 	const moved = new Set(moves.map(({vm}) => vm));
 	for (const {pool, surplus, idle} of spare === undefined ? [] : states) {
-		const unused = idle.filter(vm => !moved.has(vm.id) && vm.idleMs! >= options.idleMs).slice(0, Math.max(0, surplus));
+		const unused = idle.slice(0, Math.max(0, surplus)).filter(vm => !moved.has(vm.id) && vm.idleMs! >= options.idleMs);
 		moves.push(...unused.map(vm => ({vm: vm.id, from: pool.name, to: spare!.name})));
 	}
 
--- a/packages/scheduling/tests/sizings.test.ts
+++ b/packages/scheduling/tests/sizings.test.ts
@@ -45,6 +45,11 @@
 			count: 8, usedCpu: 68_000, waitingCpu: 10_000, incoming: 4,
 		}), spare], moves: [],
 	},
+	{
+		name: 'a pool that asks for few is served beside one that asks for many (grown fixture site, scale-1: a pool waited 15 s)',
+		pools: [createPool('north', {count: 8, usedCpu: 68_000, waitingCpu: 100_000}), createPool('south', {count: 5, usedCpu: 42_000, waitingCpu: 2000}), spare],
+		moves: ['spare>north', 'spare>south', 'spare>north'],
+	},
 	{name: 'without a spare pool nothing is switched off', pools: [createPool('north', {count: 9, idle: 9})], moves: []},
 ];
 
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -222,6 +222,7 @@
 				retentionMs,
 				fleetLeaseMs: 3000,
 				returnMs: 2000,
+				fleetOrdersPerS: 32,
 				maxLeaseMs: 10_000,
 			}),
 		};
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -27,6 +27,7 @@
 	readonly epoch: number;
 	readonly fleetLeaseMs: number;
 	readonly returnMs: number;
+	readonly fleetOrdersPerS: number;
 	readonly canOrder: () => boolean;
 	/** Tells whether it is known what runs on the VMs: all pools are open and the registry was read. */
 	readonly isReady: () => boolean;
@@ -37,6 +38,8 @@
 
 /** Pause between two looks at the waves, in milliseconds. */
 const lookMs = 250;
+/** Pause between two looks at the sizes of the pools, in milliseconds: short beside the time that a move takes. */
+const sizingMs = 200;
 /** Longest wait for the tasks of a VM to end by themselves before its upkeep, in milliseconds: above the mean of what tasks take. */
 const emptyingMs = 2500;
 /** Time for which a VM must be missing from the list before it counts as gone for good, in milliseconds. */
@@ -65,7 +68,8 @@
 export class FleetKeeper {
 	static create(options: FleetKeeperOptions): FleetKeeper {
 		const keeper = new FleetKeeper(options);
-		void keeper.#run();
+		void keeper.#runWaves();
+		void keeper.#runSizes();
 		return keeper;
 	}
 
@@ -90,10 +94,16 @@
 		this.#isClosed = true;
 	}
 
-	async #run(): Promise<void> {
-		const {clock, log, operator} = this.#options;
+	async #runSizes(): Promise<void> {
 		while (!this.#isClosed) {
 			await this.#updateSizes();
+			await this.#options.clock.sleep(sizingMs);
+		}
+	}
+
+	async #runWaves(): Promise<void> {
+		const {clock, log, operator} = this.#options;
+		while (!this.#isClosed) {
 			for (const wave of operator.waves.values()) {
 				try {
 					await this.#advanceWave(wave);
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -2,7 +2,7 @@
  * Moves of VMs between pools by the holder of the scheduler's duty, as the sizing plans them.
  */
 import {
-	readErrorMessage, type Clock, type PoolName, type VmId,
+	readErrorMessage, VerdictError, type Clock, type PoolName, type VmId,
 } from '@tamarackwind/core';
 import {planSizes, type SizedPool, type SizingMove} from '@tamarackwind/scheduling';
 import {type DecisionLog} from './decision-logs.js';
@@ -19,13 +19,20 @@
 	readonly log: DecisionLog;
 	readonly fence: FleetFence;
 	readonly orders: FleetOrders;
+	/** Orders a second that the control of VMs accepts from all entries together. */
+	readonly fleetOrdersPerS: number;
 	readonly listPools: () => readonly PoolScheduler[];
 };
 
 /** Time after which a VM that was ordered to move counts as arrived or lost, in milliseconds: twice what a move takes. */
 const arrivalMs = 4000;
-/** Orders given in one look; the control of VMs answers some tens a second. */
-const ordersPerLook = 8;
+/** Least time between two lines on the size of the pools, in milliseconds. */
+const logIntervalMs = 1000;
+/** Share of the orders a second that the control of VMs accepts which moves may use; waves need some too. */
+const orderShare = 0.75;
+/** Longest time over which unused orders add up, in milliseconds. */
+const burstMs = 500;
+const millisecondsPerSecond = 1000;
 
 /** Keeps the pools at the sizes that their queues ask for. */
 export class PoolSizer {
@@ -35,19 +42,54 @@
 
 	readonly #options: PoolSizerOptions;
 	readonly #moving = new Map<VmId, {readonly to: PoolName; readonly at: number}>();
+	#loggedAt = Number.NEGATIVE_INFINITY;
+	#plannedAt: number;
 
 	private constructor(options: PoolSizerOptions) {
 		this.#options = options;
+		this.#plannedAt = options.clock.readMonotonic();
 	}
 
 	/** Plans and orders the moves of one look; `isReserved` tells of VMs that a wave empties. */
 	async update(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): Promise<void> {
 		this.#observe(vms);
 		const pools = this.#describePools(vms, isReserved);
-		const moves = planSizes(pools).slice(0, ordersPerLook);
+		const moves = planSizes(pools).slice(0, this.#countOrders());
+		this.#logSizes(pools, moves);
 		await Promise.all(moves.map(async move => this.#moveVm(move, vms)));
 	}
 
+	/** Orders that may be given now without the control of VMs turning some of them away. */
+	#countOrders(): number {
+		const now = this.#options.clock.readMonotonic();
+		const elapsedMs = Math.min(burstMs, now - this.#plannedAt);
+		this.#plannedAt = now;
+		return Math.max(1, Math.floor((this.#options.fleetOrdersPerS * orderShare * elapsedMs) / millisecondsPerSecond));
+	}
+
+	/** Tells what the sizing saw, so that a late job can be explained by the room of its pool. */
+	#logSizes(pools: readonly SizedPool[], moves: readonly SizingMove[]): void {
+		const {clock, log} = this.#options;
+		const now = clock.readMonotonic();
+		if (now - this.#loggedAt < logIntervalMs) {
+			return;
+		}
+
+		this.#loggedAt = now;
+		for (const {name, vms, incoming, usedCpu, waitingCpu} of pools) {
+			log.info('pool sized', {
+				pool: name,
+				vms: vms.length,
+				idle: vms.filter(vm => vm.idleMs !== undefined).length,
+				incoming,
+				usedCpu,
+				waitingCpu,
+				in: moves.filter(move => move.to === name).length,
+				out: moves.filter(move => move.from === name).length,
+			});
+		}
+	}
+
 	/** Forgets moves that have ended. */
 	#observe(vms: readonly FleetVm[]): void {
 		const now = this.#options.clock.readMonotonic();
@@ -110,16 +152,20 @@
 				session?.endByOrder('move');
 				return;
 			}
-
-			this.#moving.delete(vm);
-			if (session !== undefined) {
-				session.isEmptying = false;
-			}
 		} catch (error) {
-			// The order may still be carried out: the VM gets no work until the list tells where it is.
+			const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
 			log.warn('move not answered', {
-				vm, from, to, error: readErrorMessage(error),
+				vm, from, to, isUnsent, error: readErrorMessage(error),
 			});
+			if (!isUnsent) {
+				// The order may still be carried out: the VM gets no work until the list tells where it is.
+				return;
+			}
+		}
+
+		this.#moving.delete(vm);
+		if (session !== undefined) {
+			session.isEmptying = false;
 		}
 	}
 
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -35,6 +35,8 @@
 	readonly fleetLeaseMs: number;
 	/** Time after which a VM that an order ended is back, in milliseconds. */
 	readonly returnMs: number;
+	/** Orders a second that the control of VMs accepts from all entries together. */
+	readonly fleetOrdersPerS: number;
 	/** Longest time that a lease of a worker may last, in milliseconds. */
 	readonly maxLeaseMs: number;
 };
