Spread submissions over partitions, let timeouts follow the store, write orders of VMs ahead; explain a job from logs

After a takeover no VM was ordered for 3 s. Ruled out: longer fixed timeouts (lost answers would be noticed later), refusing at once what a busy partition turns away.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import {hideBin} from 'yargs/helpers';
 import {auditCommand} from './audits.js';
 import {entryCommand} from './entries.js';
+import {explainCommand} from './explanations.js';
 import {jobCommand} from './jobs.js';
 import {moveCommand} from './moves.js';
 import {poolCommand} from './pools.js';
@@ -27,6 +28,7 @@
 	.command(vmCommand)
 	.command(waveCommand)
 	.command(moveCommand)
+	.command(explainCommand)
 	.demandCommand(1, 'a command is missing; see --help')
 	.strict()
 	.parseAsync();
--- a/packages/clients/src/duties.ts
+++ b/packages/clients/src/duties.ts
@@ -20,8 +20,6 @@
 	readonly epoch: number;
 	/** Write token by which a holder recognises its own row after a lost answer. */
 	readonly token: string;
-	/** What a holder that gave the duty up left for the next one. */
-	readonly handover?: unknown;
 };
 
 export type DutyLeaseOptions = {
@@ -96,7 +94,6 @@
 	#takeToken: string | undefined;
 	#takeStartedAt = 0;
 	#takeovers = 0;
-	#handover: unknown;
 	/** Rows as the feed of changes has told them so far, while the duty is not held. */
 	#followed: (DutyRows & {readonly version: number}) | undefined;
 	#news: DutyNews | undefined;
@@ -187,24 +184,12 @@
 		return this.#options.clock.readMonotonic() >= observation.takeAt && this.#take(lease, heartbeat);
 	}
 
-	/** What the earlier holder left when it gave the duty up; `undefined` when it lost the duty some other way. */
-	get handover(): unknown {
-		return this.#handover;
-	}
-
-	/** Tells whether this process was the first ever to hold the duty. */
-	get isFirst(): boolean {
-		return this.#holding?.epoch === 1;
-	}
-
 	/** Gives the duty up at once, so that another process need not wait for the term. */
-	async release(handover?: unknown): Promise<void> {
+	async release(): Promise<void> {
 		const holding = this.#holding;
 		this.#holding = undefined;
 		if (holding !== undefined) {
-			const value: DutyRow = {
-				holder: '', epoch: holding.epoch, token: '', handover,
-			};
+			const value: DutyRow = {holder: '', epoch: holding.epoch, token: ''};
 			await this.#options.tables.commit({checks: [holding.check], writes: [{...this.#leaseKey, value}]});
 		}
 	}
@@ -265,7 +250,6 @@
 		this.#takeStartedAt = clock.readBoot();
 		this.#observation = undefined;
 		this.#followed = undefined;
-		this.#handover = lease?.value.holder === '' ? lease.value.handover : undefined;
 		const outcome = await tables.commit({
 			checks: [{...this.#leaseKey, version: lease?.version ?? absentVersion}, {...this.#heartbeatKey, version: heartbeat?.version ?? absentVersion}],
 			writes: [{...this.#leaseKey, value: {holder, epoch, token: this.#takeToken} satisfies DutyRow}],
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -7,3 +7,4 @@
 export * from './tables.js';
 export * from './tasks.js';
 export * from './vms.js';
+export * from './timeouts.js';
--- a/packages/clients/src/tables.ts
+++ b/packages/clients/src/tables.ts
@@ -2,6 +2,9 @@
  * The transactional table service: rows with versions, and transactions that check versions and write.
  */
 
+/** Code of the error of a call that was turned away only because too many were waiting. */
+export const platformBusyCode = 'platform_busy';
+
 /** Names one row. */
 export type RowKey = {
 	readonly table: string;
--- a/packages/scheduling/src/sizings.ts
+++ b/packages/scheduling/src/sizings.ts
@@ -36,6 +36,8 @@
 	readonly reserve: number;
 	/** VMs that a pool keeps in any case, over which new jobs can keep their tasks apart. */
 	readonly minVms: number;
+	/** Share of an even split of the fleet that a pool keeps in any case, so that its turn does not begin with moves. */
+	readonly minShare: number;
 	/** Time for which a VM must have been idle before it is switched off, in milliseconds: below it, a move costs more than it saves. */
 	readonly idleMs: number;
 	/** Time for which a VM must have been idle before another pool may borrow it, in milliseconds. */
@@ -43,7 +45,7 @@
 };
 
 export const defaultSizing: SizingOptions = {
-	packing: 0.85, reserve: 2, minVms: 5, idleMs: 1500, lendMs: 300,
+	packing: 0.85, reserve: 2, minVms: 5, minShare: 0.5, idleMs: 1500, lendMs: 300,
 };
 
 export type SizingMove = {readonly vm: VmId; readonly from: PoolName; readonly to: PoolName};
@@ -57,7 +59,9 @@
  * const moves = planSizes([{name: 'north', isSpare: false, vms, incoming: 0, usedCpu: 60_000, waitingCpu: 40_000}, spare]);
  */
 export function planSizes(pools: readonly SizedPool[], options: SizingOptions = defaultSizing): SizingMove[] {
-	const states = pools.filter(pool => !pool.isSpare).map(pool => describePool(pool, options));
+	const fleetVms = pools.reduce((sum, pool) => sum + pool.vms.length + pool.incoming, 0);
+	const minVms = Math.max(options.minVms, Math.floor((fleetVms / Math.max(1, pools.length)) * options.minShare));
+	const states = pools.filter(pool => !pool.isSpare).map(pool => describePool(pool, {...options, minVms}));
 	const spares = pools.filter(pool => pool.isSpare);
 	const spareVms = spares.flatMap(pool => pool.vms.filter(vm => vm.idleMs !== undefined).map(vm => ({vm, from: pool.name})));
 	const moves: SizingMove[] = [];
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -4,12 +4,13 @@
 import {
 	readErrorMessage, type Clock, type VmId,
 } from '@tamarackwind/core';
-import {type WatchedTableService} from '@tamarackwind/clients';
+import {type Check, type WatchedTableService} from '@tamarackwind/clients';
 import {planEviction, type EvictionPlan} from '@tamarackwind/scheduling';
 import {type Task} from './active-jobs.js';
 import {type WaveRequest} from './configurations.js';
 import {type DecisionLog} from './decision-logs.js';
-import {FleetOrders, type FleetHandover} from './fleet-orders.js';
+import {FleetOrders} from './fleet-orders.js';
+import {fleetOrdersKey} from './layouts.js';
 import {type DeclarationCodec, type OperatorWatch} from './operator-watches.js';
 import {type PoolScheduler} from './pool-schedulers.js';
 import {PoolSizer} from './pool-sizers.js';
@@ -31,8 +32,8 @@
 	readonly canOrder: () => boolean;
 	/** Tells whether it is known what runs on the VMs: all pools are open and the registry was read. */
 	readonly isReady: () => boolean;
-	/** What the earlier holder left; `undefined` when any VM may have been ordered until just now. */
-	readonly handover: FleetHandover | undefined;
+	/** Condition that the duty is still held; `undefined` when it is not. */
+	readonly getCheck: () => Check | undefined;
 	readonly listPools: () => readonly PoolScheduler[];
 };
 
@@ -68,8 +69,7 @@
 export class FleetKeeper {
 	static create(options: FleetKeeperOptions): FleetKeeper {
 		const keeper = new FleetKeeper(options);
-		void keeper.#runWaves();
-		void keeper.#runSizes();
+		void keeper.#start();
 		return keeper;
 	}
 
@@ -81,19 +81,30 @@
 
 	private constructor(options: FleetKeeperOptions) {
 		this.#options = options;
-		this.#orders = FleetOrders.create({...options, canOrder: () => !this.#isClosed && options.canOrder() && options.isReady()});
+		this.#orders = FleetOrders.create({...options, row: fleetOrdersKey, canOrder: () => !this.#isClosed && options.canOrder() && options.isReady()});
 		this.#sizer = PoolSizer.create({...options, fence: {holder: options.holder, fencingToken: options.epoch}, orders: this.#orders});
 	}
 
-	/** What the next holder has to know when this one gives the duty up; `undefined` when that is not known. */
-	describeHandover(): FleetHandover | undefined {
-		return this.#orders.describeHandover();
-	}
-
 	close(): void {
 		this.#isClosed = true;
 	}
 
+	/** Reads which VMs were ordered lately, as soon as the tables answer, and begins. */
+	async #start(): Promise<void> {
+		const {clock, log} = this.#options;
+		while (!this.#isClosed) {
+			try {
+				await this.#orders.load();
+				break;
+			} catch (error) {
+				log.warn('orders of the earlier holder not read', {error: readErrorMessage(error)});
+				await clock.sleep(lookMs);
+			}
+		}
+
+		await Promise.all([this.#runWaves(), this.#runSizes()]);
+	}
+
 	async #runSizes(): Promise<void> {
 		while (!this.#isClosed) {
 			await this.#updateSizes();
@@ -131,8 +142,12 @@
 	}
 
 	async #advanceWave(wave: WaveRequest): Promise<void> {
+		if (!this.#orders.isOpen) {
+			return;
+		}
+
 		const progress = this.#waves.get(wave.id) ?? await this.#loadWave(wave);
-		if (progress.state === 'succeeded' || !this.#orders.isOpen) {
+		if (progress.state === 'succeeded') {
 			return;
 		}
 
@@ -218,11 +233,10 @@
 		const {wave, begun, down, emptying} = progress;
 		const session = this.#findSession(vm);
 		const waitedMs = clock.readMonotonic() - (emptying.get(vm.id) ?? 0);
-		if (vm.state !== 'up' || !this.#isEmptied(session, waitedMs) || !this.#orders.isOrderable(vm.id)) {
+		if (vm.state !== 'up' || !this.#isEmptied(session, waitedMs) || !await this.#orders.noteOrders([vm.id]) || !this.#isEmptied(session, waitedMs)) {
 			return;
 		}
 
-		this.#orders.noteOrder(vm.id);
 		const outcome = await fleet.maintainVm(vm.id, wave.id, {holder, fencingToken: epoch});
 		log.info('upkeep ordered', {
 			wave: wave.id, vm: vm.id, worker: vm.worker, outcome, waitedMs: Math.round(waitedMs), tasks: session?.tasks.size ?? 0, down: down.size, cap: wave.cap,
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -17,5 +17,6 @@
 export * from './intakes.js';
 export * from './operator-watches.js';
 export * from './queries.js';
+export * from './explanations.js';
 export * from './schedulers.js';
 export * from './pool-sizers.js';
--- a/packages/workflows/src/intakes.ts
+++ b/packages/workflows/src/intakes.ts
@@ -4,10 +4,12 @@
 import {
 	readErrorMessage, VerdictError, type Clock, type JobId, type ServiceName,
 } from '@tamarackwind/core';
-import {absentVersion, type Row, type WatchedTableService} from '@tamarackwind/clients';
+import {
+	absentVersion, platformBusyCode, type Row, type WatchedTableService,
+} from '@tamarackwind/clients';
 import {type DecisionLog} from './decision-logs.js';
 import {type Job} from './jobs.js';
-import {getCancelKey, getJobKey} from './layouts.js';
+import {getCancelKey, getJobKey, getSubmissionPartition} from './layouts.js';
 import {encodeJob, tombstone, type SubmissionRow} from './records.js';
 
 /**
@@ -27,12 +29,16 @@
 const batchJobs = 40;
 /** Time in which submissions gather, in milliseconds. */
 const gatherMs = 3;
-/** Time without an answer after which a transaction is in doubt, in milliseconds: above that of a store sixty times slower. */
-const doubtMs = 700;
+/** Time without an answer after which a transaction is in doubt, in milliseconds: above that of a store ninety times slower, after the one before it. */
+const doubtMs = 1500;
+/** Time for which a submission may wait for its turn at a partition that is busy, in milliseconds: a second try elsewhere would take longer. */
+const busyWaitMs = 1000;
+/** Pause before a transaction that a busy partition turned away is tried again, in milliseconds. */
+const busyPauseMs = 150;
 /** Tries to settle a write whose answer was lost, before its outcome counts as unknown. */
 const settleTries = 2;
 
-type Pending = {readonly job: Job; readonly resolve: (outcome: SubmitOutcome) => void; expectedVersion: number};
+type Pending = {readonly job: Job; readonly submittedAt: number; readonly resolve: (outcome: SubmitOutcome) => void; expectedVersion: number; isAnswered: boolean};
 
 /** Accepts and cancels jobs. */
 export class Intake {
@@ -41,9 +47,10 @@
 	}
 
 	readonly #options: IntakeOptions;
-	readonly #queues = new Map<ServiceName, Pending[]>();
-	/** When the transaction in flight of each service was sent, on the monotonic clock. */
-	readonly #sentAt = new Map<ServiceName, number>();
+	/** Submissions that have not been sent, by partition. */
+	readonly #queues = new Map<string, Pending[]>();
+	/** When the transaction in flight of each partition was sent, on the monotonic clock. */
+	readonly #sentAt = new Map<string, number>();
 	/** Writes of each service whose outcome is being found out. */
 	readonly #unsettled = new Map<ServiceName, number>();
 
@@ -53,18 +60,24 @@
 
 	/** Submits a job; a job that is already there is accepted again. While the store is in doubt, it is refused at once and untried. */
 	async submit(job: Job): Promise<SubmitOutcome> {
-		if (this.#isInDoubt(job.service)) {
+		const partition = getSubmissionPartition(job.service, job.id);
+		if (this.#isInDoubt(job.service, partition)) {
 			this.#options.log.info('submission refused', {job: job.id, queue: job.queue, reason: 'earlier submissions are not answered'});
 			return 'refused';
 		}
 
 		return new Promise(resolve => {
-			const pending = {job, resolve, expectedVersion: absentVersion};
-			const queue = this.#queues.get(job.service);
+			const pending: Pending = {
+				job, resolve(outcome) {
+					pending.isAnswered = true;
+					resolve(outcome);
+				}, submittedAt: this.#options.clock.readMonotonic(), expectedVersion: absentVersion, isAnswered: false,
+			};
+			const queue = this.#queues.get(partition);
 			if (queue === undefined) {
 				const first = [pending];
-				this.#queues.set(job.service, first);
-				void this.#drain(job.service, first);
+				this.#queues.set(partition, first);
+				void this.#drain(job.service, partition, first);
 			} else {
 				queue.push(pending);
 			}
@@ -92,27 +105,39 @@
 		return outcome.status === 'committed' || await tables.getRow(getCancelKey(service, id)) !== undefined;
 	}
 
-	#isInDoubt(service: ServiceName): boolean {
-		const sentAt = this.#sentAt.get(service);
+	#isInDoubt(service: ServiceName, partition: string): boolean {
+		const sentAt = this.#sentAt.get(partition);
 		return (this.#unsettled.get(service) ?? 0) > 0 || (sentAt !== undefined && this.#options.clock.readMonotonic() - sentAt > doubtMs);
 	}
 
-	async #drain(service: ServiceName, queue: Pending[]): Promise<void> {
+	async #drain(service: ServiceName, partition: string, queue: Pending[]): Promise<void> {
 		const {clock} = this.#options;
 		await clock.sleep(gatherMs);
 		while (queue.length > 0) {
 			const batch = queue.splice(0, batchJobs);
-			this.#sentAt.set(service, clock.readMonotonic());
+			this.#sentAt.set(partition, clock.readMonotonic());
 			try {
 				await this.#commit(batch);
 			} catch (error) {
-				void this.#settle(service, batch, error);
-				this.#refuseUnsent(queue.splice(0));
+				const open = batch.filter(({isAnswered}) => !isAnswered);
+				if (this.#isWaiting(open, error)) {
+					queue.unshift(...open);
+					await clock.sleep(busyPauseMs);
+				} else {
+					void this.#settle(service, open, error);
+					this.#refuseUnsent(queue.splice(0));
+				}
 			}
 		}
 
-		this.#sentAt.delete(service);
-		this.#queues.delete(service);
+		this.#sentAt.delete(partition);
+		this.#queues.delete(partition);
+	}
+
+	/** Tells whether a batch was only turned away for now and its jobs can still wait. */
+	#isWaiting(batch: readonly Pending[], error: unknown): boolean {
+		const now = this.#options.clock.readMonotonic();
+		return error instanceof VerdictError && error.code === platformBusyCode && batch.every(({submittedAt}) => now - submittedAt < busyWaitMs);
 	}
 
 	/** Refuses jobs that have not been sent: they need not wait for what becomes of those before them. */
--- a/packages/workflows/src/job-feeds.ts
+++ b/packages/workflows/src/job-feeds.ts
@@ -9,7 +9,7 @@
 import {type DecisionLog} from './decision-logs.js';
 import {type Job} from './jobs.js';
 import {
-	fenceKey, getCancelKey, getJobKey, getJobTable, getProgressKey, getProgressPartition, getSubmissionPartition, parseCancelKey, progressTable,
+	fenceKey, getCancelKey, getJobKey, getJobTable, getProgressKey, getProgressPartition, getSubmissionPartition, listSubmissionPartitions, parseCancelKey, progressTable,
 } from './layouts.js';
 import {decodeJob, decodeProgress, type Progress} from './records.js';
 
@@ -46,6 +46,8 @@
 	/** Ended jobs by the time when their rows may go. */
 	readonly #ended = new Map<JobId, number>();
 	#version = 0;
+	/** Version at which each partition of the service was read; changes up to it are known. */
+	#readAt: ReadonlyMap<string, number> = new Map();
 	#isClosed = false;
 
 	private constructor(options: JobFeedOptions) {
@@ -54,10 +56,9 @@
 
 	/** Reads all jobs that have not ended, with their progress; `orphans` are the tasks that an earlier holder had assigned. */
 	async load(): Promise<{jobs: ActiveJob[]; orphans: Task[]}> {
-		const {tables, service, clock, log} = this.#options;
+		const {service, clock, log} = this.#options;
 		const progress = await this.#readProgress();
-		const {rows, version} = await tables.listRange(getJobTable(service), {partition: getSubmissionPartition(service)});
-		this.#version = version;
+		const rows = await this.#readSubmissions();
 		const now = {monotonic: clock.readMonotonic(), wall: clock.readWall()};
 		const jobs = new Map<JobId, ActiveJob>();
 		for (const item of this.#decodeRows(rows)) {
@@ -84,7 +85,7 @@
 		const all = [...jobs.values()];
 		const orphans = all.flatMap(active => active.tasks.filter(task => task.life !== undefined));
 		log.info('service loaded', {
-			service, jobs: all.length, running: all.filter(active => !active.isTerminal).length, orphans: orphans.length, version,
+			service, jobs: all.length, running: all.filter(active => !active.isTerminal).length, orphans: orphans.length, version: this.#version,
 		});
 		return {jobs: all, orphans};
 	}
@@ -106,6 +107,15 @@
 		this.#isClosed = true;
 	}
 
+	/** Reads the submissions of all partitions; changes are followed from the oldest of these readings on. */
+	async #readSubmissions(): Promise<Row[]> {
+		const {tables, service} = this.#options;
+		const ranges = await Promise.all(listSubmissionPartitions(service).map(async partition => ({partition, ...await tables.listRange(getJobTable(service), {partition})})));
+		this.#readAt = new Map(ranges.map(({partition, version}) => [partition, version]));
+		this.#version = Math.min(...this.#readAt.values());
+		return ranges.flatMap(({rows}) => rows);
+	}
+
 	async #readProgress(): Promise<Map<JobId, Progress>> {
 		const {tables, service} = this.#options;
 		const {rows} = await tables.listRange(progressTable, {partition: getProgressPartition(service)});
@@ -133,15 +143,13 @@
 
 		if (outcome.status === 'changes') {
 			this.#version = outcome.version;
-			const partition = getSubmissionPartition(service);
-			const changes = outcome.changes.filter(change => change.partition === partition && change.value !== undefined);
+			const changes = outcome.changes.filter(change => change.version > (this.#readAt.get(change.partition ?? '') ?? Number.POSITIVE_INFINITY) && change.value !== undefined);
 			if (changes.length > 0) {
 				onNews(this.#decodeRows(changes));
 			}
 		} else {
 			log.info('history of submissions is gone', {service, version: this.#version});
-			const {rows, version} = await tables.listRange(getJobTable(service), {partition: getSubmissionPartition(service)});
-			this.#version = version;
+			const rows = await this.#readSubmissions();
 			onNews(this.#decodeRows(rows.filter(row => !this.#ended.has(row.key as JobId))));
 		}
 	}
@@ -193,7 +201,11 @@
 			return;
 		}
 
-		await tables.commit({checks: [], writes: ids.flatMap(id => [getJobKey(service, id), getCancelKey(service, id)])});
+		const partitions = new Set(ids.map(id => getSubmissionPartition(service, id)));
+		await Promise.all([...partitions].map(async partition => {
+			const part = ids.filter(id => getSubmissionPartition(service, id) === partition);
+			return tables.commit({checks: [], writes: part.flatMap(id => [getJobKey(service, id), getCancelKey(service, id)])});
+		}));
 		await tables.commit({checks: [], writes: ids.map(id => getProgressKey(service, id))});
 		for (const id of ids) {
 			this.#ended.delete(id);
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -56,6 +56,10 @@
 		const pools = this.#describePools(vms, isReserved);
 		const moves = planSizes(pools).slice(0, this.#countOrders());
 		this.#logSizes(pools, moves);
+		if (moves.length === 0 || !await this.#options.orders.noteOrders(moves.map(({vm}) => vm))) {
+			return;
+		}
+
 		await Promise.all(moves.map(async move => this.#moveVm(move, vms)));
 	}
 
@@ -131,9 +135,9 @@
 	}
 
 	async #moveVm({vm, from, to}: SizingMove, vms: readonly FleetVm[]): Promise<void> {
-		const {clock, fleet, log, fence, orders} = this.#options;
+		const {clock, fleet, log, fence} = this.#options;
 		const session = this.#findSession(vms.find(other => other.id === vm)!);
-		if (!orders.isOrderable(vm) || (session !== undefined && session.tasks.size > 0)) {
+		if (session !== undefined && session.tasks.size > 0) {
 			return;
 		}
 
@@ -142,7 +146,6 @@
 		}
 
 		this.#moving.set(vm, {to, at: clock.readMonotonic()});
-		orders.noteOrder(vm);
 		try {
 			const outcome = await fleet.moveVm(vm, to, fence);
 			log.info('VM moved', {
--- a/packages/workflows/src/queries.ts
+++ b/packages/workflows/src/queries.ts
@@ -42,20 +42,20 @@
 
 	async #readState(service: ServiceName, id: JobId): Promise<JobState | undefined> {
 		const progress = await this.tables.getRow(getProgressKey(service, id));
-		const state = progress === undefined ? undefined : decodeProgress(progress.value).state;
-		if (state !== undefined && isTerminal(state)) {
-			return state;
+		if (progress !== undefined) {
+			// A cancellation shows here as soon as the holder has taken it in.
+			return decodeProgress(progress.value).state;
 		}
 
 		const {rows} = await this.tables.readRange(getJobTable(service), {
-			partition: getSubmissionPartition(service), from: getJobKey(service, id).key, to: getKeyAfter(getCancelKey(service, id).key),
+			partition: getSubmissionPartition(service, id), from: getJobKey(service, id).key, to: getKeyAfter(getCancelKey(service, id).key),
 		});
 		const isSubmitted = rows.some(row => row.key === id && decodeJob(id, service, row.value) !== undefined);
 		if (!isSubmitted) {
 			return undefined;
 		}
 
-		return rows.some((row: Row) => parseCancelKey(row.key) === id) ? 'cancelled' : state ?? 'queued';
+		return rows.some((row: Row) => parseCancelKey(row.key) === id) ? 'cancelled' : 'queued';
 	}
 
 	#store(id: JobId, state: JobState): void {
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -7,7 +7,7 @@
 import {DutyLease, type WatchedTableService} from '@tamarackwind/clients';
 import {type DecisionLog} from './decision-logs.js';
 import {FleetKeeper} from './fleet-keepers.js';
-import {type FleetHandover} from './fleet-orders.js';
+import {schedulerDuty} from './layouts.js';
 import {type DeclarationCodec, type OperatorWatch} from './operator-watches.js';
 import {PoolScheduler} from './pool-schedulers.js';
 import {
@@ -89,7 +89,7 @@
 	private constructor(options: SchedulerOptions) {
 		this.#options = options;
 		this.#lease = DutyLease.create({
-			...options, duty: 'scheduler', partition: 'scheduler', termMs, isHolderUnique: true, describeNews: () => this.#describeNews(),
+			...options, duty: schedulerDuty, partition: schedulerDuty, termMs, isHolderUnique: true, describeNews: () => this.#describeNews(),
 		});
 	}
 
@@ -121,11 +121,10 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		const wasHeld = this.#epoch !== undefined;
-		const handover = this.#fleet?.describeHandover();
 		this.#closePools();
 		if (wasHeld) {
-			this.#options.log.info('duty released', {duty: 'scheduler', recentVms: handover?.recentVms});
-			await this.#lease.release(handover);
+			this.#options.log.info('duty released', {duty: schedulerDuty});
+			await this.#lease.release();
 		}
 	}
 
@@ -146,7 +145,7 @@
 				this.#applyLease();
 				await clock.sleep(isHeld ? refreshMs : followPauseMs);
 			} catch (error) {
-				log.warn('duty not refreshed', {duty: 'scheduler', isHeld: this.#lease.isHeld, error: readErrorMessage(error)});
+				log.warn('duty not refreshed', {duty: schedulerDuty, isHeld: this.#lease.isHeld, error: readErrorMessage(error)});
 				await clock.sleep(refreshMs);
 			}
 		}
@@ -157,19 +156,19 @@
 		const {log, clock, holder} = this.#options;
 		const {epoch, renewedAt} = this.#lease;
 		if (renewedAt === undefined && this.#epoch !== undefined) {
-			log.warn('duty lost', {duty: 'scheduler', epoch: this.#epoch});
+			log.warn('duty lost', {duty: schedulerDuty, epoch: this.#epoch});
 			this.#closePools();
 		} else if (epoch !== undefined && epoch !== this.#epoch && !this.#isClosed) {
 			this.#closePools();
 			this.#epoch = epoch;
 			this.#tookAt = clock.readMonotonic();
-			log.info('duty taken', {duty: 'scheduler', epoch, holder});
+			log.info('duty taken', {duty: schedulerDuty, epoch, holder});
 			this.#fleet = FleetKeeper.create({
 				...this.#options,
 				epoch,
 				canOrder: () => this.#canOrder,
 				isReady: () => this.#isRegistryRead,
-				handover: this.#lease.isFirst ? {recentVms: []} : this.#lease.handover as FleetHandover | undefined,
+				getCheck: () => this.#canOrder ? this.#lease.check : undefined,
 				listPools: () => [...this.#pools.values()],
 			});
 		}
--- /dev/null
+++ b/packages/workflows/tests/explanations.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava';
+import {explainJob, parseLogLines} from '../src/index.js';
+
+const id = '0123456789abcdef';
+
+function write(second: number, message: string, fields: Record<string, unknown> = {}): string {
+	return JSON.stringify({
+		time: new Date(Date.UTC(2030, 0, 1, 0, 0, second)).toISOString(), level: 'info', message, entry: 'entry-1', ...fields,
+	});
+}
+
+type Case = {
+	readonly name: string;
+	readonly lines: readonly string[];
+	readonly summary: string;
+	readonly messages: readonly string[];
+	readonly repeats?: readonly string[];
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'no line', lines: [write(1, 'duty taken')], messages: [],
+		summary: 'no line names it: it never reached an entry, or its lines were left out',
+	},
+	{
+		name: 'a refusal while the store was away',
+		lines: [write(9, 'store lost'), write(10, 'request not served', {
+			method: 'POST', path: `/redraw/${id}`, status: 503, reason: 'store is away',
+		}), write(20, 'store regained')],
+		messages: ['store lost', 'request not served'],
+		summary: 'refused with 503: store is away',
+	},
+	{
+		name: 'a late job, with the lines out of order',
+		lines: [
+			write(15, 'job ended', {job: id, state: 'succeeded', ageMs: 5000}),
+			write(10, 'job accepted', {job: id}),
+			write(14, 'run ordered', {job: id, task: `${id}.0.0.0`, run: 1}),
+			write(11, 'job taken up', {job: id}),
+			write(11, 'job taken up', {job: 'fedcba9876543210'}),
+		],
+		messages: ['job accepted', 'job taken up', 'run ordered', 'job ended'],
+		summary: 'ended as succeeded after 5000 ms; longest part: waited for room, 3000 ms',
+	},
+	{
+		name: 'a run that had to be repeated, read from lines with a prefix',
+		lines: [
+			write(10, 'job accepted', {job: id}),
+			write(10, 'run ordered', {job: id, task: `${id}.0.0.0`, run: 1}),
+			write(12, 'run ended', {
+				job: id, task: `${id}.0.0.0`, run: 1, ending: 'failed',
+			}),
+			write(13, 'run ordered', {job: id, task: `${id}.0.0.0`, run: 2}),
+		].map(line => `  12.5 entry-1 ${line}`),
+		messages: ['job accepted', 'run ordered', 'run ended', 'run ordered'],
+		repeats: [`task ${id}.0.0.0 run 2: run ended (failed)`],
+		summary: 'not ended; last line "run ordered"; longest part: waited for a holder of the duty, 0 ms; 1 runs had to be repeated',
+	},
+];
+
+for (const {name, lines, summary, messages, repeats = []} of cases) {
+	test(`explanation of ${name}`, t => {
+		const explanation = explainJob(id, parseLogLines([...lines, 'no object', '{"cut'].join('\n')));
+		t.is(explanation.summary, summary);
+		t.deepEqual(explanation.timeline.map(({message}) => message), messages);
+		t.deepEqual(explanation.repeats, repeats);
+	});
+}
