Release the VMs of a wave that has ended

Ruled out: tasks that last (5 tasks hold 5 VMs at most), orders that wait (nothing was recent), registration.

--- /dev/null
+++ b/packages/testing/tests/sizes-after-waves.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import {createStep, EmulatedSystem, sparePool} from '../src/index.js';
+
+/** VMs that a pool without work keeps. */
+const leastVms = 5;
+const waveMs = 6000;
+const shrinkMs = 16_000;
+
+type Case = {readonly name: string; readonly act: (system: EmulatedSystem) => void};
+
+const cases: readonly Case[] = [
+	{name: 'the holder stays', act() {}},
+	{
+		name: 'another entry takes the duty over', act(system) {
+			system.killEntry(system.holder!);
+		},
+	},
+];
+
+for (const {name, act} of cases) {
+	test(`VMs that were through a wave are switched off when idle, also when ${name} (fixture site, inc-fb8d)`, async t => {
+		const system = await EmulatedSystem.create({seed: 11, pools: [['north', 12], [sparePool, 1]]});
+		await system.clock.run(1500);
+		const submitted = system.submit([createStep({count: 200})], 3000);
+		await system.clock.run(500);
+		await submitted;
+		void system.startWave('wave-1', system.fleet.vms.map(({id}) => id), 13);
+		await system.clock.run(waveMs);
+		act(system);
+		await system.clock.run(shrinkMs);
+		const north = system.fleet.listVms().filter(vm => vm.pool as string === 'north');
+		t.is(north.length, leastVms);
+	});
+}
--- a/packages/workflows/src/fleet-keepers.ts
+++ b/packages/workflows/src/fleet-keepers.ts
@@ -134,7 +134,8 @@
 		}
 
 		try {
-			const reserved = new Set([...this.#waves.values()].flatMap(wave => [...wave.emptying.keys(), ...wave.down.keys()]));
+			const running = [...this.#waves.values()].filter(({state}) => state === 'running');
+			const reserved = new Set(running.flatMap(wave => [...wave.emptying.keys(), ...wave.down.keys()]));
 			await this.#sizer.update(await fleet.listVms(), vm => reserved.has(vm));
 		} catch (error) {
 			log.warn('pools not resized', {error: readErrorMessage(error)});
