Derive the times of an entry from the bounds of its deployment

Cause: constants stood where the platform's settings give the number. A worker lease was asked for 8 s where holdMaxMs is 6 s, so that the holder waited 2 s longer than the worker for runs to end; the count of removed VMs, moves, drains, staleness of the configuration and others did not follow their bounds.

Ruled out: shortening the leader lease on all deployments; with a worker lease of 6 s the sum for a takeover (1 s long poll, 2.4 s term, 0.3 s pause, 1 s to fence, load and list) is 4.7 s and closes.

Change: Bounds and computeTimings in packages/workflows hold each derived value and the sums; bounds for which a sum does not close are refused at start with an error that names it. The emulator takes bounds too.

Found by its new test: a worker that stays cut off while its VM counts as up kept its tasks for ever, since each unanswered call extended the lease that the holder waits for (30.1 s and on in the emulator, with all bounds). The lease is no longer renewed after a silence of one lease.

--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -11,7 +11,7 @@
 } from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {
-	RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, Scheduler, type Configuration, type Declaration, type Job, type PlacementAdvice,
+	defaultBounds, computeTimings, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice,
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
@@ -137,6 +137,8 @@
 	readonly seed: number;
 	readonly entries?: number;
 	readonly pools?: ReadonlyArray<readonly [string, number]>;
+	/** Bounds of the deployment, which the workers enforce. */
+	readonly bounds?: Bounds;
 	/** Receives the log lines; they are discarded by default. */
 	readonly write?: (line: string) => void;
 };
@@ -168,7 +170,9 @@
 		this.#pools = options.pools ?? defaultPools;
 		this.random = SeededRandom.create(options.seed);
 		this.tables = MemoryTableService.create(this.clock);
-		this.fleet = EmulatedFleet.create({clock: this.clock, random: this.random, pools: this.#pools.map(([name, count]) => [name as PoolName, count])});
+		this.fleet = EmulatedFleet.create({
+			clock: this.clock, random: this.random, pools: this.#pools.map(([name, count]) => [name as PoolName, count]), bounds: options.bounds,
+		});
 	}
 
 	get entries(): readonly EmulatedEntry[] {
@@ -197,8 +201,10 @@
 		const tables = new FaultyTables(this.tables, clock, this.random);
 		const log = RateLimitedLog.create(this.#options.write === undefined ? Log.createSilent() : Log.create({format: 'json', fields: {entry: name}, write: this.#options.write}), clock);
 		const codec = new EmulatedCodec();
+		const bounds = this.#options.bounds ?? defaultBounds;
+		const timings = computeTimings(bounds);
 		const watcher = DeclarationWatcher.create({
-			clock, tables, codec, log,
+			clock, tables, codec, log, timings,
 		});
 		const entry = {
 			name,
@@ -220,10 +226,9 @@
 				holder: name,
 				cores: 1,
 				retentionMs,
-				fleetLeaseMs: 3000,
-				returnMs: 2000,
 				fleetOrdersPerS: 32,
-				maxLeaseMs: 10_000,
+				bounds,
+				timings,
 			}),
 		};
 		this.#entries.push(entry);
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -8,7 +8,7 @@
 	addResources, getReservation, isWithin, noResources, type Resources, type StepSpec,
 } from '@tamarackwind/scheduling';
 import {
-	FleetControl, formatTask, WorkerControl, WorkerRegistry, type OrderFence, type FleetOrderOutcome, type FleetVm, type LeaseRenewal, type LeaseRenewalOutcome, type Job, type ListedEnd,
+	defaultBounds, FleetControl, formatTask, type Bounds, WorkerControl, WorkerRegistry, type OrderFence, type FleetOrderOutcome, type FleetVm, type LeaseRenewal, type LeaseRenewalOutcome, type Job, type ListedEnd,
 	type OrderOutcome, type RunEnding, type RunKey, type StartOrder, type StartOutcome, type WorkerRecord,
 } from '@tamarackwind/workflows';
 import {type SimulatedClock} from './simulated-clocks.js';
@@ -20,19 +20,15 @@
 
 const capacity: Resources = {cpu: 8000, memory: 32_000, gpu: 0};
 const stopDelayMs = 300;
-const maintenanceMs = 2000;
-const gangStartTimeoutMs = 3000;
-/** Time within which the scheduler must detect the loss of a task, in milliseconds. */
-const lossDetectionMs = 4500;
-const moveDelayMs = 1500;
 /** Pool whose VMs are switched off. */
 export const sparePool = 'spare' as PoolName;
 const percentScale = 100;
 const startupMs = 300;
-const maxLeaseMs = 10_000;
 const networkDelayMs = 1;
-/** Time for which the registry still lists a worker that has ended, in milliseconds. */
-const registryLagMs = 4500;
+/** Heartbeats for which the registry still lists a worker that has ended. */
+const listedHeartbeats = 3;
+/** Duration of a move as a share of the longest time that a VM takes to return. */
+const moveShare = 0.75;
 
 /** One incarnation of a worker. */
 class EmulatedIncarnation {
@@ -84,6 +80,7 @@
 	readonly random: RandomSource;
 	/** Name and VM count of each pool. */
 	readonly pools: ReadonlyArray<readonly [PoolName, number]>;
+	readonly bounds?: Bounds;
 };
 
 /** Holds all emulated VMs and checks the guarantees at each start of a run and each order to a VM. */
@@ -106,6 +103,7 @@
 	readonly refused = new Set<JobId>();
 	orderFaults: OrderFaults = {lostResponseRate: 0, lateRate: 0};
 	readonly #options: EmulatedFleetOptions;
+	readonly #bounds: Bounds;
 	readonly #vms: EmulatedVm[] = [];
 	/** Tasks whose completion was acknowledged. */
 	readonly #acknowledgedTasks = new Set<string>();
@@ -119,6 +117,7 @@
 
 	private constructor(options: EmulatedFleetOptions) {
 		this.#options = options;
+		this.#bounds = options.bounds ?? defaultBounds;
 		for (const [pool, count] of options.pools) {
 			for (let index = 0; index < count; index++) {
 				const vm: EmulatedVm = {
@@ -139,6 +138,11 @@
 		return this.#vms.flatMap(vm => [...vm.incarnation?.runs.values() ?? []]).filter(run => run.key.job === job).length;
 	}
 
+	/** Counts the runs on a VM. */
+	countRunsOn(id: VmId): number {
+		return this.#findVm(id).incarnation?.runs.size ?? 0;
+	}
+
 	/** Ends the worker of a VM without notice and starts a new incarnation after `downtimeMs` milliseconds. */
 	crashVm(id: VmId, downtimeMs: number): void {
 		const vm = this.#findVm(id);
@@ -186,7 +190,7 @@
 		this.counts.maintenances++;
 		this.#endIncarnation(vm, true);
 		vm.state = 'upkeep';
-		this.#options.clock.schedule(maintenanceMs, () => {
+		this.#options.clock.schedule(this.#bounds.returnMs, () => {
 			vm.state = 'up';
 			this.#startIncarnation(vm);
 		});
@@ -209,7 +213,7 @@
 		this.#endIncarnation(vm, true);
 		vm.pool = pool;
 		vm.state = 'moving';
-		this.#options.clock.schedule(moveDelayMs, () => {
+		this.#options.clock.schedule(this.#bounds.returnMs * moveShare, () => {
 			vm.state = 'up';
 			this.#startIncarnation(vm);
 		});
@@ -370,7 +374,7 @@
 
 			vm.incarnation.isEnded = true;
 			vm.incarnation.runs.clear();
-			this.#endedRecords.push({record: vm.incarnation.record, until: this.#options.clock.readMonotonic() + registryLagMs});
+			this.#endedRecords.push({record: vm.incarnation.record, until: this.#options.clock.readMonotonic() + (this.#bounds.heartbeatMs * listedHeartbeats)});
 			vm.incarnation = undefined;
 		}
 	}
@@ -381,7 +385,7 @@
 
 	#extendLease(incarnation: EmulatedIncarnation, until: number): void {
 		const now = this.#options.clock.readMonotonic();
-		incarnation.leaseUntil = Math.max(incarnation.leaseUntil, Math.min(until, incarnation.readClock(now) + maxLeaseMs));
+		incarnation.leaseUntil = Math.max(incarnation.leaseUntil, Math.min(until, incarnation.readClock(now) + this.#bounds.maxWorkerLeaseMs));
 		this.#options.clock.schedule(((incarnation.leaseUntil - incarnation.readClock(now)) / incarnation.clockRate) + 1, () => {
 			if (!incarnation.isEnded && incarnation.leaseUntil <= incarnation.readClock(this.#options.clock.readMonotonic())) {
 				this.counts.lapsed += incarnation.runs.size;
@@ -425,7 +429,7 @@
 		const {task, key} = run;
 		if (task.step.isGang) {
 			this.#scheduleGangEnd(key, task);
-			this.#options.clock.schedule(gangStartTimeoutMs, () => {
+			this.#options.clock.schedule(this.#bounds.gangStartMs, () => {
 				if (!incarnation.isEnded && incarnation.runs.get(formatTask(key)) === run && this.#listGang(key).length < task.step.count) {
 					incarnation.endRun(run, 'alone');
 				}
@@ -514,7 +518,7 @@
 
 		const outage = this.#unavailableSince.get(name);
 		const unavailableAt = outage?.at ?? this.jobs.get(key.job)!.job.submittedAt;
-		return (outage?.isPlanned ?? false) || now - unavailableAt >= lossDetectionMs;
+		return (outage?.isPlanned ?? false) || now - unavailableAt >= this.#bounds.lossDetectionMs;
 	}
 }
 
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -4,6 +4,7 @@
  */
 import {type JobId} from '@tamarackwind/core';
 import {type StepSpec} from '@tamarackwind/scheduling';
+import {type Bounds} from '@tamarackwind/workflows';
 import {EmulatedSystem} from './emulated-systems.js';
 
 export type HistoryOutcome = {
@@ -19,6 +20,8 @@
 	readonly jobs?: number;
 	/** Kinds of faults to inject; all kinds by default. */
 	readonly kinds?: readonly FaultKind[];
+	/** Bounds of the deployment. */
+	readonly bounds?: Bounds;
 	readonly write?: (line: string) => void;
 };
 
@@ -64,8 +67,8 @@
 }
 
 /** Runs one history and checks it. */
-export async function playHistory({seed, jobs = 24, kinds = faultKinds, write}: HistoryOptions): Promise<HistoryOutcome> {
-	const system = await EmulatedSystem.create({seed, write});
+export async function playHistory({seed, jobs = 24, kinds = faultKinds, bounds, write}: HistoryOptions): Promise<HistoryOutcome> {
+	const system = await EmulatedSystem.create({seed, bounds, write});
 	const {clock, random} = system;
 	const faults: Record<string, number> = {};
 	await clock.run(warmUpMs);
--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -5,6 +5,7 @@
 import {type WatchableTableService} from '@tamarackwind/clients';
 import {type Configuration, type WaveRequest} from './configurations.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
+import {declarationRetryMs, type Timings} from './timings.js';
 
 /** A decoded row of the operator. */
 export type Declaration
@@ -27,14 +28,9 @@
 	readonly tables: WatchableTableService;
 	readonly codec: DeclarationCodec;
 	readonly log: RateLimitedLog;
+	readonly timings: Timings;
 };
 
-/** Maximum wait of one watch, in milliseconds: even a watch that times out ends well within the two seconds in which a configuration must apply. */
-const watchWaitMs = 700;
-const retryDelayMs = 60;
-/** Time since the store's last confirmation after which the configuration counts as stale, in milliseconds. */
-const staleAfterMs = 1600;
-
 /** Watches the operator's rows. */
 export class DeclarationWatcher {
 	static create(options: DeclarationWatcherOptions): DeclarationWatcher {
@@ -65,7 +61,7 @@
 	}
 
 	get isFresh(): boolean {
-		return this.#configuration !== undefined && this.ageMs < staleAfterMs;
+		return this.#configuration !== undefined && this.ageMs < this.#options.timings.staleConfigurationMs;
 	}
 
 	close(): void {
@@ -90,7 +86,7 @@
 					log.warn('store lost', {configuration: this.#configuration?.version, error: readErrorMessage(error)});
 				}
 
-				await clock.sleep(retryDelayMs);
+				await clock.sleep(declarationRetryMs);
 			}
 		}
 	}
@@ -106,8 +102,8 @@
 	}
 
 	async #watch(after: number): Promise<void> {
-		const {tables, codec} = this.#options;
-		const outcome = await tables.watchRows(codec.table, {after, waitMs: watchWaitMs});
+		const {tables, codec, timings} = this.#options;
+		const outcome = await tables.watchRows(codec.table, {after, waitMs: timings.declarationWatchMs});
 		if (outcome.status === 'expired') {
 			this.#version = undefined;
 			await this.#load();
--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -7,6 +7,7 @@
 import {type Check, type WatchableTableService} from '@tamarackwind/clients';
 import {planEviction, type EvictionPlan} from '@tamarackwind/scheduling';
 import {type Task} from './active-jobs.js';
+import {type Bounds} from './bounds.js';
 import {type WaveRequest} from './configurations.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {FleetOrders} from './fleet-orders.js';
@@ -14,6 +15,7 @@
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
 import {type PoolScheduler} from './pool-schedulers.js';
 import {PoolSizer} from './pool-sizers.js';
+import {type Timings} from './timings.js';
 import {type FleetControl, type FleetVm} from './workers.js';
 import {type WorkerSession} from './worker-sessions.js';
 
@@ -26,8 +28,8 @@
 	readonly log: RateLimitedLog;
 	readonly holder: string;
 	readonly epoch: number;
-	readonly fleetLeaseMs: number;
-	readonly returnMs: number;
+	readonly bounds: Bounds;
+	readonly timings: Timings;
 	readonly fleetOrdersPerS: number;
 	readonly canOrder: () => boolean;
 	/** Reports whether the tasks on all VMs are known: all pools are open and the registry was read. */
@@ -41,10 +43,6 @@
 const waveIntervalMs = 250;
 /** Interval at which pool sizes are updated, in milliseconds: short compared to the duration of a move. */
 const sizingIntervalMs = 200;
-/** Maximum wait for the tasks of a VM to finish before its maintenance, in milliseconds: above the mean task duration. */
-const drainTimeoutMs = 2500;
-/** Time for which a VM must be missing from the list before it counts as removed, in milliseconds. */
-const missingTimeoutMs = 5000;
 /** Progress at which a long-running task is ready, in percent. */
 const readyPercent = 100;
 /** Table with the progress of each wave. */
@@ -81,7 +79,9 @@
 
 	private constructor(options: FleetMaintainerOptions) {
 		this.#options = options;
-		this.#orders = FleetOrders.create({...options, row: fleetOrdersKey, canOrder: () => !this.#isClosed && options.canOrder() && options.isReady()});
+		this.#orders = FleetOrders.create({
+			...options, fleetLeaseMs: options.bounds.fleetLeaseMs, row: fleetOrdersKey, canOrder: () => !this.#isClosed && options.canOrder() && options.isReady(),
+		});
 		this.#sizer = PoolSizer.create({...options, fence: {holder: options.holder, fencingToken: options.epoch}, orders: this.#orders});
 	}
 
@@ -189,14 +189,14 @@
 
 	/** Updates which VMs are up again, which no longer exist, and which are in maintenance without a known order. */
 	#observeVms({wave, begun, down, draining, missing}: WaveProgress, vms: ReadonlyMap<VmId, FleetVm>): void {
-		const {clock, returnMs, log} = this.#options;
+		const {clock, bounds, timings, log} = this.#options;
 		const now = clock.readMonotonic();
 		for (const id of wave.vms) {
 			const vm = vms.get(id);
 			if (vm === undefined) {
 				missing.set(id, missing.get(id) ?? now);
 				draining.delete(id);
-				if (now - missing.get(id)! > missingTimeoutMs && !begun.has(id)) {
+				if (now - missing.get(id)! > timings.missingVmMs && !begun.has(id)) {
 					log.info('VM of a wave no longer exists', {wave: wave.id, vm: id});
 					begun.add(id);
 				}
@@ -207,7 +207,7 @@
 			missing.delete(id);
 			if (vm.state === 'upkeep') {
 				down.set(id, Math.min(now, down.get(id) ?? now));
-			} else if (vm.state === 'up' && now - (down.get(id) ?? now) > returnMs && this.#orders.isOrderable(id)) {
+			} else if (vm.state === 'up' && now - (down.get(id) ?? now) > bounds.returnMs && this.#orders.isOrderable(id)) {
 				down.delete(id);
 			}
 		}
@@ -296,7 +296,7 @@
 		}
 
 		const areBatchTasksDone = plans.every(({task}) => task.spec.isLongRunning);
-		return (areBatchTasksDone || waitedMs > drainTimeoutMs) && plans.every(({plan}) => plan === 'free');
+		return (areBatchTasksDone || waitedMs > this.#options.timings.drainTimeoutMs) && plans.every(({plan}) => plan === 'free');
 	}
 
 	#findSession({worker}: FleetVm): WorkerSession | undefined {
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -1,3 +1,5 @@
+export * from './bounds.js';
+export * from './timings.js';
 export * from './jobs.js';
 export * from './table-keys.js';
 export * from './records.js';
--- a/packages/workflows/src/job-feeds.ts
+++ b/packages/workflows/src/job-feeds.ts
@@ -12,6 +12,7 @@
 	fenceKey, getCancelKey, getJobKey, getJobTable, getProgressKey, getProgressPartition, getSubmissionPartition, listSubmissionPartitions, parseCancelKey, progressTable,
 } from './table-keys.js';
 import {decodeJob, decodeProgress, type Progress} from './records.js';
+import {type Timings} from './timings.js';
 
 /** A decoded change of the submitted jobs. */
 export type JobChange
@@ -24,11 +25,10 @@
 	readonly log: RateLimitedLog;
 	readonly service: ServiceName;
 	readonly retentionMs: number;
+	readonly timings: Timings;
 	readonly onChanges: (changes: readonly JobChange[]) => void;
 };
 
-/** Maximum wait of one watch, in milliseconds; bounds the time until a dead connection is detected. */
-const watchWaitMs = 1000;
 /** Delay after a failed watch, in milliseconds. */
 const retryDelayMs = 100;
 /** Interval at which jobs past their retention are removed, in milliseconds. */
@@ -135,8 +135,8 @@
 	}
 
 	async #watch(): Promise<void> {
-		const {tables, service, log, onChanges} = this.#options;
-		const outcome = await tables.watchRows(getJobTable(service), {after: this.#version, waitMs: watchWaitMs});
+		const {tables, service, log, onChanges, timings} = this.#options;
+		const outcome = await tables.watchRows(getJobTable(service), {after: this.#version, waitMs: timings.submissionWatchMs});
 		if (this.#isClosed) {
 			return;
 		}
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -20,6 +20,7 @@
 import {
 	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
+import {type Timings} from './timings.js';
 import {SessionOwner, WorkerSession} from './worker-sessions.js';
 
 export type PoolSchedulerOptions = {
@@ -41,6 +42,7 @@
 	readonly onLost: () => void;
 	/** Retention of ended jobs, in milliseconds. */
 	readonly retentionMs: number;
+	readonly timings: Timings;
 };
 
 /** Maximum interval between planning passes, in milliseconds: bounds the delay of time-driven work such as lease expiry and due times. */
@@ -53,8 +55,6 @@
 const restartDelayMs = 150;
 /** Time for which a worker gets no new work after it refused a start, in milliseconds. */
 const refusalBackoffMs = 1000;
-/** Time for which an ended worker incarnation is remembered, in milliseconds: above the three heartbeats after which the registry drops it. */
-const endedIncarnationRetentionMs = 10_000;
 /** Number of unplaceable steps after which a planning pass stops. */
 const maxUnplacedSteps = 24;
 
@@ -304,9 +304,9 @@
 	}
 
 	#addSession(record: WorkerRecord): void {
-		const {clock, control, log, earlierRunsEndBy} = this.#options;
+		const {clock, control, log, earlierRunsEndBy, timings} = this.#options;
 		const session = WorkerSession.create({
-			clock, control, log, owner: this, record, earlierRunsEndBy,
+			clock, control, log, owner: this, record, earlierRunsEndBy, timings,
 		});
 		this.#sessions.set(record.id, session);
 		for (const task of this.#orphans) {
@@ -553,7 +553,7 @@
 		}
 
 		for (const [incarnation, endedAt] of this.#endedIncarnations) {
-			if (now - endedAt > endedIncarnationRetentionMs) {
+			if (now - endedAt > this.#options.timings.endedIncarnationRetentionMs) {
 				this.#endedIncarnations.delete(incarnation);
 			}
 		}
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -9,6 +9,7 @@
 import {type FleetOrders} from './fleet-orders.js';
 import {type DeclarationWatcher} from './declaration-watchers.js';
 import {type PoolScheduler} from './pool-schedulers.js';
+import {type Timings} from './timings.js';
 import {type FleetControl, type OrderFence, type FleetVm} from './workers.js';
 import {type WorkerSession} from './worker-sessions.js';
 
@@ -21,11 +22,10 @@
 	readonly orders: FleetOrders;
 	/** Rate limit of the VM control service for all entries together, in orders per second. */
 	readonly fleetOrdersPerS: number;
+	readonly timings: Timings;
 	readonly listPools: () => readonly PoolScheduler[];
 };
 
-/** Time after which a moving VM counts as arrived or lost, in milliseconds: twice the duration of a move. */
-const moveTimeoutMs = 4000;
 /** Minimum interval between log lines on pool sizes, in milliseconds. */
 const logIntervalMs = 1000;
 /** Share of the VM control service's rate limit that moves may use; the rest is left to waves. */
@@ -100,7 +100,7 @@
 		for (const vm of vms) {
 			const move = this.#moving.get(vm.id);
 			const hasArrived = vm.pool === move?.to && vm.state === 'up' && (vm.worker === undefined || this.#findSession(vm) !== undefined);
-			if (move !== undefined && (hasArrived || now - move.at > moveTimeoutMs)) {
+			if (move !== undefined && (hasArrived || now - move.at > this.#options.timings.moveTimeoutMs)) {
 				this.#moving.delete(vm.id);
 			}
 		}
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -6,10 +6,12 @@
 } from '@tamarackwind/core';
 import {LeaderLease, type WatchableTableService} from '@tamarackwind/clients';
 import {type RateLimitedLog} from './rate-limited-logs.js';
+import {type Bounds} from './bounds.js';
 import {FleetMaintainer} from './fleet-maintainers.js';
 import {schedulerRole} from './table-keys.js';
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
 import {PoolScheduler} from './pool-schedulers.js';
+import {type Timings} from './timings.js';
 import {
 	type FleetControl, type PlacementAdvisor, type WorkerControl, type WorkerRegistry,
 } from './workers.js';
@@ -31,14 +33,10 @@
 	readonly cores: number;
 	/** Retention of ended jobs, in milliseconds. */
 	readonly retentionMs: number;
-	/** Minimum time between orders of different holders for one VM, in milliseconds. */
-	readonly fleetLeaseMs: number;
-	/** Time after which a VM is up again after an order took it down, in milliseconds. */
-	readonly returnMs: number;
 	/** Rate limit of the VM control service for all entries together, in orders per second. */
 	readonly fleetOrdersPerS: number;
-	/** Maximum duration of a worker lease, in milliseconds. */
-	readonly maxLeaseMs: number;
+	readonly bounds: Bounds;
+	readonly timings: Timings;
 };
 
 /** Status that the holder publishes to all entries with each lease renewal. */
@@ -49,12 +47,6 @@
 	readonly backlogMs: Readonly<Record<string, number>>;
 };
 
-/** Time without a renewal after which another entry acquires the scheduler lease, in milliseconds: above the time of two renewals at a store that is sixty times slower. */
-const termMs = 2400;
-/** Interval at which the holder checks whether a renewal of the scheduler lease is due, in milliseconds. */
-const refreshIntervalMs = 400;
-/** Maximum wait of one watch on another entry's lease, in milliseconds: well below half the term, since a longer gap between reads delays a takeover. */
-const watchWaitMs = 500;
 /** Pause between two watches on the lease, in milliseconds: batches changes. */
 const watchPauseMs = 10;
 /** Time after its last renewal of the scheduler lease for which a holder continues to renew worker leases, in milliseconds: covers long outages of the store. */
@@ -89,7 +81,7 @@
 	private constructor(options: SchedulerOptions) {
 		this.#options = options;
 		this.#lease = LeaderLease.create({
-			...options, role: schedulerRole, partition: schedulerRole, termMs, isHolderUnique: true, describeHolderState: () => this.#describeStatus(),
+			...options, role: schedulerRole, partition: schedulerRole, termMs: options.timings.schedulerTermMs, isHolderUnique: true, describeHolderState: () => this.#describeStatus(),
 		});
 	}
 
@@ -138,15 +130,16 @@
 	}
 
 	async #runElection(): Promise<void> {
-		const {clock, log, tables} = this.#options;
+		const {clock, log, tables, timings} = this.#options;
+		const {schedulerWatchMs, schedulerRefreshMs} = timings;
 		while (!this.#isClosed) {
 			try {
-				const isHeld = await this.#lease.watch(tables, watchWaitMs);
+				const isHeld = await this.#lease.watch(tables, schedulerWatchMs);
 				this.#applyLease();
-				await clock.sleep(isHeld ? refreshIntervalMs : watchPauseMs);
+				await clock.sleep(isHeld ? schedulerRefreshMs : watchPauseMs);
 			} catch (error) {
 				log.warn('duty not refreshed', {duty: schedulerRole, isHeld: this.#lease.isHeld, error: readErrorMessage(error)});
-				await clock.sleep(refreshIntervalMs);
+				await clock.sleep(schedulerRefreshMs);
 			}
 		}
 	}
@@ -190,7 +183,7 @@
 	}
 
 	async #openPool(service: ServiceName, epoch: number): Promise<void> {
-		const {log, maxLeaseMs} = this.#options;
+		const {log, bounds, timings} = this.#options;
 		this.#openingPools.add(service);
 		const pool = PoolScheduler.create({
 			...this.#options,
@@ -198,7 +191,7 @@
 			epoch,
 			canOrder: () => this.#canOrder && this.#epoch === epoch,
 			isRenewalAllowed: () => this.#isRenewalAllowed && this.#epoch === epoch,
-			earlierRunsEndBy: this.#acquiredAt + (leaseRenewalGraceMs - termMs) + (maxLeaseMs * clockSlackFactor),
+			earlierRunsEndBy: this.#acquiredAt + (leaseRenewalGraceMs - timings.schedulerTermMs) + (bounds.maxWorkerLeaseMs * clockSlackFactor),
 			onLost: () => {
 				this.#closePools();
 			},
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -10,17 +10,12 @@
 import {formatIncarnation, type RunKey} from './jobs.js';
 import {Signal} from './signals.js';
 import {WorkerHealth} from './worker-health.js';
+import {workerRetryMs, type Timings} from './timings.js';
 import {WorkerLease} from './worker-leases.js';
 import {type WorkerControl, type WorkerListing, type WorkerRecord} from './workers.js';
 
-/** Lease duration that each call requests, in milliseconds: outlasts a takeover of the scheduler lease (about 4 s) even if one more call is lost. */
-const leaseTermMs = 8000;
-/** Maximum time for which the worker holds a call open until a run ends, in milliseconds. */
-const longPollMs = 1000;
-/** Delay after a failed call, in milliseconds. */
-const retryDelayMs = 150;
 /** Maximum delay after consecutive failed calls, in milliseconds: bounds the time until a recovered worker is detected. */
-const maxRetryDelayMs = 600;
+const maxWorkerRetryMs = 600;
 /** Maximum wait for run ends to become durable before the lease is renewed without acknowledging them, in milliseconds. */
 const durableWaitMs = 1500;
 /** Consecutive failed calls after which a worker counts as unreachable and gets no new work. */
@@ -47,6 +42,7 @@
 	readonly record: WorkerRecord;
 	/** Time by which every run that an earlier holder started on the worker has ended even if the worker stays unreachable; on the monotonic clock. */
 	readonly earlierRunsEndBy: number;
+	readonly timings: Timings;
 };
 
 /** State of one worker incarnation as known to the holder. */
@@ -73,6 +69,8 @@
 	#idleSince: number;
 	#acknowledgedEnds = 0;
 	#failures = 0;
+	/** Time of the last listing, on the monotonic clock. */
+	#listedAt: number;
 	#isListed = false;
 	#isClosed = false;
 
@@ -82,6 +80,7 @@
 		this.health = WorkerHealth.create();
 		this.#lease = WorkerLease.create(options.earlierRunsEndBy);
 		this.#idleSince = options.clock.readMonotonic();
+		this.#listedAt = this.#idleSince;
 		void this.#run();
 	}
 
@@ -146,7 +145,7 @@
 
 	/** Extends the lease for a start that is sent now; returns its end on the worker's clock. */
 	renewLease(): number {
-		return this.#lease.renew(this.#options.clock.readMonotonic(), leaseTermMs) ?? 0;
+		return this.#lease.renew(this.#options.clock.readMonotonic(), this.#options.timings.workerLeaseMs) ?? 0;
 	}
 
 	/** Makes the loop call the worker immediately. */
@@ -227,7 +226,7 @@
 				} else if (owner.isRenewalAllowed) {
 					await this.#callWorker();
 				} else {
-					await clock.sleep(retryDelayMs);
+					await clock.sleep(workerRetryMs);
 				}
 			} catch (error) {
 				if (this.#isClosed) {
@@ -236,13 +235,13 @@
 				}
 
 				log.warn('worker not listed', {worker: this.name, failures: ++this.#failures, error: readErrorMessage(error)});
-				await clock.sleep(Math.min(maxRetryDelayMs, this.#failures * retryDelayMs));
+				await clock.sleep(Math.min(maxWorkerRetryMs, this.#failures * workerRetryMs));
 			}
 		}
 	}
 
 	async #callWorker(): Promise<void> {
-		const {clock, control, owner} = this.#options;
+		const {clock, control, owner, timings} = this.#options;
 		for (const task of this.#pendingStops.keys()) {
 			void this.#sendStop(task);
 		}
@@ -251,8 +250,8 @@
 		const outcome = await control.renewLease(this.record, {
 			fencingToken: owner.fencingToken,
 			acknowledgedEnds: this.#acknowledgedEnds,
-			leaseUntil: this.#lease.renew(sentAt, leaseTermMs),
-			waitMs: this.#isListed && this.isReachable ? longPollMs : 0,
+			leaseUntil: sentAt - this.#listedAt < timings.maxWorkerSilenceMs ? this.#lease.renew(sentAt, timings.workerLeaseMs) : undefined,
+			waitMs: this.#isListed && this.isReachable ? timings.longPollMs : 0,
 		});
 		if (this.#isClosed) {
 			return;
@@ -262,7 +261,7 @@
 			owner.endIncarnation(this, 'another incarnation responds at the worker\'s address');
 		} else if (outcome.status === 'fenced') {
 			owner.handleFenced(this);
-			await clock.sleep(retryDelayMs);
+			await clock.sleep(workerRetryMs);
 		} else {
 			await this.#handleListing(outcome, sentAt);
 		}
@@ -276,6 +275,7 @@
 		}
 
 		this.#failures = 0;
+		this.#listedAt = clock.readMonotonic();
 		this.#lease.observeClock(listing.clock, clock.readMonotonic());
 		if (!this.#isListed) {
 			this.#isListed = true;
