Tell requests that were never sent from those that may have run

Cause: a request that timed out while it waited for a connection got the verdict may-have-run, as did one whose connection was being opened when its time ran out; callers then got 504 for jobs of which no byte had left, and a start was stopped at a worker that never heard of it. A request behind a hanging one also waited longer than its own timeout.

Ruled out: error codes of connects alone; undici reports a timed-out wait for a connection with the code of the abort.

Change: an interceptor marks a request as sent when it is written; unsent requests reject at their own timeout with not-run.

--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -2,7 +2,10 @@
  * HTTP connection pool to the platform, shared by the clients of its services.
  */
 import {VerdictError} from '@tamarackwind/core';
-import {Pool} from 'undici';
+import {Pool, type Dispatcher} from 'undici';
+import {
+	trackSends, waitForUnsentTimeout, type SendState, type TrackedOptions,
+} from './send-trackers.js';
 
 export type PlatformConnectionOptions = {
 	/** Base URL of the platform. */
@@ -29,8 +32,6 @@
 
 const defaultTimeoutMs = 2000;
 const defaultConnectionLimit = 16;
-/** Codes of the errors that occur before a request is sent. */
-const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Sends requests to the platform and converts failures to `VerdictError`s. */
 export class PlatformConnection {
@@ -40,6 +41,7 @@
 
 	readonly #url: string;
 	readonly #pool: Pool;
+	readonly #dispatcher: Dispatcher;
 	readonly #timeoutMs: number;
 	readonly #headers: Record<string, string>;
 
@@ -47,6 +49,7 @@
 		this.#url = url;
 		this.#timeoutMs = timeoutMs ?? defaultTimeoutMs;
 		this.#pool = new Pool(url, {connections: connectionLimit, pipelining: 1, connect: {timeout: this.#timeoutMs}});
+		this.#dispatcher = this.#pool.compose(trackSends);
 		this.#headers = token === undefined ? {} : {authorization: `Bearer ${token}`};
 	}
 
@@ -80,20 +83,23 @@
 	async request({method, path, json, bytes, headers, timeoutMs = this.#timeoutMs}: PlatformRequest): Promise<PlatformResponse> {
 		const isJson = json !== undefined;
 		const type = isJson ? {'content-type': 'application/json'} : {};
+		const sendState: SendState = {isSent: false};
+		const signal = AbortSignal.timeout(timeoutMs);
 		try {
-			const response = await this.#pool.request({
+			const options: TrackedOptions & Dispatcher.RequestOptions = {
 				method,
 				path,
 				headers: {...this.#headers, ...type, ...headers},
 				body: isJson ? JSON.stringify(json) : bytes,
 				headersTimeout: timeoutMs,
 				bodyTimeout: timeoutMs,
-				signal: AbortSignal.timeout(timeoutMs),
-			});
+				signal,
+				sendState,
+			};
+			const response = await Promise.race([this.#dispatcher.request(options), waitForUnsentTimeout(signal, sendState)]);
 			return {status: response.statusCode, body: await response.body.bytes()};
 		} catch (error) {
-			const isUnsent = connectErrorCodes.has((error as {code?: string}).code ?? '');
-			throw new VerdictError(`platform at ${this.#url} did not answer ${method} ${path}`, {verdict: isUnsent ? 'not-run' : 'may-have-run', code: 'platform_unavailable', cause: error});
+			throw new VerdictError(`platform at ${this.#url} did not answer ${method} ${path}`, {verdict: sendState.isSent ? 'may-have-run' : 'not-run', code: 'platform_unavailable', cause: error});
 		}
 	}
 }
