--- a/packages/workflows/src/job-feeds.ts
+++ b/packages/workflows/src/job-feeds.ts
@@ -57,11 +57,15 @@
 	/** Reads all stored jobs with their progress; `orphans` are the tasks that an earlier holder had assigned. */
 	async load(): Promise<{jobs: ActiveJob[]; orphans: Task[]}> {
 		const {service, clock, log} = this.#options;
-		const progress = await this.#readProgress();
+		const {progress, unreadable} = await this.#readProgress();
 		const rows = await this.#readSubmissions();
 		const now = {monotonic: clock.readMonotonic(), wall: clock.readWall()};
 		const jobs = new Map<JobId, ActiveJob>();
 		for (const item of this.#decodeRows(rows)) {
+			if (unreadable.has(item.id)) {
+				continue;
+			}
+
 			if (item.kind === 'submitted') {
 				const active = ActiveJob.create(item.job, now);
 				const saved = progress.get(item.id);
@@ -116,10 +120,24 @@
 		return ranges.flatMap(({rows}) => rows);
 	}
 
-	async #readProgress(): Promise<Map<JobId, Progress>> {
-		const {tables, service} = this.#options;
+	/** Reads the progress of all jobs. A job whose row is unreadable is not scheduled, since its tasks may have run already. */
+	async #readProgress(): Promise<{progress: Map<JobId, Progress>; unreadable: Set<JobId>}> {
+		const {tables, service, log} = this.#options;
 		const {rows} = await tables.listRange(progressTable, {partition: getProgressPartition(service)});
-		return new Map(rows.filter(row => row.key !== fenceKey).map(row => [row.key as JobId, decodeProgress(row.value)]));
+		const progress = new Map<JobId, Progress>();
+		const unreadable = new Set<JobId>();
+		for (const {key, value, version} of rows.filter(row => row.key !== fenceKey)) {
+			try {
+				progress.set(key as JobId, decodeProgress(value));
+			} catch (error) {
+				unreadable.add(key as JobId);
+				log.warn('progress row is invalid', {
+					service, job: key, version, error: readErrorMessage(error),
+				});
+			}
+		}
+
+		return {progress, unreadable};
 	}
 
 	async #watchAll(): Promise<void> {
