Answer submissions early while the store is away, and never refuse a stored job

Cause: a repeated submission of a job that is stored already conflicts with its row; when the row then could not be read because the connection was refused, the caller was told 503, that the job never runs. A submission without a response was answered at the client's deadline, too late for another attempt, and jobs that arrived behind it waited as well until 1.5 s had passed.

Ruled out: a fixed limit for slow stores; with transactions of 0.7 s nothing may be refused (existing test).

Change: a failed reading of conflicting rows leaves the outcome open and is settled like a lost answer. Half a second after the store stopped answering (more while its recent answers were slow) further jobs are refused at once.

--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -5,7 +5,7 @@
 	readErrorMessage, VerdictError, type Clock, type JobId, type ServiceName,
 } from '@tamarackwind/core';
 import {
-	absentVersion, platformBusyCode, type Row, type WatchableTableService,
+	absentVersion, AdaptiveTimeout, platformBusyCode, type Row, type WatchableTableService,
 } from '@tamarackwind/clients';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type Job} from './jobs.js';
@@ -29,14 +29,20 @@
 const maxBatchJobs = 40;
 /** Delay before a transaction in which submissions are batched, in milliseconds. */
 const batchDelayMs = 3;
-/** Time without a response after which the outcome of a transaction is in doubt, in milliseconds: above the time of two consecutive transactions at a store that is ninety times slower. */
-const responseTimeoutMs = 1500;
 /** Maximum time for which a submission waits for a busy partition, in milliseconds: a retry at another entry would take longer. */
 const maxBusyWaitMs = 1000;
 /** Delay before a transaction that a busy partition rejected is retried, in milliseconds. */
 const busyRetryDelayMs = 150;
-/** Number of attempts to determine the outcome of a write without a response before the outcome counts as unknown. */
-const maxSettleAttempts = 2;
+/** Time since its submission after which no further attempt is made to determine the outcome of a job, in milliseconds: its client has given up. */
+const maxSettleMs = 4000;
+/** Minimum number of attempts to determine an outcome. */
+const minSettleAttempts = 2;
+/** Minimum interval between attempts to determine an outcome, in milliseconds. */
+const settleIntervalMs = 100;
+/** Bounds of the time for which the oldest transaction may be without a response before further submissions are refused, in milliseconds, and its ratio to the longest recent response time. */
+const suspicion = {
+	minMs: 500, maxMs: 1500, factor: 2, windowMs: 5000,
+};
 
 type PendingSubmission = {readonly job: Job; readonly submittedAt: number; readonly resolve: (outcome: SubmitOutcome) => void; expectedVersion: number; isResolved: boolean};
 
@@ -51,17 +57,21 @@
 	readonly #queues = new Map<string, PendingSubmission[]>();
 	/** Time at which the in-flight transaction of each partition was sent, on the monotonic clock. */
 	readonly #sentAt = new Map<string, number>();
+	/** Time of the last response of the store, on the monotonic clock. */
+	#respondedAt = Number.NEGATIVE_INFINITY;
+	readonly #suspicionTimeout: AdaptiveTimeout;
 	/** Number of failed transactions of each service whose outcome is being determined. */
 	readonly #unsettled = new Map<ServiceName, number>();
 
 	private constructor(options: JobSubmitterOptions) {
 		this.#options = options;
+		this.#suspicionTimeout = AdaptiveTimeout.create({clock: options.clock, ...suspicion});
 	}
 
 	/** Submits a job; a job that already exists is accepted again. While the outcome of earlier submissions is in doubt, the job is refused immediately without an attempt. */
 	async submit(job: Job): Promise<SubmitOutcome> {
 		const partition = getSubmissionPartition(job.service, job.id);
-		if (this.#isInDoubt(job.service, partition)) {
+		if (this.#isInDoubt(job.service)) {
 			this.#options.log.info('submission refused', {job: job.id, queue: job.queue, reason: 'earlier submissions have no response yet'});
 			return 'refused';
 		}
@@ -105,9 +115,11 @@
 		return outcome.status === 'committed' || await tables.getRow(getCancelKey(service, id)) !== undefined;
 	}
 
-	#isInDoubt(service: ServiceName, partition: string): boolean {
-		const sentAt = this.#sentAt.get(partition);
-		return (this.#unsettled.get(service) ?? 0) > 0 || (sentAt !== undefined && this.#options.clock.readMonotonic() - sentAt > responseTimeoutMs);
+	/** Reports whether an earlier outcome of the service is open, or the store has not responded since its oldest transaction was sent and that is long ago. */
+	#isInDoubt(service: ServiceName): boolean {
+		const oldestSentAt = Math.min(...this.#sentAt.values());
+		return (this.#unsettled.get(service) ?? 0) > 0
+			|| (this.#respondedAt < oldestSentAt && this.#options.clock.readMonotonic() - oldestSentAt > this.#suspicionTimeout.ms);
 	}
 
 	async #drain(service: ServiceName, partition: string, queue: PendingSubmission[]): Promise<void> {
@@ -115,9 +127,12 @@
 		await clock.sleep(batchDelayMs);
 		while (queue.length > 0) {
 			const batch = queue.splice(0, maxBatchJobs);
-			this.#sentAt.set(partition, clock.readMonotonic());
+			const sentAt = clock.readMonotonic();
+			this.#sentAt.set(partition, sentAt);
 			try {
 				await this.#commit(batch);
+				this.#respondedAt = clock.readMonotonic();
+				this.#suspicionTimeout.recordResponseTime(this.#respondedAt - sentAt);
 			} catch (error) {
 				const unresolved = batch.filter(({isResolved}) => !isResolved);
 				if (this.#isRetryable(unresolved, error)) {
@@ -165,7 +180,20 @@
 				return;
 			}
 
-			remaining = await this.#resolveConflicts(remaining, new Set(outcome.conflicts.map(({key}) => key)));
+			remaining = await this.#tryResolveConflicts(remaining, new Set(outcome.conflicts.map(({key}) => key)));
+		}
+	}
+
+	/**
+	 * Resolves conflicts.
+	 *
+	 * @throws {VerdictError} `may-have-run` when the conflicting rows can't be read, since an earlier attempt may have submitted the jobs.
+	 */
+	async #tryResolveConflicts(remaining: readonly PendingSubmission[], conflicts: ReadonlySet<string>): Promise<PendingSubmission[]> {
+		try {
+			return await this.#resolveConflicts(remaining, conflicts);
+		} catch (error) {
+			throw new VerdictError('reading jobs that were submitted before failed', {verdict: 'may-have-run', code: 'platform_unavailable', cause: error});
 		}
 	}
 
@@ -205,10 +233,12 @@
 	}
 
 	/** Determines the outcome of one job: writes a tombstone in its place, so that a late write of it fails, or finds that the job exists. */
-	async #settleJob({job, expectedVersion}: PendingSubmission): Promise<SubmitOutcome> {
-		const {tables, log} = this.#options;
+	async #settleJob({job, submittedAt, expectedVersion}: PendingSubmission): Promise<SubmitOutcome> {
+		const {clock, tables, log} = this.#options;
 		const key = getJobKey(job.service, job.id);
-		for (let attempt = 0; attempt < maxSettleAttempts; attempt++) {
+		const deadline = submittedAt + maxSettleMs;
+		for (let attempt = 0; attempt < minSettleAttempts || clock.readMonotonic() < deadline; attempt++) {
+			const startedAt = clock.readMonotonic();
 			try {
 				const outcome = await tables.commit({checks: [{...key, version: expectedVersion}], writes: [{...key, value: tombstone}]});
 				if (outcome.status === 'committed') {
@@ -225,6 +255,10 @@
 				return 'refused';
 			} catch (error) {
 				log.warn('determining the outcome of a submission failed', {job: job.id, attempt, error: readErrorMessage(error)});
+				const remainingMs = startedAt + settleIntervalMs - clock.readMonotonic();
+				if (remainingMs > 0) {
+					await clock.sleep(remainingMs);
+				}
 			}
 		}
 
--- a/packages/workflows/tests/job-submitters.test.ts
+++ b/packages/workflows/tests/job-submitters.test.ts
@@ -93,7 +93,7 @@
 		const tables = createTables(clock, faults);
 		const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
 		const submitted = submitter.submit(createJob('0123456789abcdef'));
-		await clock.advance(100);
+		await clock.advance(4100);
 		t.is(await submitted, outcome);
 		for (const write of lateWrites.get(tables)!) {
 			await write();
@@ -175,6 +175,59 @@
 	t.deepEqual(await submissions, entries.map(() => 'accepted'));
 });
 
+test('a job whose earlier submission can\'t be read back is not called refused', async t => {
+	const clock = ManualClock.create();
+	const tables = MemoryTableService.create(clock);
+	const id = '0123456789abcdef' as JobId;
+	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
+	const first = submitter.submit(createJob(id));
+	await clock.advance(100);
+	t.is(await first, 'accepted');
+	const getRow = tables.getRow.bind(tables);
+	tables.getRow = async () => {
+		throw new VerdictError('connection refused', {verdict: 'not-run', code: 'platform_unavailable'});
+	};
+
+	const repeated = submitter.submit(createJob(id));
+	await clock.advance(4200);
+	t.is(await repeated, 'unknown');
+	tables.getRow = getRow;
+	const last = submitter.submit(createJob(id));
+	await clock.advance(100);
+	t.is(await last, 'accepted');
+});
+
+test('jobs that arrive half a second after the store stopped answering are refused at once', async t => {
+	const clock = ManualClock.create();
+	const tables = MemoryTableService.create(clock);
+	tables.commit = async () => {
+		await clock.sleep(1000);
+		throw new VerdictError('no answer', {verdict: 'may-have-run', code: 'platform_unavailable'});
+	};
+
+	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
+	const answers: Array<{readonly sentAt: number; readonly afterMs: number; readonly outcome: SubmitOutcome}> = [];
+	const submit = async (index: number): Promise<void> => {
+		const sentAt = clock.readMonotonic();
+		const outcome = await submitter.submit(createJob(`${index}`.padStart(16, '0')));
+		answers.push({sentAt, afterMs: clock.readMonotonic() - sentAt, outcome});
+	};
+
+	const startedAt = clock.readMonotonic();
+	for (let index = 0; index < 20; index++) {
+		void submit(index);
+		await clock.advance(100);
+	}
+
+	await clock.advance(7000);
+	t.is(answers.length, 20);
+	for (const {sentAt, afterMs, outcome} of answers) {
+		if (sentAt - startedAt > 600) {
+			t.deepEqual({afterMs, outcome}, {afterMs: 0, outcome: 'refused'});
+		}
+	}
+});
+
 test('while the outcome of a transaction is in doubt, unsent jobs are refused immediately', async t => {
 	const clock = ManualClock.create();
 	const tables = MemoryTableService.create(clock);
