Keep the work of workers that are only silent

Cause: a run counted as stalled when its progress had not been seen for 3 s, whether or not its worker had been heard. Answers lost for one second (two calls) stopped batch tasks that ran well, and with one member the whole gang. A slow worker reports long tasks in steps of a percent that take longer than 3 s.

Change: stalls are judged up to the last listing of the worker, and over at least 0.15 of the declared duration.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -25,6 +25,7 @@
 const percentScale = 100;
 const startupMs = 300;
 const networkDelayMs = 1;
+const timeoutMs = 1000;
 /** Heartbeats for which the registry still lists a worker that has ended. */
 const listedHeartbeats = 3;
 /** Duration of a move as a share of the longest time that a VM takes to return. */
@@ -64,7 +65,7 @@
 }
 
 type EmulatedVm = {
-	readonly id: VmId; pool: PoolName; incarnation: EmulatedIncarnation | undefined; state: FleetVm['state']; isUnreachable: boolean; maintenances: Set<string>;
+	readonly id: VmId; pool: PoolName; incarnation: EmulatedIncarnation | undefined; state: FleetVm['state']; isUnreachable: boolean; isSilent: boolean; maintenances: Set<string>; lastOrder: (OrderFence & {readonly at: number}) | undefined;
 };
 
 /** Fault probabilities of an order, each from 0 to 1. */
@@ -121,7 +122,7 @@
 		for (const [pool, count] of options.pools) {
 			for (let index = 0; index < count; index++) {
 				const vm: EmulatedVm = {
-					id: `vm-${pool}-${index}` as VmId, pool, incarnation: undefined, state: 'up', isUnreachable: false, maintenances: new Set(),
+					id: `vm-${pool}-${index}` as VmId, pool, incarnation: undefined, state: 'up', isUnreachable: false, isSilent: false, maintenances: new Set(), lastOrder: undefined,
 				};
 				this.#vms.push(vm);
 				this.#startIncarnation(vm);
@@ -163,6 +164,15 @@
 		});
 	}
 
+	/** Loses the responses of a VM for `durationMs` milliseconds; its worker keeps running and executes all orders. */
+	setSilent(id: VmId, durationMs: number): void {
+		const vm = this.#findVm(id);
+		vm.isSilent = true;
+		this.#options.clock.schedule(durationMs, () => {
+			vm.isSilent = false;
+		});
+	}
+
 	listRecords(): WorkerRecord[] {
 		const now = this.#options.clock.readMonotonic();
 		this.#endedRecords = this.#endedRecords.filter(({until}) => until > now);
@@ -175,8 +185,9 @@
 		}));
 	}
 
-	async maintainVm(id: VmId, wave: string): Promise<FleetOrderOutcome> {
+	async maintainVm(id: VmId, wave: string, fence: OrderFence): Promise<FleetOrderOutcome> {
 		const vm = this.#findVm(id);
+		this.#checkFence(vm, fence);
 		if (vm.maintenances.has(wave)) {
 			return 'accepted';
 		}
@@ -198,8 +209,9 @@
 	}
 
 	/** Moves a VM to another pool; no worker runs on a VM of the spare pool. */
-	async moveVm(id: VmId, pool: PoolName): Promise<FleetOrderOutcome> {
+	async moveVm(id: VmId, pool: PoolName, fence: OrderFence): Promise<FleetOrderOutcome> {
 		const vm = this.#findVm(id);
+		this.#checkFence(vm, fence);
 		if (vm.pool === pool) {
 			return 'accepted';
 		}
@@ -234,6 +246,15 @@
 			throw new VerdictError('connection refused', {verdict: 'not-run', code: 'worker_unavailable'});
 		}
 
+		if (vm.isSilent) {
+			if (vm.incarnation!.record.id === record.id) {
+				execute(vm.incarnation!);
+			}
+
+			await clock.sleep(timeoutMs);
+			throw new VerdictError('worker does not answer', {verdict: 'may-have-run', code: 'worker_unavailable'});
+		}
+
 		const draw = isRead ? 1 : random.readFraction();
 		if (draw < this.orderFaults.lateRate) {
 			this.counts.lateOrders++;
@@ -489,6 +510,22 @@
 		}
 	}
 
+	/** Checks that orders for a VM come from one holder at a time, with fencing tokens that never decrease. */
+	#checkFence(vm: EmulatedVm, fence: OrderFence): void {
+		const now = this.#options.clock.readMonotonic();
+		const last = vm.lastOrder;
+		vm.lastOrder = {...fence, at: now};
+		if (last === undefined) {
+			return;
+		}
+
+		if (fence.fencingToken < last.fencingToken || (fence.fencingToken === last.fencingToken && fence.holder !== last.holder)) {
+			this.violations.push(`VM ${vm.id} got an order of ${fence.holder} under token ${fence.fencingToken} after one of ${last.holder} under ${last.fencingToken}`);
+		} else if (fence.holder !== last.holder && now - last.at < this.#bounds.fleetLeaseMs) {
+			this.violations.push(`VM ${vm.id} got orders of ${last.holder} and ${fence.holder} within ${now - last.at} ms`);
+		}
+	}
+
 	/**
 	 * Checks that an order ends no more tasks of a step than its disruption budget allows. A task counts as unavailable if an order
 	 * ended it, or if it has been down or starting up for at least the time within which the scheduler must detect a loss.
@@ -618,11 +655,11 @@
 		return this.fleet.listVms();
 	}
 
-	override async moveVm(vm: VmId, pool: PoolName): Promise<FleetOrderOutcome> {
-		return this.fleet.moveVm(vm, pool);
+	override async moveVm(vm: VmId, pool: PoolName, fence: OrderFence): Promise<FleetOrderOutcome> {
+		return this.fleet.moveVm(vm, pool, fence);
 	}
 
-	override async maintainVm(vm: VmId, wave: string, _fence: OrderFence): Promise<FleetOrderOutcome> {
-		return this.fleet.maintainVm(vm, wave);
+	override async maintainVm(vm: VmId, wave: string, fence: OrderFence): Promise<FleetOrderOutcome> {
+		return this.fleet.maintainVm(vm, wave, fence);
 	}
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -49,8 +49,10 @@
 const maxPlanIntervalMs = 100;
 /** Minimum interval between planning passes, in milliseconds: batches run ends and submissions. */
 const minPlanIntervalMs = 15;
-/** Time without progress after which a run counts as stalled, in milliseconds: spans several listings even on a worker at a tenth of full speed. */
+/** Minimum time without progress after which a run counts as stalled, in milliseconds: spans several listings. */
 const stallTimeoutMs = 3000;
+/** The same time as a share of a task's declared duration: progress is reported in whole percent, and a worker may run at a tenth of full speed. */
+const stallTimeoutShare = 0.15;
 /** Delay before a failed long-running task is restarted, in milliseconds. */
 const restartDelayMs = 150;
 /** Time for which a worker gets no new work after it refused a start, in milliseconds. */
@@ -587,7 +589,8 @@
 	#stopStalledOrDraining(session: WorkerSession, now: number): void {
 		const {log} = this.#options;
 		for (const task of session.tasks) {
-			const isStalled = task.phase === 'running' && task.speedPercent === 100 && now - Math.max(task.orderedAt, task.progressedAt) > stallTimeoutMs
+			const stallMs = Math.max(stallTimeoutMs, task.spec.estimatedMs * stallTimeoutShare);
+			const isStalled = task.phase === 'running' && task.speedPercent === 100 && session.listedAt - Math.max(task.orderedAt, task.progressedAt) > stallMs
 				&& !(task.spec.isLongRunning && task.percent >= 100);
 			const isDraining = task.phase === 'running' && session.record.isDraining && task.spec.isLongRunning;
 			if (isStalled) {
--- a/packages/workflows/src/timings.ts
+++ b/packages/workflows/src/timings.ts
@@ -96,6 +96,8 @@
 /** Time beyond `workerDrainMs` for which a wave waits for the tasks of a VM, in milliseconds. */
 const drainMarginMs = 500;
 const movesPerTimeout = 2;
+/** Worker leases for which renewals go on without a response: one-way silences of twice the shortest lease of 6 s are survived, with calls up to 1.6 s apart. */
+const leasesOfSilence = 2;
 /** Heartbeats after which an ended incarnation is forgotten: the registry drops its entry after three, later while the store is away. */
 const retainedHeartbeats = 6;
 
@@ -144,7 +146,7 @@
 	return {
 		workerLeaseMs,
 		longPollMs: Math.floor(Math.min(preferred.longPollMs, workerLeaseMs * shares.longPollOfLease)),
-		maxWorkerSilenceMs: workerLeaseMs,
+		maxWorkerSilenceMs: workerLeaseMs * leasesOfSilence,
 		listingSlackMs: Math.min(preferred.listingSlackMs, workerLeaseMs * shares.listingSlackOfLease),
 		orderTimeoutMs: Math.min(preferred.orderTimeoutMs, bounds.gangStartMs * shares.orderTimeoutOfGangStart),
 		schedulerTermMs,
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -88,6 +88,11 @@
 		return formatIncarnation(this.record);
 	}
 
+	/** Time of the last listing, on the monotonic clock; the progress of runs is known up to it. */
+	get listedAt(): number {
+		return this.#listedAt;
+	}
+
 	/** Whether the worker has listed its runs under this holder's fencing token. */
 	get isListed(): boolean {
 		return this.#isListed;
