--- a/packages/workflows/src/timings.ts
+++ b/packages/workflows/src/timings.ts
@@ -67,7 +67,7 @@
 	watchSlackMs: 700,
 	declarationWatchMs: 700,
 	staleConfigurationMs: 1600,
-	submissionWatchMs: 1000,
+	submissionWatchMs: 400,
 	maxCountAgeMs: 1800,
 	maxReadyStoreAgeMs: 2500,
 	endedIncarnationRetentionMs: 10_000,
