--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -91,8 +91,9 @@
 				path,
 				headers: {...this.#headers, ...type, ...headers},
 				body: isJson ? JSON.stringify(json) : bytes,
-				headersTimeout: timeoutMs,
-				bodyTimeout: timeoutMs,
+				// The signal limits the whole request; the library's own timers are coarse and fire early.
+				headersTimeout: 0,
+				bodyTimeout: 0,
 				signal,
 				sendState,
 			};
