--- a/packages/testing/tests/handovers.test.ts
+++ b/packages/testing/tests/handovers.test.ts
@@ -96,6 +96,8 @@
 	['responses to the holder are lost', [[500, startWave], [1000, setHolderFault({lostResponseRate: 0.7})]]],
 	['writes of the holder take effect late', [[500, startWave], [1000, setHolderFault({lateRate: 0.7})]]],
 	['the tables are slow for the holder', [[500, startWave], [1000, setHolderFault({delayMs: 900})]]],
+	['the holder gets each answer 3 s late', [[500, startWave], [1000, setHolderFault({delayMs: 3000})]]],
+	['the holder gets each answer 12 s late', [[500, startWave], [1000, setHolderFault({delayMs: 12_000})]]],
 	['the tables serve only some entries', [[500, startWave], [1000, cutMostEntries]]],
 	['three takeovers within three seconds', [[500, startWave], [1000, release], [2000, release], [3000, release]]],
 	['releases and crashes by turns', [[500, startWave], [1000, release], [2500, crash], [6000, release], [7000, crash]]],
