Size pools for the demand at the end of a move

Change: DemandTrend extrapolates used and waiting CPU of a pool over 2 s, up to 1.6 times the current demand.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -4,3 +4,4 @@
 export * from './paces.js';
 export * from './evictions.js';
 export * from './sizing-plans.js';
+export * from './demand-trends.js';
--- a/packages/scheduling/src/sizing-plans.ts
+++ b/packages/scheduling/src/sizing-plans.ts
@@ -25,6 +25,8 @@
 	readonly usedCpu: number;
 	/** CPU requested by waiting tasks, in thousandths of a core. */
 	readonly waitingCpu: number;
+	/** CPU that tasks will use or wait for when a move that begins now completes, in thousandths of a core. */
+	readonly expectedCpu: number;
 	/** Number of VMs needed by the widest long-running step with anti-affinity. */
 	readonly antiAffinityVms: number;
 };
@@ -56,7 +58,7 @@
  * Plans the moves for the current state of the pools.
  *
  * @example
- * const moves = planSizes([{name: 'north', isSpare: false, vms, incoming: 0, usedCpu: 60_000, waitingCpu: 40_000}, spare]);
+ * const moves = planSizes([{name: 'north', isSpare: false, vms, incoming: 0, usedCpu: 60_000, waitingCpu: 40_000, expectedCpu: 110_000, antiAffinityVms: 0}, spare]);
  */
 export function planSizes(pools: readonly SizedPool[], options: SizingOptions = defaultSizing): SizingMove[] {
 	const fleetVms = pools.reduce((sum, pool) => sum + pool.vms.length + pool.incoming, 0);
@@ -89,7 +91,7 @@
 
 function describePool(pool: SizedPool, {packingShare, reserveVms, minVms}: SizingOptions): PoolState {
 	const cpu = Math.max(1, ...pool.vms.map(vm => vm.cpu));
-	const needed = Math.max(minVms, pool.antiAffinityVms + 1, Math.ceil((pool.usedCpu + pool.waitingCpu) / (cpu * packingShare)) + reserveVms);
+	const needed = Math.max(minVms, pool.antiAffinityVms + 1, Math.ceil(Math.max(pool.usedCpu + pool.waitingCpu, pool.expectedCpu) / (cpu * packingShare)) + reserveVms);
 	return {
 		pool,
 		surplus: pool.vms.length + pool.incoming - needed,
--- a/packages/scheduling/tests/sizing-plans.test.ts
+++ b/packages/scheduling/tests/sizing-plans.test.ts
@@ -12,6 +12,7 @@
 		incoming: 0,
 		usedCpu: 0,
 		waitingCpu: 0,
+		expectedCpu: 0,
 		antiAffinityVms: 0,
 		vms: Array.from({length: count}, (_, index) => ({id: `${name}-${index}` as VmId, cpu: vmCpu, idleMs: index >= count - idle ? idleMs : undefined})),
 		...fields,
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -4,7 +4,9 @@
 import {
 	readErrorMessage, VerdictError, type Clock, type PoolName, type VmId,
 } from '@tamarackwind/core';
-import {planSizes, type SizedPool, type SizingMove} from '@tamarackwind/scheduling';
+import {
+	DemandTrend, planSizes, type SizedPool, type SizingMove,
+} from '@tamarackwind/scheduling';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type FleetOrders} from './fleet-orders.js';
 import {type DeclarationWatcher} from './declaration-watchers.js';
@@ -41,6 +43,7 @@
 	}
 
 	readonly #options: PoolSizerOptions;
+	readonly #trend = DemandTrend.create();
 	readonly #moving = new Map<VmId, {readonly to: PoolName; readonly at: number}>();
 	#loggedAt = Number.NEGATIVE_INFINITY;
 	#plannedAt: number;
@@ -80,7 +83,7 @@
 		}
 
 		this.#loggedAt = now;
-		for (const {name, vms, incoming, usedCpu, waitingCpu} of pools) {
+		for (const {name, vms, incoming, usedCpu, waitingCpu, expectedCpu} of pools) {
 			log.info('pool sized', {
 				pool: name,
 				vms: vms.length,
@@ -88,6 +91,7 @@
 				incoming,
 				usedCpu,
 				waitingCpu,
+				expectedCpu: Math.round(expectedCpu),
 				in: moves.filter(move => move.to === name).length,
 				out: moves.filter(move => move.from === name).length,
 			});
@@ -109,10 +113,11 @@
 	#describePools(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): SizedPool[] {
 		const schedulers = new Map(this.#options.listPools().map(pool => [pool.service as string, pool]));
 		return (this.#options.declarations.configuration?.pools ?? []).map(({name, isSpare}) => {
-			const scheduler = schedulers.get(name);
-			const load = scheduler?.computeLoad();
+			const pool = name as string as PoolName;
+			const load = schedulers.get(name)?.computeLoad();
+			this.#trend.observe(pool, (load?.usedCpu ?? 0) + (load?.waitingCpu ?? 0), this.#options.clock.readMonotonic());
 			return {
-				name: name as string as PoolName,
+				name: pool,
 				isSpare,
 				vms: vms.filter(vm => vm.pool as string === name && vm.state === 'up' && !this.#moving.has(vm.id)).map(vm => ({
 					id: vm.id, cpu: vm.capacity.cpu, idleMs: isReserved(vm.id) || !this.#options.orders.isOrderable(vm.id) ? undefined : this.#computeIdleMs(vm, isSpare),
@@ -120,6 +125,7 @@
 				incoming: [...this.#moving.values()].filter(move => move.to as string === name).length,
 				usedCpu: load?.usedCpu ?? 0,
 				waitingCpu: load?.waitingCpu ?? 0,
+				expectedCpu: this.#trend.estimateDemand(pool),
 				antiAffinityVms: load?.antiAffinityVms ?? 0,
 			};
 		});
