Send overdue transactions to the store again

Cause: an answer lost by the store stalled the progress of its pool, the acceptance of its jobs or the renewal of the lease for the whole timeout of 1 s to 2.2 s, then for a pause and a reading.

Ruled out: shorter timeouts; a store that is slow would be asked again and again. Acquiring and releasing the lease are not repeated: their conflict does not tell whose write it was.

A progress transaction that is found by its sequence counts as committed without a rewrite. The list of recent orders for VMs is written under the row's version, one write at a time: a delayed older list could replace a newer one.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -8,3 +8,4 @@
 export * from './tasks.js';
 export * from './vms.js';
 export * from './adaptive-timeouts.js';
+export * from './repeated-attempts.js';
--- a/packages/clients/src/leader-leases.ts
+++ b/packages/clients/src/leader-leases.ts
@@ -276,7 +276,7 @@
 			return true;
 		}
 
-		const outcome = await this.#options.tables.commit({checks: [heldLease.check], writes: [{...this.#heartbeatKey, value: {epoch: heldLease.epoch, news: this.#options.describeHolderState?.()} satisfies LeaseHeartbeatRow}]});
+		const outcome = await this.#options.tables.commit({checks: [heldLease.check], writes: [{...this.#heartbeatKey, value: {epoch: heldLease.epoch, news: this.#options.describeHolderState?.()} satisfies LeaseHeartbeatRow}], isRepeatable: true});
 		this.#heldLease = outcome.status === 'committed' ? {...heldLease, renewedAt: startedAt} : undefined;
 		return this.isHeld;
 	}
--- a/packages/clients/src/tables.ts
+++ b/packages/clients/src/tables.ts
@@ -33,6 +33,11 @@
 export type Transaction = {
 	readonly checks: readonly Check[];
 	readonly writes: readonly Write[];
+	/**
+	 * Whether the caller treats a conflict as possibly caused by its own transaction. The client may then send the transaction again while
+	 * the response is overdue.
+	 */
+	readonly isRepeatable?: boolean;
 };
 
 /** Returns the first key that sorts after `key` among keys of printable characters. */
--- a/packages/workflows/src/fleet-orders.ts
+++ b/packages/workflows/src/fleet-orders.ts
@@ -5,7 +5,9 @@
 import {
 	readErrorMessage, type Clock, type VmId,
 } from '@tamarackwind/core';
-import {type Check, type RowKey, type TableService} from '@tamarackwind/clients';
+import {
+	absentVersion, type Check, type RowKey, type TableService,
+} from '@tamarackwind/clients';
 import {z} from 'zod';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 
@@ -38,6 +40,9 @@
 	/** VMs for which an earlier holder may have sent orders until this one acquired the scheduler lease; `undefined` before they are loaded. */
 	#inherited: ReadonlySet<VmId> | undefined;
 	#loadedAt = 0;
+	/** Version of the row that this holder wrote or read last; a delayed write of an older list fails by it. */
+	#rowVersion = absentVersion;
+	#lastRecord: Promise<unknown> = Promise.resolve();
 
 	private constructor(options: FleetOrdersOptions) {
 		this.#options = options;
@@ -48,6 +53,7 @@
 		const {tables, row, clock} = this.#options;
 		const known = await tables.getRow(row);
 		this.#inherited = new Set(known === undefined ? [] : rowSchema.parse(known.value).vms);
+		this.#rowVersion = known?.version ?? absentVersion;
 		this.#loadedAt = clock.readMonotonic();
 	}
 
@@ -61,8 +67,19 @@
 		return this.canSendOrders && !(this.#inherited!.has(vm) && this.#isRecent(this.#loadedAt));
 	}
 
-	/** Records orders for VMs before they are sent; resolves to whether they may be sent. */
+	/** Records orders for VMs before they are sent; resolves to whether they may be sent. Concurrent calls are recorded one after the other. */
 	async recordOrders(vms: readonly VmId[]): Promise<boolean> {
+		const record = async (previous: Promise<unknown>): Promise<boolean> => {
+			await previous;
+			return this.#recordNow(vms);
+		};
+
+		const recorded = record(this.#lastRecord);
+		this.#lastRecord = recorded;
+		return recorded;
+	}
+
+	async #recordNow(vms: readonly VmId[]): Promise<boolean> {
 		const {clock, tables, row, getCheck, log} = this.#options;
 		const check = getCheck();
 		if (check === undefined || !vms.every(vm => this.isOrderable(vm))) {
@@ -74,14 +91,26 @@
 		}
 
 		try {
-			const outcome = await tables.commit({checks: [check], writes: [{...row, value: {vms: this.#listRecent()}}]});
-			return outcome.status === 'committed' && this.canSendOrders;
+			const outcome = await tables.commit({checks: [check, {...row, version: this.#rowVersion}], writes: [{...row, value: {vms: this.#listRecent()}}]});
+			if (outcome.status === 'conflict') {
+				await this.#refreshVersion();
+				return false;
+			}
+
+			this.#rowVersion = outcome.version;
+			return this.canSendOrders;
 		} catch (error) {
 			log.warn('recording orders failed', {vms, error: readErrorMessage(error)});
 			return false;
 		}
 	}
 
+	/** Reads the row's version after a conflict, which a write of this holder without a response may have caused. */
+	async #refreshVersion(): Promise<void> {
+		const {tables, row} = this.#options;
+		this.#rowVersion = (await tables.getRow(row))?.version ?? absentVersion;
+	}
+
 	#listRecent(): VmId[] {
 		const inherited = this.#isRecent(this.#loadedAt) ? this.#inherited! : [];
 		return [...new Set([...inherited, ...[...this.#orderedAt].filter(([, at]) => this.#isRecent(at)).map(([vm]) => vm)])];
--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -111,6 +111,7 @@
 		const outcome = await tables.commit({
 			checks: [{...key, version: row.version}],
 			writes: [{...getCancelKey(service, id), value: {}}],
+			isRepeatable: true,
 		});
 		return outcome.status === 'committed' || await tables.getRow(getCancelKey(service, id)) !== undefined;
 	}
@@ -170,6 +171,7 @@
 			const outcome = await this.#options.tables.commit({
 				checks: remaining.map(({job, expectedVersion}) => ({...getJobKey(job.service, job.id), version: expectedVersion})),
 				writes: remaining.map(({job}) => ({...getJobKey(job.service, job.id), value: encodeJob(job)})),
+				isRepeatable: true,
 			});
 			if (outcome.status === 'committed') {
 				for (const {job, resolve} of remaining) {
@@ -240,7 +242,7 @@
 		for (let attempt = 0; attempt < minSettleAttempts || clock.readMonotonic() < deadline; attempt++) {
 			const startedAt = clock.readMonotonic();
 			try {
-				const outcome = await tables.commit({checks: [{...key, version: expectedVersion}], writes: [{...key, value: tombstone}]});
+				const outcome = await tables.commit({checks: [{...key, version: expectedVersion}], writes: [{...key, value: tombstone}], isRepeatable: true});
 				if (outcome.status === 'committed') {
 					log.info('job refused permanently', {job: job.id, queue: job.queue, version: outcome.version});
 					return 'refused';
--- a/packages/workflows/src/progress-writers.ts
+++ b/packages/workflows/src/progress-writers.ts
@@ -172,6 +172,7 @@
 			const outcome = await tables.commit({
 				checks: [{...fence, version: this.#version}],
 				writes: [{...fence, value: this.#describeFence()}, ...rows],
+				isRepeatable: true,
 			});
 			if (outcome.status === 'committed') {
 				this.#version = outcome.version;
@@ -179,7 +180,7 @@
 				return true;
 			}
 
-			await this.#resolveConflict();
+			return await this.#resolveConflict();
 		} catch (error) {
 			log.warn('writing progress failed', {service, jobs: jobs.length, error: readErrorMessage(error)});
 		}
@@ -187,19 +188,20 @@
 		return false;
 	}
 
-	/** Determines whether a transaction of this holder without a response was committed or another holder has taken over the fence. */
-	async #resolveConflict(): Promise<void> {
+	/** Determines whether a transaction of this holder without a response was committed or another holder has taken over the fence. Resolves to whether the latest transaction is committed. */
+	async #resolveConflict(): Promise<boolean> {
 		const {tables, service, epoch, holder, log, onLost} = this.#options;
 		const row = await tables.getRow(getFenceKey(service)) as Row<FenceRow> | undefined;
 		if (row?.value.epoch === epoch && row.value.holder === holder) {
-			// The committed content may be older than the state in memory, so the caller writes it again.
 			this.#version = row.version;
-			return;
+			// A transaction with an earlier sequence has older content, so the caller writes again.
+			return row.value.sequence === this.#sequence;
 		}
 
 		log.warn('service taken over by another holder', {service, epoch, newEpoch: row?.value.epoch});
 		this.close();
 		onLost();
+		return false;
 	}
 
 	#describeFence(): FenceRow {
