--- a/packages/clients/src/repeated-attempts.ts
+++ b/packages/clients/src/repeated-attempts.ts
@@ -20,13 +20,13 @@
  */
 export async function runRepeatedAttempts<T>({clock, delayMs, maxAttempts, attempt}: RepeatedAttemptsOptions<T>): Promise<T> {
 	const abort = new AbortController();
-	return new Promise<T>((resolve, reject) => {
+	const settled = await new Promise<{readonly value: T} | {readonly error: unknown}>(resolve => {
 		let openAttempts = 0;
-		let firstDoubt: Error | undefined;
+		let firstDoubt: unknown;
 		const start = async (): Promise<void> => {
 			openAttempts++;
 			try {
-				resolve(await attempt());
+				resolve({value: await attempt()});
 				abort.abort();
 			} catch (error) {
 				const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
@@ -34,7 +34,7 @@
 				openAttempts--;
 				if (openAttempts === 0) {
 					abort.abort();
-					reject((firstDoubt ?? error));
+					resolve({error: firstDoubt ?? error});
 				}
 			}
 		};
@@ -55,4 +55,9 @@
 		void start();
 		void repeat();
 	});
+	if ('error' in settled) {
+		throw settled.error;
+	}
+
+	return settled.value;
 }
