--- a/packages/workflows/src/table-keys.ts
+++ b/packages/workflows/src/table-keys.ts
@@ -12,7 +12,7 @@
 const jobTableCount = 64;
 
 /** Number of partitions of a service's submitted jobs: a partition commits transactions one at a time, so entries would wait for each other at a slow store. */
-const submissionPartitionCount = 8;
+const submissionPartitionCount = 32;
 
 /** Role of the scheduler lease, and partition of its rows. */
 export const schedulerRole = 'scheduler';
--- a/packages/workflows/tests/job-submitters.test.ts
+++ b/packages/workflows/tests/job-submitters.test.ts
@@ -228,6 +228,61 @@
 	}
 });
 
+type EntryLoad = {readonly name: string; readonly entries: number; readonly jobsPerS: number; readonly minAcceptedShare: number};
+
+const entryLoads: readonly EntryLoad[] = [
+	{
+		name: 'a few entries', entries: 9, jobsPerS: 20, minAcceptedShare: 0.95,
+	},
+	{
+		name: 'a hundred entries', entries: 97, jobsPerS: 60, minAcceptedShare: 0.9,
+	},
+];
+
+for (const {name, entries, jobsPerS, minAcceptedShare} of entryLoads) {
+	test(`a store sixty times slower takes the jobs of ${name} while their callers wait`, async t => {
+		const clock = ManualClock.create();
+		const tables = MemoryTableService.create(clock);
+		const commit = tables.commit.bind(tables);
+		const transactionMs = 400;
+		const maxWaitMs = 1000;
+		const freeAt = new Map<string, number>();
+		// Each partition commits one transaction at a time, and turns away what would wait for longer than a second.
+		tables.commit = async (transaction: Transaction): Promise<CommitOutcome> => {
+			const partition = transaction.writes[0]!.partition!;
+			const now = clock.readMonotonic();
+			const startsAt = Math.max(now, freeAt.get(partition) ?? 0);
+			if (startsAt - now > maxWaitMs) {
+				throw new VerdictError('too many wait', {verdict: 'not-run', code: platformBusyCode});
+			}
+
+			freeAt.set(partition, startsAt + transactionMs);
+			await clock.sleep(startsAt + transactionMs - now);
+			return commit(transaction);
+		};
+
+		const log = RateLimitedLog.create(Log.createSilent(), clock);
+		const submitters = Array.from({length: entries}, () => JobSubmitter.create({clock, tables, log}));
+		const seconds = 4;
+		const count = jobsPerS * seconds;
+		const callerWaitMs = 2250;
+		let acceptedInTime = 0;
+		const submit = async (index: number): Promise<void> => {
+			const sentAt = clock.readMonotonic();
+			const outcome = await submitters[(index * 31) % entries]!.submit(createJob((index * 2_654_435_761).toString(16).padStart(16, '0')));
+			acceptedInTime += outcome === 'accepted' && clock.readMonotonic() - sentAt <= callerWaitMs ? 1 : 0;
+		};
+
+		for (let index = 0; index < count; index++) {
+			void submit(index);
+			await clock.advance(1000 / jobsPerS);
+		}
+
+		await clock.advance(6000);
+		t.true(acceptedInTime >= count * minAcceptedShare, `${acceptedInTime} of ${count} jobs were accepted in time`);
+	});
+}
+
 test('while the outcome of a transaction is in doubt, unsent jobs are refused immediately', async t => {
 	const clock = ManualClock.create();
 	const tables = MemoryTableService.create(clock);
