--- a/packages/workflows/src/timings.ts
+++ b/packages/workflows/src/timings.ts
@@ -22,7 +22,7 @@
 	readonly schedulerWatchMs: number;
 	/** Interval at which the holder checks whether a renewal of the scheduler lease is due. */
 	readonly schedulerRefreshMs: number;
-	/** Time beyond the wait of a watch after which its request times out, so that a stalled connection is detected. */
+	/** Maximum time beyond the wait of a watch after which its request times out, so that a stalled connection is detected. */
 	readonly watchSlackMs: number;
 	/** Maximum wait of one watch on the operator's declarations. */
 	readonly declarationWatchMs: number;
@@ -38,7 +38,7 @@
 	readonly missingVmMs: number;
 	/** Time after which a moving VM counts as arrived or lost. */
 	readonly moveTimeoutMs: number;
-	/** Maximum wait for the tasks of a VM to finish before its maintenance, where the wave's duration allows it. */
+	/** Maximum wait for the tasks of a VM to finish before its maintenance. */
 	readonly drainTimeoutMs: number;
 	/** Time for which an ended worker incarnation is remembered. */
 	readonly endedIncarnationRetentionMs: number;
