--- a/packages/scheduling/src/sizing-plans.ts
+++ b/packages/scheduling/src/sizing-plans.ts
@@ -40,6 +40,8 @@
 	readonly minVms: number;
 	/** Minimum size of a pool as a share of an even split of the fleet, so that a demand peak does not begin with moves. */
 	readonly minShare: number;
+	/** Demand in VMs from which the expected demand counts: the few jobs of a small demand make it jump, and VMs requested for that stay idle. */
+	readonly minExpectedVms: number;
 	/** Idle time after which a VM may be switched off, in milliseconds: for shorter idle times a move costs more than it saves. */
 	readonly minSwitchOffIdleMs: number;
 	/** Idle time after which a VM may move to another pool, in milliseconds. */
@@ -47,7 +49,7 @@
 };
 
 export const defaultSizing: SizingOptions = {
-	packingShare: 0.85, reserveVms: 2, minVms: 5, minShare: 0.5, minSwitchOffIdleMs: 1500, minMoveIdleMs: 300,
+	packingShare: 0.85, reserveVms: 2, minVms: 5, minShare: 0.5, minExpectedVms: 25, minSwitchOffIdleMs: 1500, minMoveIdleMs: 300,
 };
 
 export type SizingMove = {readonly vm: VmId; readonly from: PoolName; readonly to: PoolName};
@@ -89,9 +91,11 @@
 	return moves;
 }
 
-function describePool(pool: SizedPool, {packingShare, reserveVms, minVms}: SizingOptions): PoolState {
-	const cpu = Math.max(1, ...pool.vms.map(vm => vm.cpu));
-	const needed = Math.max(minVms, pool.antiAffinityVms + 1, Math.ceil(Math.max(pool.usedCpu + pool.waitingCpu, pool.expectedCpu) / (cpu * packingShare)) + reserveVms);
+function describePool(pool: SizedPool, {packingShare, reserveVms, minVms, minExpectedVms}: SizingOptions): PoolState {
+	const packedCpu = Math.max(1, ...pool.vms.map(vm => vm.cpu)) * packingShare;
+	const demandCpu = pool.usedCpu + pool.waitingCpu;
+	const expectedCpu = demandCpu < minExpectedVms * packedCpu ? demandCpu : Math.max(demandCpu, pool.expectedCpu);
+	const needed = Math.max(minVms, pool.antiAffinityVms + 1, Math.ceil(expectedCpu / packedCpu) + reserveVms);
 	return {
 		pool,
 		surplus: pool.vms.length + pool.incoming - needed,
--- a/packages/scheduling/tests/sizing-plans.test.ts
+++ b/packages/scheduling/tests/sizing-plans.test.ts
@@ -31,6 +31,19 @@
 	{
 		name: 'a pool with waiting tasks gets spare VMs', pools: [createPool('north', {count: 8, usedCpu: 68_000, waitingCpu: 10_000}), spare], moves: Array.from({length: 3}, () => 'spare>north'),
 	},
+	{
+		name: 'a large pool gets VMs for the demand at the end of a move',
+		pools: [createPool('north', {
+			count: 32, usedCpu: 240_000, waitingCpu: 10_000, expectedCpu: 290_000,
+		}), createPool('spare', {count: 12, idle: 12, isSpare: true})],
+		moves: Array.from({length: 5}, () => 'spare>north'),
+	},
+	{
+		name: 'a small pool gets VMs only for what it uses and what waits',
+		pools: [createPool('north', {
+			count: 12, usedCpu: 80_000, waitingCpu: 5000, expectedCpu: 130_000,
+		}), createPool('spare', {count: 12, idle: 12, isSpare: true})], moves: [],
+	},
 	{
 		name: 'idle VMs of another pool are used before spare ones',
 		pools: [createPool('north', {count: 8, usedCpu: 68_000, waitingCpu: 2000}), createPool('south', {count: 8, idle: 8, idleMs: 500}), spare],
