--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -11,7 +11,7 @@
 } from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {
-	defaultBounds, computeTimings, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice,
+	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice,
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
@@ -223,6 +223,7 @@
 				advisor: new EmptyAdvisor(),
 				fleet: EmulatedFleetControl.create(fleet),
 				log,
+				meter: LoadMeter.create(clock),
 				holder: name,
 				cores: 1,
 				retentionMs,
--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -11,6 +11,7 @@
 import {type WaveRequest} from './configurations.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {FleetOrders} from './fleet-orders.js';
+import {type LoadMeter} from './load-meters.js';
 import {fleetOrdersKey} from './table-keys.js';
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
 import {type PoolScheduler} from './pool-schedulers.js';
@@ -26,6 +27,7 @@
 	readonly codec: DeclarationCodec;
 	readonly fleet: FleetControl;
 	readonly log: RateLimitedLog;
+	readonly meter: LoadMeter;
 	readonly holder: string;
 	readonly epoch: number;
 	readonly bounds: Bounds;
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -12,6 +12,7 @@
 import {AdviceCache} from './advice-caches.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {JobFeed, type JobChange} from './job-feeds.js';
+import {type LoadMeter} from './load-meters.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
 import {ProgressWriter} from './progress-writers.js';
 import {FillerThrottler} from './filler-throttlers.js';
@@ -29,6 +30,7 @@
 	readonly control: WorkerControl;
 	readonly advisor: PlacementAdvisor;
 	readonly log: RateLimitedLog;
+	readonly meter: LoadMeter;
 	readonly service: ServiceName;
 	readonly epoch: number;
 	readonly holder: string;
@@ -266,12 +268,14 @@
 
 	override async applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<boolean> {
 		const changed = new Set<ActiveJob>();
-		for (const end of listing.ends) {
-			this.#applyRunEnd(session, end, changed);
-		}
+		this.#options.meter.track('apply listing', () => {
+			for (const end of listing.ends) {
+				this.#applyRunEnd(session, end, changed);
+			}
 
-		this.#applyRuns(session, listing.running, sentAt, changed);
-		this.#fillerThrottler.update(session);
+			this.#applyRuns(session, listing.running, sentAt, changed);
+			this.#fillerThrottler.update(session);
+		});
 		this.#wake.set();
 		return this.#tryRecord(changed);
 	}
@@ -526,10 +530,12 @@
 			await Promise.race([this.#wake.wait(), clock.sleep(maxPlanIntervalMs)]);
 			await clock.sleep(minPlanIntervalMs);
 			try {
-				this.#handleTimeouts();
-				if (this.#options.canOrder() && !this.#isClosed) {
-					this.#plan();
-				}
+				this.#options.meter.track('plan', () => {
+					this.#handleTimeouts();
+					if (this.#options.canOrder() && !this.#isClosed) {
+						this.#plan();
+					}
+				});
 			} catch (error) {
 				log.warn('planning failed', {service: this.service, error: readErrorMessage(error), stack: error instanceof Error ? error.stack : undefined});
 			}
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -10,6 +10,7 @@
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type FleetOrders} from './fleet-orders.js';
 import {type DeclarationWatcher} from './declaration-watchers.js';
+import {type LoadMeter} from './load-meters.js';
 import {type PoolScheduler} from './pool-schedulers.js';
 import {type Timings} from './timings.js';
 import {type FleetControl, type OrderFence, type FleetVm} from './workers.js';
@@ -20,6 +21,7 @@
 	readonly declarations: DeclarationWatcher;
 	readonly fleet: FleetControl;
 	readonly log: RateLimitedLog;
+	readonly meter: LoadMeter;
 	readonly fence: OrderFence;
 	readonly orders: FleetOrders;
 	/** Rate limit of the VM control service for all entries together, in orders per second. */
@@ -55,9 +57,7 @@
 
 	/** Plans and orders moves for the current fleet; `isReserved` reports the VMs that a wave drains or has taken down. */
 	async update(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): Promise<void> {
-		this.#updateMoving(vms);
-		const pools = this.#describePools(vms, isReserved);
-		const moves = planSizes(pools).slice(0, this.#countOrders());
+		const {pools, moves} = this.#options.meter.track('size pools', () => this.#planMoves(vms, isReserved));
 		this.#logSizes(pools, moves);
 		if (moves.length === 0 || !await this.#options.orders.recordOrders(moves.map(({vm}) => vm))) {
 			return;
@@ -66,6 +66,12 @@
 		await Promise.all(moves.map(async move => this.#moveVm(move, vms)));
 	}
 
+	#planMoves(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): {readonly pools: SizedPool[]; readonly moves: SizingMove[]} {
+		this.#updateMoving(vms);
+		const pools = this.#describePools(vms, isReserved);
+		return {pools, moves: planSizes(pools).slice(0, this.#countOrders())};
+	}
+
 	/** Counts the orders that may be sent now without exceeding the rate limit; at least one. */
 	#countOrders(): number {
 		const now = this.#options.clock.readMonotonic();
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -8,6 +8,7 @@
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type Bounds} from './bounds.js';
 import {FleetMaintainer} from './fleet-maintainers.js';
+import {type LoadMeter} from './load-meters.js';
 import {schedulerRole} from './table-keys.js';
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
 import {PoolScheduler} from './pool-schedulers.js';
@@ -27,6 +28,7 @@
 	readonly advisor: PlacementAdvisor;
 	readonly fleet: FleetControl;
 	readonly log: RateLimitedLog;
+	readonly meter: LoadMeter;
 	/** Name of this entry, which identifies it as the holder. */
 	readonly holder: string;
 	/** CPU cores of this entry; entries with more cores acquire a vacant lease first. */
@@ -240,9 +242,11 @@
 		const epoch = this.#epoch;
 		const areAllOpen = (this.#options.declarations.configuration?.pools ?? []).every(({name}) => this.#pools.has(name));
 		const records = await this.#options.registry.watchWorkers(this.#isRegistryRead ? registryWaitMs : 1);
-		for (const pool of this.#pools.values()) {
-			pool.updateWorkers(records.filter(record => record.pool as string === pool.service as string));
-		}
+		this.#options.meter.track('update workers', () => {
+			for (const pool of this.#pools.values()) {
+				pool.updateWorkers(records.filter(record => record.pool as string === pool.service as string));
+			}
+		});
 
 		this.#isRegistryRead ||= areAllOpen && epoch !== undefined && epoch === this.#epoch;
 		await this.#endDeadWorkers();
