Send calls of the platform without a timer and an abort signal each

What callers saw: jobs of redraw classes late or unserved while orders went out late. Cause: the holder runs out of processor. Ruled out: entries that take submissions (none of them had a late event loop until the power loss at the end), and late sizing as the first cause (it comes after the utilization reaches 1). One call cost 0.30 ms of processor when warm: it made an abort signal with its listener, a timer that fired long after the response and then built an exception, and a response stream. Which requests count as sent is unchanged: the same cases pass. The new test failed before: 20 timers were left behind by 20 requests.

--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -2,10 +2,8 @@
  * HTTP connection pool to the platform, shared by the clients of its services.
  */
 import {VerdictError} from '@tamarackwind/core';
-import {Pool, type Dispatcher} from 'undici';
-import {
-	trackSends, waitForUnsentTimeout, type SendState, type TrackedOptions,
-} from './send-trackers.js';
+import {Pool} from 'undici';
+import {ResponseCollector} from './response-collectors.js';
 
 export type PlatformConnectionOptions = {
 	/** Base URL of the platform. */
@@ -41,7 +39,6 @@
 
 	readonly #url: string;
 	readonly #pool: Pool;
-	readonly #dispatcher: Dispatcher;
 	readonly #timeoutMs: number;
 	readonly #headers: Record<string, string>;
 
@@ -49,7 +46,6 @@
 		this.#url = url;
 		this.#timeoutMs = timeoutMs ?? defaultTimeoutMs;
 		this.#pool = new Pool(url, {connections: connectionLimit, pipelining: 1, connect: {timeout: this.#timeoutMs}});
-		this.#dispatcher = this.#pool.compose(trackSends);
 		this.#headers = token === undefined ? {} : {authorization: `Bearer ${token}`};
 	}
 
@@ -83,24 +79,20 @@
 	async request({method, path, json, bytes, headers, timeoutMs = this.#timeoutMs}: PlatformRequest): Promise<PlatformResponse> {
 		const isJson = json !== undefined;
 		const type = isJson ? {'content-type': 'application/json'} : {};
-		const sendState: SendState = {isSent: false};
-		const signal = AbortSignal.timeout(timeoutMs);
+		const collector = ResponseCollector.create(timeoutMs);
 		try {
-			const options: TrackedOptions & Dispatcher.RequestOptions = {
+			this.#pool.dispatch({
 				method,
 				path,
 				headers: {...this.#headers, ...type, ...headers},
 				body: isJson ? JSON.stringify(json) : bytes,
-				// The signal limits the whole request; the library's own timers are coarse and fire early.
+				// The collector limits the whole request; the library's own timers are coarse and fire early.
 				headersTimeout: 0,
 				bodyTimeout: 0,
-				signal,
-				sendState,
-			};
-			const response = await Promise.race([this.#dispatcher.request(options), waitForUnsentTimeout(signal, sendState)]);
-			return {status: response.statusCode, body: await response.body.bytes()};
+			}, collector);
+			return await collector.response;
 		} catch (error) {
-			throw new VerdictError(`platform at ${this.#url} did not answer ${method} ${path}`, {verdict: sendState.isSent ? 'may-have-run' : 'not-run', code: 'platform_unavailable', cause: error});
+			throw new VerdictError(`platform at ${this.#url} did not answer ${method} ${path}`, {verdict: collector.isSent ? 'may-have-run' : 'not-run', code: 'platform_unavailable', cause: error});
 		}
 	}
 }
--- /dev/null
+++ b/packages/clients/src/response-collectors.ts
@@ -0,0 +1,76 @@
+/**
+ * Collects the response to one request, with a limit on the whole request and the knowledge whether it was sent.
+ */
+import {type Dispatcher} from 'undici';
+
+export type CollectedResponse = {readonly status: number; readonly body: Uint8Array};
+
+/**
+ * Handler of one request. It holds a single timer, cleared with the response: a timer that stays behind would wake the process once for each
+ * completed request.
+ */
+export class ResponseCollector implements Dispatcher.DispatchHandler {
+	/** Creates a handler; the time limit starts now. */
+	static create(timeoutMs: number): ResponseCollector {
+		return new ResponseCollector(timeoutMs);
+	}
+
+	/** Resolves to the response; rejects when it fails or does not arrive in time. */
+	readonly response: Promise<CollectedResponse>;
+	readonly #timer: NodeJS.Timeout;
+	readonly #chunks: Uint8Array[] = [];
+	#resolve!: (response: CollectedResponse) => void;
+	#reject!: (error: Error) => void;
+	#controller: Dispatcher.DispatchController | undefined;
+	#timeoutError: Error | undefined;
+	#status = 0;
+
+	private constructor(timeoutMs: number) {
+		this.response = new Promise((resolve, reject) => {
+			this.#resolve = resolve;
+			this.#reject = reject;
+		});
+		this.#timer = setTimeout(() => {
+			this.#handleTimeout(timeoutMs);
+		}, timeoutMs);
+	}
+
+	/** Whether the bytes of the request may have left this process. */
+	get isSent(): boolean {
+		return this.#controller !== undefined;
+	}
+
+	/** Called immediately before the request is written to a connection; one that has timed out by then is not written. */
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (this.#timeoutError === undefined) {
+			this.#controller = controller;
+		} else {
+			controller.abort(this.#timeoutError);
+		}
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+		this.#status = status;
+	}
+
+	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		this.#chunks.push(chunk);
+	}
+
+	onResponseEnd(): void {
+		clearTimeout(this.#timer);
+		this.#resolve({status: this.#status, body: this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks)});
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+		clearTimeout(this.#timer);
+		this.#reject(error);
+	}
+
+	#handleTimeout(timeoutMs: number): void {
+		this.#timeoutError = new Error(`no response within ${timeoutMs} ms`);
+		this.#controller?.abort(this.#timeoutError);
+		// A request that is still queued for a connection has no controller yet.
+		this.#reject(this.#timeoutError);
+	}
+}
--- a/packages/clients/tests/connections.test.ts
+++ b/packages/clients/tests/connections.test.ts
@@ -1,3 +1,4 @@
+import {createHook} from 'node:async_hooks';
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Verdict, type VerdictError} from '@tamarackwind/core';
@@ -83,3 +84,41 @@
 	t.is(await readVerdict(connection.request(request)), 'not-run');
 	await connection.close();
 });
+
+test('requests that were answered leave no timers behind, each of which would wake the process once more', async t => {
+	const {url, server} = await openServer(response => {
+		response.end('{}');
+	});
+	const connection = PlatformConnection.create({url, timeoutMs: 60_000});
+	await connection.request(request);
+	const pendingTimers = new Set<number>();
+	const hook = createHook({
+		init(id, type) {
+			if (type === 'Timeout') {
+				pendingTimers.add(id);
+			}
+		},
+		destroy(id) {
+			pendingTimers.delete(id);
+		},
+	}).enable();
+	const countPendingTimers = async (): Promise<number> => {
+		for (let count = 0; count < 20; count++) {
+			await connection.request(request);
+		}
+
+		// Destroy hooks run after the current turn of the event loop.
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		return pendingTimers.size;
+	};
+
+	const before = await countPendingTimers();
+	const after = await countPendingTimers();
+	hook.disable();
+	t.true(after <= before, `${after - before} timers were left behind by 20 requests`);
+	await connection.close();
+	server.closeAllConnections();
+	server.close();
+});
