--- a/packages/clients/src/repeated-attempts.ts
+++ b/packages/clients/src/repeated-attempts.ts
@@ -1,7 +1,7 @@
 /**
  * Repeats a call whose response is overdue, without giving up on the earlier attempts.
  */
-import {VerdictError, type Clock} from '@tamarackwind/core';
+import {cancelledWait, VerdictError, type Clock} from '@tamarackwind/core';
 
 export type RepeatedAttemptsOptions<T> = {
 	readonly clock: Clock;
@@ -27,13 +27,13 @@
 			openAttempts++;
 			try {
 				resolve({value: await attempt()});
-				abort.abort();
+				abort.abort(cancelledWait);
 			} catch (error) {
 				const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
 				firstDoubt ??= isUnsent ? undefined : error;
 				openAttempts--;
 				if (openAttempts === 0) {
-					abort.abort();
+					abort.abort(cancelledWait);
 					resolve({error: firstDoubt ?? error});
 				}
 			}
--- a/packages/core/src/clocks.ts
+++ b/packages/core/src/clocks.ts
@@ -1,8 +1,6 @@
 /**
  * Clocks: the only source of time, replaceable in tests and simulations.
  */
-import {setTimeout as delay} from 'node:timers/promises';
-
 /** A source of time. */
 export abstract class Clock {
 	/** Returns the milliseconds since an arbitrary start; never decreases. */
@@ -52,13 +50,20 @@
 	}
 
 	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
-		try {
-			await delay(ms, undefined, {signal});
-		} catch (error) {
-			if (!signal?.aborted) {
-				throw error;
-			}
+		if (signal?.aborted) {
+			return;
 		}
+
+		await new Promise<void>(resolve => {
+			const wake = (): void => {
+				clearTimeout(timer);
+				signal?.removeEventListener('abort', wake);
+				resolve();
+			};
+
+			const timer = setTimeout(wake, ms);
+			signal?.addEventListener('abort', wake, {once: true});
+		});
 	}
 }
 
@@ -115,6 +120,11 @@
 		});
 	}
 
+	/** Number of timers that have not fired. */
+	get pendingTimerCount(): number {
+		return this.#timers.size;
+	}
+
 	/** Shifts the wall clock by `ms` milliseconds; the monotonic clock does not change. */
 	jumpWall(ms: number): void {
 		this.#wallOffset += ms;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,3 +6,4 @@
 export * from './loops.js';
 export * from './random-sources.js';
 export * from './verdicts.js';
+export * from './waits.js';
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -2,7 +2,7 @@
  * Schedules the jobs of one pool onto its workers, on the entry that holds the scheduler lease.
  */
 import {
-	readErrorMessage, type Clock, type JobId, type ServiceName, type VmId,
+	readErrorMessage, waitAtMost, type Clock, type JobId, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
 import {
@@ -527,7 +527,7 @@
 	async #run(): Promise<void> {
 		const {clock, log} = this.#options;
 		while (!this.#isClosed) {
-			await Promise.race([this.#wake.wait(), clock.sleep(maxPlanIntervalMs)]);
+			await waitAtMost(clock, this.#wake.wait(), maxPlanIntervalMs);
 			await clock.sleep(minPlanIntervalMs);
 			try {
 				this.#options.meter.track('plan', () => {
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -1,7 +1,7 @@
 /**
  * Maintains the session with one worker incarnation: a loop renews the worker's lease, lists its runs and passes each listing to the pool's scheduler.
  */
-import {readErrorMessage, type Clock} from '@tamarackwind/core';
+import {readErrorMessage, waitAtMost, type Clock} from '@tamarackwind/core';
 import {
 	addResources, getReservation, noResources, type Candidate, type Resources,
 } from '@tamarackwind/scheduling';
@@ -290,7 +290,7 @@
 		const durable = owner.applyListing(this, listing, sentAt);
 		const lastSequence = Math.max(this.#acknowledgedEnds, ...listing.ends.map(end => end.sequence));
 		if (lastSequence > this.#acknowledgedEnds) {
-			await Promise.race([this.#markAcknowledged(durable, lastSequence), clock.sleep(durableWaitMs)]);
+			await waitAtMost(clock, this.#markAcknowledged(durable, lastSequence), durableWaitMs);
 		}
 	}
 
