--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -14,7 +14,7 @@
 import {type LoadMeter} from './load-meters.js';
 import {fleetOrdersKey} from './table-keys.js';
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
-import {type PoolScheduler} from './pool-schedulers.js';
+import {findWorkerSession, type PoolScheduler} from './pool-schedulers.js';
 import {PoolSizer} from './pool-sizers.js';
 import {type Timings} from './timings.js';
 import {type FleetControl, type FleetVm} from './workers.js';
@@ -302,15 +302,7 @@
 	}
 
 	#findSession({worker}: FleetVm): WorkerSession | undefined {
-		for (const pool of this.#options.listPools()) {
-			for (const session of pool.sessions) {
-				if (session.record.id === worker) {
-					return session;
-				}
-			}
-		}
-
-		return undefined;
+		return findWorkerSession(this.#options.listPools(), worker);
 	}
 
 	/** Writes the wave's progress for the next holder and its state for the operator. */
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -146,6 +146,11 @@
 		return this.#sessions.values();
 	}
 
+	/** Finds the session with a worker of the pool. */
+	findWorkerSession(worker: VmId): WorkerSession | undefined {
+		return this.#sessions.get(worker);
+	}
+
 	/** Counts, by queue, the submitted jobs of which no task is known to have started. */
 	countWaitingJobs(): Map<string, number> {
 		const counts = new Map<string, number>();
@@ -719,6 +724,22 @@
 	}
 }
 
+/** Finds the session with a worker of any pool. */
+export function findWorkerSession(pools: Iterable<PoolScheduler>, worker: VmId | undefined): WorkerSession | undefined {
+	if (worker === undefined) {
+		return undefined;
+	}
+
+	for (const pool of pools) {
+		const session = pool.findWorkerSession(worker);
+		if (session !== undefined) {
+			return session;
+		}
+	}
+
+	return undefined;
+}
+
 function observeRun(task: Task, run: ListedRun, now: number): void {
 	task.job.hasBegun = true;
 	if (task.phase === 'starting') {
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -11,7 +11,7 @@
 import {type FleetOrders} from './fleet-orders.js';
 import {type DeclarationWatcher} from './declaration-watchers.js';
 import {type LoadMeter} from './load-meters.js';
-import {type PoolScheduler} from './pool-schedulers.js';
+import {findWorkerSession, type PoolScheduler} from './pool-schedulers.js';
 import {type Timings} from './timings.js';
 import {type FleetControl, type OrderFence, type FleetVm} from './workers.js';
 import {type WorkerSession} from './worker-sessions.js';
@@ -185,6 +185,6 @@
 	}
 
 	#findSession({worker}: FleetVm): WorkerSession | undefined {
-		return this.#options.listPools().flatMap(pool => [...pool.sessions]).find(session => session.record.id === worker);
+		return findWorkerSession(this.#options.listPools(), worker);
 	}
 }
