Judge leases and stalls ten times a second, and count a worker's tasks as they come

Times are judged every 100 ms now (the shortest is 3 s), and a session counts its serving and filling tasks when they are assigned.

--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -49,6 +49,8 @@
 
 /** Maximum interval between planning passes, in milliseconds: bounds the delay of time-driven work such as lease expiry and due times. */
 const maxPlanIntervalMs = 100;
+/** Minimum interval between checks of all runs and leases for time-driven changes, in milliseconds: the shortest time that they judge is 30 times longer. */
+const timeoutIntervalMs = 100;
 /** Minimum interval between planning passes, in milliseconds: batches run ends and submissions. */
 const minPlanIntervalMs = 15;
 /** Minimum time without progress after which a run counts as stalled, in milliseconds: spans several listings. */
@@ -100,6 +102,7 @@
 	/** Ended worker incarnations and the time at which each end was detected; the registry may still list them for some seconds. */
 	readonly #endedIncarnations = new Map<string, number>();
 	readonly #wake = Signal.create();
+	#timeoutsHandledAt = Number.NEGATIVE_INFINITY;
 	#isClosed = false;
 
 	private constructor(options: PoolSchedulerOptions) {
@@ -541,7 +544,7 @@
 			await clock.sleep(minPlanIntervalMs);
 			try {
 				this.#options.meter.track('plan', () => {
-					this.#handleTimeouts();
+					this.#handleTimeoutsIfDue();
 					if (this.#options.canOrder() && !this.#isClosed) {
 						this.#plan();
 					}
@@ -552,6 +555,14 @@
 		}
 	}
 
+	#handleTimeoutsIfDue(): void {
+		const now = this.#options.clock.readMonotonic();
+		if (now - this.#timeoutsHandledAt >= timeoutIntervalMs) {
+			this.#timeoutsHandledAt = now;
+			this.#handleTimeouts();
+		}
+	}
+
 	/** Handles time-driven changes: expired leases, stalled runs and removal of ended jobs. */
 	#handleTimeouts(): void {
 		const now = this.#options.clock.readMonotonic();
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -60,6 +60,8 @@
 	readonly #tasks = new Set<Task>();
 	/** Resources that the assigned tasks reserve. */
 	#reserved: Resources = noResources;
+	#servingTasks = 0;
+	#fillerTasks = 0;
 	/** Listed runs that belong to no assigned task; they are being stopped. */
 	readonly unknownRuns = new Map<string, RunKey>();
 	readonly #options: WorkerSessionOptions;
@@ -128,13 +130,6 @@
 
 	/** Describes the worker as a placement candidate. */
 	describeCandidate(now: number): Candidate & {readonly session: WorkerSession} {
-		let servingTasks = 0;
-		let fillerTasks = 0;
-		for (const {spec} of this.#tasks) {
-			servingTasks += spec.targetMs === undefined ? 0 : 1;
-			fillerTasks += spec.isFiller ? 1 : 0;
-		}
-
 		return {
 			session: this,
 			id: this.record.id,
@@ -143,8 +138,8 @@
 			capacity: this.record.capacity,
 			free: this.free,
 			suspicion: this.health.computeSuspicion(now),
-			servingTasks,
-			fillerTasks,
+			servingTasks: this.#servingTasks,
+			fillerTasks: this.#fillerTasks,
 		};
 	}
 
@@ -184,14 +179,14 @@
 	addTask(task: Task): void {
 		if (!this.#tasks.has(task)) {
 			this.#tasks.add(task);
-			this.#reserved = addResources(this.#reserved, getReservation(task.spec));
+			this.#countTask(task, 1);
 		}
 	}
 
 	/** Unassigns a task and frees its resources. */
 	removeTask(task: Task): void {
 		if (this.#tasks.delete(task)) {
-			this.#reserved = addResources(this.#reserved, getReservation(task.spec), -1);
+			this.#countTask(task, -1);
 		}
 
 		this.#idleSince = this.#options.clock.readMonotonic();
@@ -218,6 +213,12 @@
 		this.#wake.set();
 	}
 
+	#countTask({spec}: Task, sign: 1 | -1): void {
+		this.#reserved = addResources(this.#reserved, getReservation(spec), sign);
+		this.#servingTasks += spec.targetMs === undefined ? 0 : sign;
+		this.#fillerTasks += spec.isFiller ? sign : 0;
+	}
+
 	get #isBusy(): boolean {
 		return !this.#isListed || this.tasks.size > 0 || this.unknownRuns.size > 0;
 	}
