Keep connections to workers, and open fewer of them

A call over a new connection took 1.2 to 1.7 ms of processor against 0.6 over a kept one (both ends in one process, 300 pools).

--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -30,6 +30,8 @@
 
 const defaultTimeoutMs = 2000;
 const defaultConnectionLimit = 16;
+/** Time after which an idle connection is closed, in milliseconds: longer than a worker is usually without work, since opening a connection costs several calls. */
+const idleConnectionMs = 30_000;
 
 /** Sends requests to the platform and converts failures to `VerdictError`s. */
 export class PlatformConnection {
@@ -45,7 +47,9 @@
 	private constructor({url, token, timeoutMs, connectionLimit = defaultConnectionLimit}: PlatformConnectionOptions) {
 		this.#url = url;
 		this.#timeoutMs = timeoutMs ?? defaultTimeoutMs;
-		this.#pool = new Pool(url, {connections: connectionLimit, pipelining: 1, connect: {timeout: this.#timeoutMs}});
+		this.#pool = new Pool(url, {
+			connections: connectionLimit, pipelining: 1, keepAliveTimeout: idleConnectionMs, connect: {timeout: this.#timeoutMs},
+		});
 		this.#headers = token === undefined ? {} : {authorization: `Bearer ${token}`};
 	}
 
