Give up tasks under which workers keep crashing

Cause (hypothesis 1): a run that is lost with its worker counted towards nothing, since attempts count ends that workers list. Hypothesis 2 is ruled out: there was no count that a takeover could lose, and the break at 6.5 s comes before the kill at 12 s. Hypothesis 3 adds to it: all tasks of the worker were placed together again at once. Now the crash of a worker counts against its runs that it is not known to have survived for 0.3 s (or all batch runs, if there are none), not against those on a VM that was ordered down or a worker that drained. The count is part of a task's progress, which is durable before its next start, so it survives a takeover. A task is given up after two crashes if it was the only suspect of the last, else after three; two suspects never start on one worker together, they go to the emptiest, and others avoid it until they are proven. A lease that ran out counts only if the worker turns out to have crashed.

--- a/packages/scheduling/src/models.ts
+++ b/packages/scheduling/src/models.ts
@@ -87,6 +87,8 @@
 	readonly servingTasks: number;
 	/** Number of filler tasks on the worker. */
 	readonly fillerTasks: number;
+	/** Whether the worker just started a task under which another worker has crashed. */
+	readonly hasSuspect: boolean;
 };
 
 export const noResources: Resources = {cpu: 0, memory: 0, gpu: 0};
--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -18,6 +18,9 @@
 /** Cost of each task of the same long-running step on a worker, in the same unit: the loss of one worker should affect only one of them. */
 const spreadCost = 4;
 
+/** Cost of a worker that just started a task under which another has crashed, in the same unit; below the cost of distance, as the risk lasts shortly. */
+const suspectCost = 1.5;
+
 /** Number of a step's tasks on each worker. */
 export type StepOccupancy = ReadonlyMap<string, number>;
 
@@ -33,19 +36,21 @@
  * @example
  * const worker = chooseWorker({step, candidates, occupancy: new Map([['vm-1', 2]])});
  */
-export function chooseWorker<T extends Candidate>({step, candidates, occupancy}: {
+export function chooseWorker<T extends Candidate>({step, candidates, occupancy, isSuspect = false}: {
 	readonly step: StepSpec;
 	readonly candidates: readonly T[];
 	readonly occupancy: StepOccupancy;
+	/** Whether a worker has crashed under the task. It then goes to the emptiest worker, and two such tasks never start on one worker together. */
+	readonly isSuspect?: boolean;
 }): T | undefined {
 	const required = getReservation(step);
 	let best: T | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
 		const isPossible = isWithin(required, candidate.free) && isEligible(candidate, step)
-			&& (occupancy.get(candidate.id) ?? 0) < (step.antiAffinity ?? Number.POSITIVE_INFINITY);
+			&& (occupancy.get(candidate.id) ?? 0) < (step.antiAffinity ?? Number.POSITIVE_INFINITY) && !(isSuspect && candidate.hasSuspect);
 		const spreadPenalty = step.isLongRunning ? (occupancy.get(candidate.id) ?? 0) * spreadCost : 0;
-		const cost = isPossible ? computeCost(candidate, step, required) + spreadPenalty : Number.POSITIVE_INFINITY;
+		const cost = isPossible ? computeCost(candidate, step, required, isSuspect) + spreadPenalty : Number.POSITIVE_INFINITY;
 		if (cost < bestCost) {
 			best = candidate;
 			bestCost = cost;
@@ -87,10 +92,12 @@
 	return plan;
 }
 
-function computeCost(candidate: Candidate, step: StepSpec, required: Resources): number {
+function computeCost(candidate: Candidate, step: StepSpec, required: Resources, isSuspect: boolean): number {
 	const freeShare = (candidate.free.cpu - required.cpu) / Math.max(1, candidate.capacity.cpu);
+	const load = isSuspect ? -freeShare : freeShare;
+	const risk = candidate.hasSuspect ? suspectCost : 0;
 	const distance = step.affinity !== undefined && !candidate.labels.includes(step.affinity) ? remoteCost : 0;
 	const interference = step.isFiller ? candidate.servingTasks * interferenceCost : 0;
 	const fillerLoad = step.targetMs === undefined ? 0 : candidate.fillerTasks * interferenceCost;
-	return freeShare + distance + interference + fillerLoad + (candidate.suspicion >= suspicionLimit ? suspicionCost * candidate.suspicion : 0);
+	return load + risk + distance + interference + fillerLoad + (candidate.suspicion >= suspicionLimit ? suspicionCost * candidate.suspicion : 0);
 }
--- a/packages/scheduling/tests/placements.test.ts
+++ b/packages/scheduling/tests/placements.test.ts
@@ -14,6 +14,7 @@
 		suspicion: 0,
 		servingTasks: 0,
 		fillerTasks: 0,
+		hasSuspect: false,
 		...fields,
 	};
 }
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -15,7 +15,7 @@
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
-	EmulatedFleet, EmulatedFleetControl, EmulatedRegistry, EmulatedWorkerControl, sparePool,
+	EmulatedFleet, EmulatedFleetControl, EmulatedRegistry, EmulatedWorkerControl, sparePool, type EmulatedJob,
 } from './emulated-workers.js';
 import {SimulatedClock} from './simulated-clocks.js';
 
@@ -237,7 +237,7 @@
 	}
 
 	/** Submits a job to random entries as a client does, in at most 5 attempts; marks it as refused if every attempt was refused. */
-	async submit(steps: readonly StepSpec[], durationMs: number, failingTasks: ReadonlySet<string> = new Set()): Promise<JobId> {
+	async submit(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set()}: Partial<Pick<EmulatedJob, 'failingTasks' | 'crashingTasks'>> = {}): Promise<JobId> {
 		const id = this.random.createToken().slice(0, 16) as JobId;
 		const service = this.random.pickItem(this.#pools.filter(([name]) => name !== sparePool))![0] as ServiceName;
 		const job: Job = {
@@ -251,7 +251,9 @@
 				priority: 0, maxAttempts: 3, slackFactor: 2, targetLatencyMs: 600,
 			},
 		};
-		this.fleet.jobs.set(id, {job, durationMs, failingTasks});
+		this.fleet.jobs.set(id, {
+			job, durationMs, failingTasks, crashingTasks,
+		});
 		let hasOnlyRefusals = true;
 		for (let attempt = 0; attempt < 5; attempt++) {
 			const outcome = await this.#trySubmit(job);
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -16,10 +16,23 @@
 /** Step, duration and outcome of an emulated task. */
 export type EmulatedTask = {readonly step: StepSpec; readonly durationMs: number; readonly isFailing: boolean};
 
+export type EmulatedJob = {
+	readonly job: Job;
+	readonly durationMs: number;
+	/** Runs that fail, as `STEP.INDEX.RUN`. */
+	readonly failingTasks: ReadonlySet<string>;
+	/** Tasks that crash each worker that starts them, as `STEP.INDEX`. */
+	readonly crashingTasks: ReadonlySet<string>;
+};
+
 type EmulatedRun = {readonly key: RunKey; readonly startedAt: number; readonly task: EmulatedTask; isStopping: boolean};
 
 const capacity: Resources = {cpu: 8000, memory: 32_000, gpu: 0};
 const stopDelayMs = 300;
+/** Time from the start of a crashing task to the crash of its worker, and from there to its restart, in milliseconds. */
+const crash = {delayMs: 10, downtimeMs: 3000};
+/** Crashes under one task, and later starts of it, from which the crash budget is broken. */
+const crashBudget = {crashes: 3, startsAfter: 3};
 /** Pool whose VMs are switched off. */
 export const sparePool = 'spare' as PoolName;
 const percentScale = 100;
@@ -92,10 +105,10 @@
 
 	readonly violations: string[] = [];
 	readonly counts = {
-		starts: 0, done: 0, failed: 0, lapsed: 0, lateOrders: 0, lostResponses: 0, maintenances: 0, moves: 0,
+		starts: 0, done: 0, failed: 0, lapsed: 0, lateOrders: 0, lostResponses: 0, maintenances: 0, moves: 0, crashes: 0,
 	};
 
-	readonly jobs = new Map<JobId, {readonly job: Job; readonly durationMs: number; readonly failingTasks: ReadonlySet<string>}>();
+	readonly jobs = new Map<JobId, EmulatedJob>();
 	/** Times at which the cancellations of jobs were acknowledged. */
 	readonly cancelledAt = new Map<JobId, number>();
 	/** Jobs whose cancellation was requested; disruption budgets no longer protect their tasks. */
@@ -110,6 +123,8 @@
 	readonly #acknowledgedTasks = new Set<string>();
 	readonly #doneAt = new Map<string, number>();
 	readonly #failures = new Map<string, number>();
+	/** Number of workers that crashed under each task, and of its starts after the crashes that the budget allows. */
+	readonly #crashes = new Map<string, {crashes: number; startsAfter: number}>();
 	/** Time at which each task last stopped running, and whether an order ended it. */
 	readonly #unavailableSince = new Map<string, {readonly at: number; readonly isPlanned: boolean}>();
 	/** Ended workers that the registry still lists, with the time at which it removes them. */
@@ -313,6 +328,10 @@
 		};
 		incarnation.runs.set(name, run);
 		this.#scheduleEnd(incarnation, run);
+		if (this.jobs.get(order.key.job)!.crashingTasks.has(`${order.key.step}.${order.key.index}`)) {
+			this.#scheduleCrash(incarnation, name);
+		}
+
 		return {status: 'started'};
 	}
 
@@ -479,8 +498,28 @@
 		});
 	}
 
+	#scheduleCrash(incarnation: EmulatedIncarnation, name: string): void {
+		const vm = this.#vms.find(other => other.incarnation === incarnation)!;
+		this.#options.clock.schedule(crash.delayMs, () => {
+			if (!incarnation.isEnded) {
+				const {crashes, startsAfter} = this.#crashes.get(name) ?? {crashes: 0, startsAfter: 0};
+				this.#crashes.set(name, {crashes: crashes + 1, startsAfter});
+				this.counts.crashes++;
+				this.crashVm(vm.id, crash.downtimeMs);
+			}
+		});
+	}
+
 	#checkStart(key: RunKey, now: number): void {
 		const name = formatTask(key);
+		const crashed = this.#crashes.get(name);
+		if (crashed !== undefined && crashed.crashes >= crashBudget.crashes) {
+			crashed.startsAfter++;
+			if (crashed.startsAfter === crashBudget.startsAfter) {
+				this.violations.push(`${Math.round(now)}: ${name} is started ${crashed.startsAfter} times after ${crashed.crashes} workers crashed under it`);
+			}
+		}
+
 		const {job} = this.jobs.get(key.job)!;
 		if (this.#vms.some(vm => vm.incarnation?.runs.has(name))) {
 			this.violations.push(`${Math.round(now)}: ${name} has two concurrent runs`);
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -105,7 +105,7 @@
 			count: 1 + random.pickIndex(4), after: index === 0 ? [] : [index - 1], isGang: random.readFraction() < 0.1,
 		}));
 	const failingTasks = new Set(random.readFraction() < 0.15 ? ['0.0.1'] : []);
-	const id = await system.submit(steps, 300 + random.pickIndex(1500), failingTasks);
+	const id = await system.submit(steps, 300 + random.pickIndex(1500), {failingTasks});
 	if (random.readFraction() < 0.15) {
 		clock.schedule(random.readFraction() * 4000, () => {
 			void system.cancel(id);
--- /dev/null
+++ b/packages/testing/tests/crash-budgets.test.ts
@@ -0,0 +1,92 @@
+import {type JobId} from '@tamarackwind/core';
+import test from 'ava';
+import {createStep, EmulatedSystem} from '../src/index.js';
+
+type Case = {
+	readonly name: string;
+	/** Disturbs the system while the crashing task is retried. */
+	readonly disturb: (system: EmulatedSystem) => void;
+};
+
+const warmUpMs = 4000;
+const disturbedAfterMs = 1200;
+const observationMs = 30_000;
+const pools = [['north', 8], ['spare', 2]] as const;
+
+const cases: readonly Case[] = [
+	{name: 'without another fault', disturb() {}},
+	{
+		name: 'and the holder is killed', disturb(system) {
+			system.killEntry(system.holder ?? system.entries[0]!);
+			system.startEntry();
+		},
+	},
+	{
+		name: 'and the store is away for 3 s', disturb({entries, clock}) {
+			for (const {tables} of entries) {
+				tables.faults.isDown = true;
+			}
+
+			clock.schedule(3000, () => {
+				for (const {tables} of entries) {
+					tables.faults.isDown = false;
+				}
+			});
+		},
+	},
+	{
+		name: 'and orders are lost', disturb({fleet, clock}) {
+			fleet.orderFaults = {lostResponseRate: 0.3, lateRate: 0};
+			clock.schedule(3000, () => {
+				fleet.orderFaults = {lostResponseRate: 0, lateRate: 0};
+			});
+		},
+	},
+];
+
+async function submitAll(system: EmulatedSystem, jobs: ReadonlyArray<Promise<JobId>>): Promise<JobId[]> {
+	const submissions = Promise.all(jobs);
+	await system.clock.run(500);
+	return submissions;
+}
+
+for (const {name, disturb} of cases) {
+	test(`a task that crashes each worker that starts it is given up ${name}, and the jobs beside it are done`, async t => {
+		for (const seed of [1, 2, 3]) {
+			const system = await EmulatedSystem.create({seed, pools});
+			await system.clock.run(warmUpMs);
+			const [crashing, ...others] = await submitAll(system, [
+				system.submit([createStep({count: 4})], 800, {crashingTasks: new Set(['0.1'])}),
+				...Array.from({length: 4}, async () => system.submit([createStep({count: 6})], 800)),
+				system.submit([createStep({count: 5, isLongRunning: true, mayMiss: 5})], 500),
+			]);
+			const lasting = others.pop()!;
+			await system.clock.run(disturbedAfterMs);
+			disturb(system);
+			await system.clock.run(observationMs);
+			const states = Promise.all([crashing!, ...others].map(async id => system.getState(id)));
+			await system.clock.run(500);
+			t.deepEqual(system.fleet.violations, []);
+			t.deepEqual(await states, ['failed', ...others.map(() => 'succeeded')], `seed ${seed}`);
+			t.is(system.fleet.countRunning(lasting), 5);
+		}
+	});
+}
+
+test('crashes of workers for other reasons do not use up the budget of the tasks on them', async t => {
+	const system = await EmulatedSystem.create({seed: 5, pools});
+	await system.clock.run(warmUpMs);
+	const jobs = await submitAll(system, Array.from({length: 5}, async () => system.submit([createStep({count: 6})], 1500)));
+	for (let round = 0; round < 2; round++) {
+		for (const {id} of system.fleet.vms.slice(0, 4)) {
+			system.fleet.crashVm(id, 1500);
+		}
+
+		await system.clock.run(3500);
+	}
+
+	await system.clock.run(observationMs);
+	const states = Promise.all(jobs.map(async id => system.getState(id)));
+	await system.clock.run(500);
+	t.deepEqual(await states, jobs.map(() => 'succeeded'));
+});
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -28,6 +28,10 @@
 	run = 0;
 	/** Number of failed runs. */
 	failures = 0;
+	/** Number of workers that crashed while a run of the task may have been the cause. */
+	crashes = 0;
+	/** Whether the task gets no further start because workers crash under it. */
+	isGivenUp = false;
 	checkpoint = '';
 	/** Worker incarnation to which the last run was assigned; `undefined` once that run is known to have ended. */
 	incarnation: WorkerIncarnation | undefined;
@@ -201,7 +205,7 @@
 		const {maxAttempts} = job.policy;
 		if (this.isCancelled) {
 			this.state = 'cancelled';
-		} else if (tasks.some(task => !task.spec.isLongRunning && task.phase !== 'done' && task.failures >= maxAttempts)) {
+		} else if (tasks.some(task => task.isGivenUp || (!task.spec.isLongRunning && task.phase !== 'done' && task.failures >= maxAttempts))) {
 			this.state = 'failed';
 		} else if (this.#occurrences.size === (job.schedule?.repetitions ?? 1) && tasks.every(task => task.phase === 'done')) {
 			this.state = 'succeeded';
@@ -257,7 +261,7 @@
 
 function encodeOpenTask(task: Task): ProgressRow['steps'][number]['open'][number] {
 	const {incarnation} = task;
-	return [task.index, task.run, task.failures, incarnation?.id ?? '', incarnation?.startedAt ?? 0, task.checkpoint];
+	return [task.index, task.run, task.failures, incarnation?.id ?? '', incarnation?.startedAt ?? 0, task.checkpoint, task.crashes];
 }
 
 function restoreDoneTask(task: Task | undefined): void {
@@ -271,6 +275,7 @@
 	if (task !== undefined) {
 		task.run = open.run;
 		task.failures = open.failures;
+		task.crashes = open.crashes;
 		task.checkpoint = open.checkpoint;
 		task.incarnation = open.incarnation;
 		task.phase = open.incarnation === undefined ? 'waiting' : 'starting';
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -13,6 +13,7 @@
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {JobFeed, type JobChange} from './job-feeds.js';
 import {type LoadMeter} from './load-meters.js';
+import {listSuspects, recordCrash} from './crash-budgets.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
 import {ProgressWriter} from './progress-writers.js';
 import {FillerThrottler} from './filler-throttlers.js';
@@ -274,7 +275,7 @@
 
 		for (const task of this.#orphans) {
 			if (task.incarnation !== undefined && deadWorkers.has(task.incarnation.id)) {
-				this.#releaseOrphan(task);
+				this.#releaseCrashedOrphan(task);
 			}
 		}
 	}
@@ -293,19 +294,35 @@
 		return this.#tryRecord(changed);
 	}
 
-	override endIncarnation(session: WorkerSession, reason: string): void {
+	override endIncarnation(session: WorkerSession, reason: string, isOrdered = false): void {
 		const {log} = this.#options;
 		log.info('worker life ended', {worker: session.name, reason, tasks: session.tasks.size});
 		this.#endedIncarnations.set(session.name, this.#options.clock.readMonotonic());
 		const changed = new Set<ActiveJob>();
+		const suspects = isOrdered || session.record.isDraining ? [] : [...listSuspects(session.tasks, session.listedAt), ...session.suspectsAtExpiry];
+		this.#recordCrash(suspects, session.name);
 		for (const task of session.tasks) {
 			this.#releaseTask(task, changed);
 		}
 
 		this.#closeSession(session);
+		for (const active of new Set([...changed, ...suspects.map(task => task.job)])) {
+			this.#updateState(active, changed);
+		}
+
 		this.#record(changed);
 	}
 
+	/** Counts the crash of a worker against the tasks that may have caused it. */
+	#recordCrash(suspects: readonly Task[], worker: string): void {
+		recordCrash(suspects);
+		for (const task of suspects) {
+			this.#options.log.info('run lost with its worker', {
+				job: task.job.job.id, task: task.name, run: task.run, worker, crashes: task.crashes, isGivenUp: task.isGivenUp,
+			});
+		}
+	}
+
 	override handleFenced(session: WorkerSession): void {
 		this.#options.log.warn('worker rejected the fencing token; a later holder is active', {worker: session.name, epoch: this.fencingToken});
 	}
@@ -333,7 +350,7 @@
 				this.#orphans.delete(task);
 				session.addTask(task);
 			} else if (task.incarnation?.id === record.id) {
-				this.#releaseOrphan(task);
+				this.#releaseCrashedOrphan(task);
 			}
 		}
 	}
@@ -351,6 +368,18 @@
 		this.#wake.set();
 	}
 
+	/** Releases a task whose worker ended before this holder heard of it; whether it had proven harmless there is unknown. */
+	#releaseCrashedOrphan(task: Task): void {
+		const changed = new Set<ActiveJob>();
+		if (!task.spec.isLongRunning && task.incarnation !== undefined) {
+			this.#recordCrash([task], formatIncarnation(task.incarnation));
+		}
+
+		this.#releaseOrphan(task);
+		this.#updateState(task.job, changed);
+		this.#record(changed);
+	}
+
 	#applyChanges(changes: readonly JobChange[]): void {
 		const {clock, log} = this.#options;
 		for (const change of changes) {
@@ -600,6 +629,8 @@
 	#expireLease(session: WorkerSession, changed: Set<ActiveJob>): void {
 		if (session.tasks.size > 0) {
 			this.#options.log.info('lease lapsed', {worker: session.name, tasks: session.tasks.size});
+			// The worker may be cut off rather than crashed; that shows once it answers again or its VM is found down.
+			session.suspectsAtExpiry = listSuspects(session.tasks, session.listedAt);
 		}
 
 		for (const task of session.tasks) {
@@ -683,7 +714,9 @@
 
 		const placed: Task[] = [];
 		for (const task of waiting) {
-			const choice = chooseWorker({step: step.spec, candidates: allowed, occupancy: step.occupancy});
+			const choice = chooseWorker({
+				step: step.spec, candidates: allowed, occupancy: step.occupancy, isSuspect: task.crashes > 0,
+			});
 			if (choice === undefined) {
 				break;
 			}
@@ -717,7 +750,7 @@
 		session.addTask(task);
 		const index = candidates.findIndex(candidate => candidate.id === choice.id);
 		const free: Resources = addResources(candidates[index]!.free, getReservation(task.spec), -1);
-		candidates[index] = {...candidates[index]!, free};
+		candidates[index] = {...candidates[index]!, free, hasSuspect: candidates[index]!.hasSuspect || task.crashes > 0};
 	}
 
 	async #startRuns(tasks: readonly Task[]): Promise<void> {
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -68,9 +68,9 @@
 }
 
 /** A task that was started and is not done. */
-const openTaskSchema = z.tuple([z.int(), z.int(), z.int(), z.string(), z.number(), z.string()])
-	.transform(([index, run, failures, worker, startedAt, checkpoint]) => ({
-		index, run, failures, checkpoint, incarnation: worker === '' ? undefined : {id: worker as VmId, startedAt},
+const openTaskSchema = z.tuple([z.int(), z.int(), z.int(), z.string(), z.number(), z.string(), z.int().optional()])
+	.transform(([index, run, failures, worker, startedAt, checkpoint, crashes = 0]) => ({
+		index, run, failures, crashes, checkpoint, incarnation: worker === '' ? undefined : {id: worker as VmId, startedAt},
 	}));
 
 const stepProgressSchema = z.object({
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -6,6 +6,7 @@
 	addResources, getReservation, noResources, type Candidate, type Resources,
 } from '@tamarackwind/scheduling';
 import {type Task} from './active-jobs.js';
+import {isUnproven} from './crash-budgets.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {formatIncarnation, type RunKey} from './jobs.js';
 import {Signal} from './signals.js';
@@ -28,8 +29,8 @@
 	abstract get isRenewalAllowed(): boolean;
 	/** Applies a listing; resolves to whether all run ends in it are durable. */
 	abstract applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<boolean>;
-	/** Handles the end of the worker's incarnation. */
-	abstract endIncarnation(session: WorkerSession, reason: string): void;
+	/** Handles the end of the worker's incarnation, by an order to its VM or for an unknown cause. */
+	abstract endIncarnation(session: WorkerSession, reason: string, isOrdered?: boolean): void;
 	/** Handles a call that the worker rejected because a later holder has fenced this one off. */
 	abstract handleFenced(session: WorkerSession): void;
 }
@@ -60,6 +61,10 @@
 	readonly #tasks = new Set<Task>();
 	/** Resources that the assigned tasks reserve. */
 	#reserved: Resources = noResources;
+	/** Assigned tasks under which another worker has crashed. */
+	readonly #suspects = new Set<Task>();
+	/** Tasks that may have caused the loss of the worker if it turns out to have crashed before its lease expired. */
+	suspectsAtExpiry: readonly Task[] = [];
 	#servingTasks = 0;
 	#fillerTasks = 0;
 	/** Listed runs that belong to no assigned task; they are being stopped. */
@@ -140,6 +145,7 @@
 			suspicion: this.health.computeSuspicion(now),
 			servingTasks: this.#servingTasks,
 			fillerTasks: this.#fillerTasks,
+			hasSuspect: this.#hasUnprovenSuspect,
 		};
 	}
 
@@ -179,6 +185,10 @@
 	addTask(task: Task): void {
 		if (!this.#tasks.has(task)) {
 			this.#tasks.add(task);
+			if (task.crashes > 0) {
+				this.#suspects.add(task);
+			}
+
 			this.#countTask(task, 1);
 		}
 	}
@@ -186,6 +196,7 @@
 	/** Unassigns a task and frees its resources. */
 	removeTask(task: Task): void {
 		if (this.#tasks.delete(task)) {
+			this.#suspects.delete(task);
 			this.#countTask(task, -1);
 		}
 
@@ -204,7 +215,7 @@
 
 	/** Ends the incarnation after an order to the VM has terminated the worker. */
 	endByVmOrder(reason: string): void {
-		this.#options.owner.endIncarnation(this, reason);
+		this.#options.owner.endIncarnation(this, reason, true);
 	}
 
 	/** Ends the loop; runs on the worker continue. */
@@ -213,6 +224,16 @@
 		this.#wake.set();
 	}
 
+	get #hasUnprovenSuspect(): boolean {
+		for (const task of this.#suspects) {
+			if (task.phase === 'recorded' || isUnproven(task, this.#listedAt)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	#countTask({spec}: Task, sign: 1 | -1): void {
 		this.#reserved = addResources(this.#reserved, getReservation(spec), sign);
 		this.#servingTasks += spec.targetMs === undefined ? 0 : sign;
