--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -97,6 +97,8 @@
 			return await collector.response;
 		} catch (error) {
 			throw new VerdictError(`platform at ${this.#url} did not answer ${method} ${path}`, {verdict: collector.isSent ? 'may-have-run' : 'not-run', code: 'platform_unavailable', cause: error});
+		} finally {
+			collector.close();
 		}
 	}
 }
--- a/packages/clients/src/response-collectors.ts
+++ b/packages/clients/src/response-collectors.ts
@@ -40,6 +40,11 @@
 		return this.#controller !== undefined;
 	}
 
+	/** Ends the time limit. */
+	close(): void {
+		clearTimeout(this.#timer);
+	}
+
 	/** Called immediately before the request is written to a connection; one that has timed out by then is not written. */
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		if (this.#timeoutError === undefined) {
@@ -58,12 +63,10 @@
 	}
 
 	onResponseEnd(): void {
-		clearTimeout(this.#timer);
 		this.#resolve({status: this.#status, body: this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks)});
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-		clearTimeout(this.#timer);
 		this.#reject(error);
 	}
 
