Withhold starts from workers that shrank after the assignment

Cause: the capacity was checked at the assignment alone. A start is withheld now if the worker's tasks reserve more than it has; its task waits again, and the rest of a gang is stopped as after any failed start.

--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -11,7 +11,7 @@
 } from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {
-	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice,
+	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice,
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
@@ -31,6 +31,8 @@
 	lateRate: number;
 	/** Delay of each call in milliseconds. */
 	delayMs: number;
+	/** Further delay of transactions of progress, whose partitions are busy, in milliseconds. */
+	progressDelayMs: number;
 };
 
 const callDelayMs = 4;
@@ -39,7 +41,7 @@
 /** Injects faults into one entry's calls of the tables. */
 class FaultyTables extends WatchableTableService {
 	readonly faults: TableFaults = {
-		isDown: false, isUnresponsive: false, lostResponseRate: 0, lateRate: 0, delayMs: 0,
+		isDown: false, isUnresponsive: false, lostResponseRate: 0, lateRate: 0, delayMs: 0, progressDelayMs: 0,
 	};
 
 	/** Whether the entry was killed; its calls then never return. */
@@ -66,7 +68,9 @@
 	}
 
 	override async commit(transaction: Transaction): Promise<CommitOutcome> {
+		const delayMs = transaction.writes.some(({table}) => table === progressTable) ? this.faults.progressDelayMs : 0;
 		return this.#call(async () => {
+			await this.clock.sleep(delayMs);
 			const draw = this.random.readFraction();
 			if (draw < this.faults.lateRate) {
 				this.clock.schedule(1000 + (this.random.readFraction() * 5000), () => {
@@ -139,6 +143,8 @@
 	readonly pools?: ReadonlyArray<readonly [string, number]>;
 	/** Bounds of the deployment, which the workers enforce. */
 	readonly bounds?: Bounds;
+	/** Whether workers refuse starts for which they have no capacity; `true` by default. */
+	readonly enforcesCapacity?: boolean;
 	/** Receives the log lines; they are discarded by default. */
 	readonly write?: (line: string) => void;
 };
@@ -171,7 +177,7 @@
 		this.random = SeededRandom.create(options.seed);
 		this.tables = MemoryTableService.create(this.clock);
 		this.fleet = EmulatedFleet.create({
-			clock: this.clock, random: this.random, pools: this.#pools.map(([name, count]) => [name as PoolName, count]), bounds: options.bounds,
+			clock: this.clock, random: this.random, pools: this.#pools.map(([name, count]) => [name as PoolName, count]), bounds: options.bounds, enforcesCapacity: options.enforcesCapacity,
 		});
 	}
 
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -27,7 +27,7 @@
 
 type EmulatedRun = {readonly key: RunKey; readonly startedAt: number; readonly task: EmulatedTask; isStopping: boolean};
 
-const capacity: Resources = {cpu: 8000, memory: 32_000, gpu: 0};
+const fullCapacity: Resources = {cpu: 8000, memory: 32_000, gpu: 0};
 const stopDelayMs = 300;
 /** Time from the start of a crashing task to the crash of its worker, and from there to its restart, in milliseconds. */
 const crash = {delayMs: 10, downtimeMs: 3000};
@@ -54,9 +54,11 @@
 	fencingToken = 0;
 	leaseUntil = Number.NEGATIVE_INFINITY;
 	isEnded = false;
+	/** Earlier capacities, each with the time at which it was replaced. */
+	readonly earlierCapacities: Array<{readonly capacity: Resources; readonly until: number}> = [];
 	#sequence = 0;
 
-	constructor(readonly record: WorkerRecord, readonly startedAt: number, readonly clockRate: number, readonly onEnd: (task: string, isPlanned: boolean) => void) {}
+	constructor(public record: WorkerRecord, readonly startedAt: number, readonly clockRate: number, readonly onEnd: (task: string, isPlanned: boolean) => void) {}
 
 	readClock(now: number): number {
 		return (now - this.startedAt) * this.clockRate;
@@ -95,6 +97,8 @@
 	/** Name and VM count of each pool. */
 	readonly pools: ReadonlyArray<readonly [PoolName, number]>;
 	readonly bounds?: Bounds;
+	/** Whether workers refuse starts for which they have no capacity; `true` by default. */
+	readonly enforcesCapacity?: boolean;
 };
 
 /** Holds all emulated VMs and checks the guarantees at each start of a run and each order to a VM. */
@@ -179,6 +183,15 @@
 		});
 	}
 
+	/** Changes the capacity of a VM's worker to a share of its full one, without notice. */
+	resizeVm(id: VmId, share: number): void {
+		const {incarnation} = this.#findVm(id);
+		if (incarnation !== undefined) {
+			incarnation.earlierCapacities.push({capacity: incarnation.record.capacity, until: this.#options.clock.readMonotonic()});
+			incarnation.record = {...incarnation.record, capacity: {...fullCapacity, cpu: fullCapacity.cpu * share, memory: fullCapacity.memory * share}};
+		}
+	}
+
 	/** Loses the responses of a VM for `durationMs` milliseconds; its worker keeps running and executes all orders. */
 	setSilent(id: VmId, durationMs: number): void {
 		const vm = this.#findVm(id);
@@ -196,7 +209,7 @@
 
 	listVms(): FleetVm[] {
 		return this.#vms.map(vm => ({
-			id: vm.id, pool: vm.pool, state: vm.state, zone: 'zone-a' as ZoneName, labels: [], capacity, worker: vm.incarnation?.record.id,
+			id: vm.id, pool: vm.pool, state: vm.state, zone: 'zone-a' as ZoneName, labels: [], capacity: vm.incarnation?.record.capacity ?? fullCapacity, worker: vm.incarnation?.record.id,
 		}));
 	}
 
@@ -317,10 +330,12 @@
 
 		const task = this.#describeTask(order.key);
 		const used = sumReservations(incarnation);
-		if (!isWithin(getReservation(task.step), addResources(capacity, used, -1))) {
+		if (this.#options.enforcesCapacity !== false && !isWithin(getReservation(task.step), addResources(incarnation.record.capacity, used, -1))) {
 			return {status: 'refused', reason: 'no-room'};
 		}
 
+		this.#checkCapacity(incarnation, order.key, addResources(used, getReservation(task.step)), now);
+
 		this.#checkStart(order.key, now);
 		this.counts.starts++;
 		const run: EmulatedRun = {
@@ -399,7 +414,7 @@
 		const startedAt = clock.readMonotonic();
 		this.#incarnationCount++;
 		const record: WorkerRecord = {
-			id: `worker-${this.#incarnationCount}` as VmId, startedAt, pool: vm.pool, address: `${vm.id}:1`, zone: 'zone-a' as ZoneName, isDraining: false, capacity, labels: [],
+			id: `worker-${this.#incarnationCount}` as VmId, startedAt, pool: vm.pool, address: `${vm.id}:1`, zone: 'zone-a' as ZoneName, isDraining: false, capacity: fullCapacity, labels: [],
 		};
 		vm.incarnation = new EmulatedIncarnation(record, startedAt, 1 - (random.readFraction() * 0.02), (task, isPlanned) => {
 			this.#unavailableSince.set(task, {at: clock.readMonotonic(), isPlanned});
@@ -498,6 +513,15 @@
 		});
 	}
 
+	/** Checks that a start leaves a worker within its capacity, or within one that it reported until a moment ago. */
+	#checkCapacity({record, earlierCapacities}: EmulatedIncarnation, key: RunKey, used: Resources, now: number): void {
+		const noticeMs = this.#bounds.contactMs + this.#bounds.heartbeatMs;
+		const known = [record.capacity, ...earlierCapacities.filter(({until}) => now - until <= noticeMs).map(({capacity}) => capacity)];
+		if (!known.some(capacity => isWithin(used, capacity))) {
+			this.violations.push(`${Math.round(now)}: ${formatTask(key)} brings worker ${record.id} over its capacity, to ${used.cpu} of ${record.capacity.cpu}`);
+		}
+	}
+
 	#scheduleCrash(incarnation: EmulatedIncarnation, name: string): void {
 		const vm = this.#vms.find(other => other.incarnation === incarnation)!;
 		this.#options.clock.schedule(crash.delayMs, () => {
--- a/packages/workflows/src/starters.ts
+++ b/packages/workflows/src/starters.ts
@@ -35,7 +35,7 @@
 	/** Starts the recorded run of a task on the worker of a session. */
 	async start(task: Task, session: WorkerSession, ticket: string | undefined, refusalBackoffMs: number): Promise<void> {
 		const {clock, control, log, epoch, canOrder} = this.#options;
-		if (!canOrder()) {
+		if (!canOrder() || session.isOverCapacity) {
 			this.#release(task, session);
 			return;
 		}
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -3,7 +3,7 @@
  */
 import {readErrorMessage, waitAtMost, type Clock} from '@tamarackwind/core';
 import {
-	addResources, getReservation, noResources, type Candidate, type Resources,
+	addResources, getReservation, isWithin, noResources, type Candidate, type Resources,
 } from '@tamarackwind/scheduling';
 import {type Task} from './active-jobs.js';
 import {isUnproven} from './crash-budgets.js';
@@ -22,6 +22,9 @@
 /** Consecutive failed calls after which a worker counts as unreachable and gets no new work. */
 const maxFailures = 2;
 
+/** Rounding error of sums of fractional resources. */
+const roundingSlack: Resources = {cpu: 1e-6, memory: 1e-6, gpu: 1e-6};
+
 /** Callbacks and state that a session needs from the scheduler of its pool. */
 export abstract class SessionOwner {
 	abstract readonly fencingToken: number;
@@ -133,6 +136,11 @@
 		return this.unknownRuns.size > 0 ? noResources : addResources(this.record.capacity, this.#reserved, -1);
 	}
 
+	/** Whether the assigned tasks reserve more than the worker has, since it shrank after their assignment. */
+	get isOverCapacity(): boolean {
+		return !isWithin(noResources, addResources(addResources(this.record.capacity, this.#reserved, -1), roundingSlack));
+	}
+
 	/** Describes the worker as a placement candidate. */
 	describeCandidate(now: number): Candidate & {readonly session: WorkerSession} {
 		return {
