--- a/packages/clients/src/tasks.ts
+++ b/packages/clients/src/tasks.ts
@@ -1,7 +1,7 @@
 /**
  * Client interface of the task control, which runs tasks on workers under leases.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const taskResourcesSchema = z.object({
 	cores: z.number(),
--- a/packages/clients/src/vms.ts
+++ b/packages/clients/src/vms.ts
@@ -1,7 +1,7 @@
 /**
  * Client interfaces of the platform's VM list, which lags behind the actual VMs, and of its VM control.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const vmRecordSchema = z.object({
 	vmId: z.string(),
--- a/packages/entry/src/configs.ts
+++ b/packages/entry/src/configs.ts
@@ -3,7 +3,7 @@
  */
 import {readFile} from 'node:fs/promises';
 import {parseJsonc} from '@tamarackwind/settings';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const portSchema = z.number().int().min(0).max(65_535);
 
--- a/packages/entry/src/fleet-routes.ts
+++ b/packages/entry/src/fleet-routes.ts
@@ -8,7 +8,7 @@
 	computeMaxUnavailable, isVmDone, type FleetCommands, type VmRow, type WaveRow,
 } from '@tamarackwind/fleet';
 import {Hono, type Context} from 'hono';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type EntryContext} from './contexts.js';
 
 const statusByCode: Readonly<Record<string, 403 | 409>> = {conflict: 409, forbidden: 403};
--- a/packages/entry/src/job-routes.ts
+++ b/packages/entry/src/job-routes.ts
@@ -9,7 +9,7 @@
 } from '@tamarackwind/jobs';
 import {type ResolvedCaller} from '@tamarackwind/settings';
 import {Hono, type Context} from 'hono';
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {type EntryContext} from './contexts.js';
 import {headerNames} from './headers.js';
 import {CallerAuthenticator} from './caller-identities.js';
--- a/packages/entry/src/operator-ports.ts
+++ b/packages/entry/src/operator-ports.ts
@@ -4,7 +4,7 @@
 import {IssuesError, VerdictError, readErrorMessage} from '@tamarackwind/core';
 import {convertSchemaIssues} from '@tamarackwind/settings';
 import {Hono} from 'hono';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type EntryContext} from './contexts.js';
 import {addFleetRoutes} from './fleet-routes.js';
 import {type FleetService} from './fleet-services.js';
--- a/packages/entry/src/settings-routes.ts
+++ b/packages/entry/src/settings-routes.ts
@@ -7,7 +7,7 @@
 } from '@tamarackwind/settings';
 import {Hono} from 'hono';
 import {match} from 'ts-pattern';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type AuditLog} from './audits.js';
 import {type OperatorContext, type OperatorEnv} from './operator-identities.js';
 import {type SettingsChanges, type SettingsOutcome} from './settings-changes.js';
--- a/packages/jobs/src/schemas.ts
+++ b/packages/jobs/src/schemas.ts
@@ -3,7 +3,7 @@
  */
 import {taskResourcesSchema} from '@tamarackwind/clients';
 import {workClassSchema} from '@tamarackwind/settings';
-import {z} from 'zod';
+import * as z from 'zod';
 import {jobKinds} from './kinds.js';
 
 const nameSchema = z.string().regex(/^[A-Za-z\d](?:[\w.:]|-){0,127}$/v, 'expected letters, digits, "_", ".", ":" and "-"');
--- a/packages/settings/src/checks.ts
+++ b/packages/settings/src/checks.ts
@@ -2,7 +2,7 @@
  * Semantic checks of a settings tree: references, unsatisfiable budgets, and pools that a change would empty.
  */
 import {type Issue, type SafeParseResult, createIssuesError} from '@tamarackwind/core';
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {resolveSettings, type ResolvedPool} from './resolutions.js';
 import {settingsTreeSchema, type SettingsTree} from './schemas.js';
 import {suggestName} from './suggestions.js';
--- a/packages/settings/src/jsonc-files.ts
+++ b/packages/settings/src/jsonc-files.ts
@@ -5,7 +5,7 @@
 import {
 	findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode, type Node, type ParseError,
 } from 'jsonc-parser';
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {convertSchemaIssues} from './checks.js';
 
 /** Returns the line of an offset, counted from 1. */
--- a/packages/settings/src/schemas.ts
+++ b/packages/settings/src/schemas.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas of the settings tree as written by operators.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const idSchema = z.string().regex(/^[A-Za-z\d](?:[\w.:]|-){0,127}$/v, 'expected letters, digits, "_", ".", ":" and "-"');
 const durationMsSchema = z.number().int().positive();
--- a/packages/testing/tests/examples.test.ts
+++ b/packages/testing/tests/examples.test.ts
@@ -4,7 +4,7 @@
 import {vmRecordSchema} from '@tamarackwind/clients';
 import {parseJsonc, resolveSettings, settingsTreeSchema} from '@tamarackwind/settings';
 import test from 'ava';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const examplesFolder = fileURLToPath(new URL('../../../../examples/', import.meta.url));
 
--- a/packages/workflows/src/explanations.ts
+++ b/packages/workflows/src/explanations.ts
@@ -1,7 +1,7 @@
 /**
  * Explains a job from the log lines of the entries: its timeline, the time spent in each stage, and the cause of its outcome.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const lineSchema = z.looseObject({
 	time: z.iso.datetime(),
--- a/packages/workflows/src/fleet-orders.ts
+++ b/packages/workflows/src/fleet-orders.ts
@@ -8,7 +8,7 @@
 import {
 	absentVersion, type Check, type RowKey, type TableService,
 } from '@tamarackwind/clients';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 
 export type FleetOrdersOptions = {
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas of the rows of jobs and their progress, which validate rows when they are read.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type JobId, type RackName, type ServiceName, type VmId,
 } from '@tamarackwind/core';
