--- a/packages/testing/tests/crash-budgets.test.ts
+++ b/packages/testing/tests/crash-budgets.test.ts
@@ -90,3 +90,25 @@
 	await system.clock.run(500);
 	t.deepEqual(await states, jobs.map(() => 'succeeded'));
 });
+
+test('the crash of a worker that was cut off before does not count against the tasks that it lost then', async t => {
+	const lost: string[] = [];
+	const system = await EmulatedSystem.create({
+		seed: 4, pools: [['north', 4], ['spare', 0]], write(line) {
+			const {message, task} = JSON.parse(line) as {message: string; task?: string};
+			if (message === 'run lost with its worker') {
+				lost.push(task!);
+			}
+		},
+	});
+	await system.clock.run(warmUpMs);
+	await submitAll(system, [system.submit([createStep({count: 3})], 60_000)]);
+	await system.clock.run(2000);
+	const vm = system.fleet.vms.find(({id}) => system.fleet.countRunsOn(id) > 0)!;
+	system.fleet.setSilent(vm.id, 40_000);
+	await system.clock.run(45_000);
+	t.is(system.fleet.countRunsOn(vm.id), 0);
+	system.fleet.crashVm(vm.id, 2000);
+	await system.clock.run(5000);
+	t.deepEqual(lost, []);
+});
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -718,6 +718,10 @@
 				step: step.spec, candidates: allowed, occupancy: step.occupancy, isSuspect: task.crashes > 0,
 			});
 			if (choice === undefined) {
+				if (task.crashes > 0) {
+					continue;
+				}
+
 				break;
 			}
 
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -310,6 +310,7 @@
 		}
 
 		this.#failures = 0;
+		this.suspectsAtExpiry = [];
 		this.#listedAt = clock.readMonotonic();
 		this.#lease.observeClock(listing.clock, clock.readMonotonic());
 		if (!this.#isListed) {
