Watch the configuration so often that a slow store does not make it stale

Cause: a watch confirms the configuration as of its start, so that its age is two watches before the next ends; with 0.7 s of wait and an answer of 0.15 s that is 1.7 s, over the 1.6 s from which it counts as stale. The wait now leaves room for the last answer; at the usual speed nothing changes.

--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -7,6 +7,11 @@
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {declarationRetryMs, type Timings} from './timings.js';
 
+/** Minimum wait of a watch, in milliseconds: bounds the calls while the store is very slow. */
+const minWatchMs = 100;
+/** Time by which two watches together end before the configuration counts as stale, in milliseconds. */
+const watchMarginMs = 50;
+
 /** A decoded row of the operator. */
 export type Declaration
 	= | {readonly kind: 'configuration'; readonly configuration: Configuration}
@@ -44,6 +49,8 @@
 	#configuration: Configuration | undefined;
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#version: number | undefined;
+	/** Time beyond its wait that the last watch without a change took, in milliseconds. */
+	#answerMs = 0;
 	#isClosed = false;
 
 	private constructor(options: DeclarationWatcherOptions) {
@@ -102,8 +109,15 @@
 	}
 
 	async #watch(after: number): Promise<void> {
-		const {tables, codec, timings} = this.#options;
-		const outcome = await tables.watchRows(codec.table, {after, waitMs: timings.declarationWatchMs});
+		const {tables, codec, clock} = this.#options;
+		const waitMs = this.#computeWaitMs();
+		const startedAt = clock.readMonotonic();
+		const outcome = await tables.watchRows(codec.table, {after, waitMs});
+		const elapsedMs = clock.readMonotonic() - startedAt;
+		if (elapsedMs >= waitMs) {
+			this.#answerMs = elapsedMs - waitMs;
+		}
+
 		if (outcome.status === 'expired') {
 			this.#version = undefined;
 			await this.#load();
@@ -117,6 +131,13 @@
 		this.#version = outcome.version;
 	}
 
+	/** Computes the wait of the next watch. A watch confirms the configuration as of its start, so two of them have to end before it counts as stale. */
+	#computeWaitMs(): number {
+		const {declarationWatchMs, staleConfigurationMs} = this.#options.timings;
+		const remainingMs = (staleConfigurationMs / 2) - this.#answerMs - watchMarginMs;
+		return Math.floor(Math.max(minWatchMs, Math.min(declarationWatchMs, remainingMs)));
+	}
+
 	#apply(key: string, value: unknown): void {
 		const {codec, log} = this.#options;
 		if (value === undefined) {
