Count crashes only against runs that the worker has confirmed

A start that no worker answered counted as a run that was lost with it. Sent to two workers of a rack that was already down, a task would be given up, and its job fail, though no worker had crashed under it. Only a run that the worker has answered or listed counts now; tasks that an earlier holder started and no listing showed don't.

--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -45,6 +45,8 @@
 	load = 0;
 	/** Speed to which the task was last throttled, in percent of full speed. */
 	speedPercent = 100;
+	/** Whether the worker has confirmed the current run, by its response or in a listing. */
+	isConfirmed = false;
 	/** Earliest time of the next start, on the monotonic clock. */
 	notBefore = 0;
 
--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -15,9 +15,12 @@
 	return task.isInFlight && (task.orderedAt === 0 || listedAt - task.orderedAt < provingMs);
 }
 
-/** Lists the tasks that may have caused the loss of their worker: its unproven runs, or all runs that end by themselves if there are none. */
+/**
+ * Lists the tasks that may have caused the loss of their worker: its unproven runs, or all runs that end by themselves if there are none. A
+ * start that the worker has not confirmed may never have reached it, as when the worker was down already.
+ */
 export function listSuspects(tasks: Iterable<Task>, listedAt: number): Task[] {
-	const inFlight = [...tasks].filter(task => task.isInFlight);
+	const inFlight = [...tasks].filter(task => task.isInFlight && task.isConfirmed);
 	const unproven = inFlight.filter(task => isUnproven(task, listedAt));
 	return unproven.length > 0 ? unproven : inFlight.filter(task => !task.spec.isLongRunning);
 }
@@ -29,8 +32,6 @@
 export function recordCrash(suspects: readonly Task[]): void {
 	for (const task of suspects) {
 		task.crashes++;
-		// A run that an earlier holder started may have been proven by then.
-		const isCertain = suspects.length === 1 && task.orderedAt > 0;
-		task.isGivenUp ||= task.crashes >= maxCrashes || (task.crashes >= minCrashes && isCertain);
+		task.isGivenUp ||= task.crashes >= (suspects.length === 1 ? minCrashes : maxCrashes);
 	}
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -275,7 +275,7 @@
 
 		for (const task of this.#orphans) {
 			if (task.incarnation !== undefined && deadWorkers.has(task.incarnation.id)) {
-				this.#releaseCrashedOrphan(task);
+				this.#releaseOrphan(task);
 			}
 		}
 	}
@@ -350,7 +350,7 @@
 				this.#orphans.delete(task);
 				session.addTask(task);
 			} else if (task.incarnation?.id === record.id) {
-				this.#releaseCrashedOrphan(task);
+				this.#releaseOrphan(task);
 			}
 		}
 	}
@@ -368,18 +368,6 @@
 		this.#wake.set();
 	}
 
-	/** Releases a task whose worker ended before this holder heard of it; whether it had proven harmless there is unknown. */
-	#releaseCrashedOrphan(task: Task): void {
-		const changed = new Set<ActiveJob>();
-		if (!task.spec.isLongRunning && task.incarnation !== undefined) {
-			this.#recordCrash([task], formatIncarnation(task.incarnation));
-		}
-
-		this.#releaseOrphan(task);
-		this.#updateState(task.job, changed);
-		this.#record(changed);
-	}
-
 	#applyChanges(changes: readonly JobChange[]): void {
 		const {clock, log} = this.#options;
 		for (const change of changes) {
@@ -750,6 +738,7 @@
 		const {session} = choice;
 		task.run = run;
 		task.phase = 'recorded';
+		task.isConfirmed = false;
 		task.incarnation = {id: session.record.id, startedAt: session.record.startedAt};
 		session.addTask(task);
 		const index = candidates.findIndex(candidate => candidate.id === choice.id);
@@ -795,6 +784,7 @@
 
 function observeRun(task: Task, run: ListedRun, now: number): void {
 	task.job.hasBegun = true;
+	task.isConfirmed = true;
 	if (task.phase === 'starting') {
 		task.phase = 'running';
 	}
--- a/packages/workflows/src/starters.ts
+++ b/packages/workflows/src/starters.ts
@@ -58,6 +58,7 @@
 
 			if (outcome.status === 'started') {
 				task.phase = 'running';
+				task.isConfirmed = true;
 				task.job.hasBegun = true;
 				task.orderedAt = clock.readMonotonic();
 			} else {
