Show that tasks without a worker starve their pool

Cause: a planning pass ends after 24 steps that could not be placed, and the same ones come first in each pass. Done: review/5; nothing is fixed.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec node review/5/case.js
