Take ports for entries that no other socket gets

Cause: a free port could be taken by a stand-in between its choice and the start of the entry. Done: ports come from below the range that the system hands out.

--- a/review/stand-ins/servers.js
+++ b/review/stand-ins/servers.js
@@ -13,14 +13,39 @@
 	return `127.0.0.1:${server.address().port}`;
 }
 
+/** Range of the ports that entries listen on: below those that the system hands out, so that no other socket takes one before its entry does. */
+const entryPorts = {from: 20_000, to: 32_000};
+const maxPortAttempts = 200;
+
 /** Finds free ports. */
 export async function findFreePorts(count) {
-	const servers = Array.from({length: count}, () => createServer());
-	const addresses = await Promise.all(servers.map(async server => listenOnLoopback(server)));
-	await Promise.all(servers.map(async server => new Promise(resolve => {
+	const ports = new Set();
+	for (let attempt = 0; ports.size < count && attempt < maxPortAttempts; attempt++) {
+		const port = entryPorts.from + Math.floor(Math.random() * (entryPorts.to - entryPorts.from));
+		if (await isFree(port)) {
+			ports.add(port);
+		}
+	}
+
+	if (ports.size < count) {
+		throw new Error('too few free ports');
+	}
+
+	return [...ports];
+}
+
+async function isFree(port) {
+	const server = createServer();
+	try {
+		await listenOnLoopback(server, port);
+	} catch {
+		return false;
+	}
+
+	await new Promise(resolve => {
 		server.close(resolve);
-	})));
-	return addresses.map(address => Number(address.split(':')[1]));
+	});
+	return true;
 }
 
 export async function readBody(request) {
