--- a/review/5/case.js
+++ b/review/5/case.js
@@ -1,84 +1,71 @@
 /**
- * The worker of one lasting task crashes twice, soon after the task's start each time. Its job is given up and the other tasks are stopped.
+ * The only worker of one kind is lost for good. The tasks that need that kind wait, and so do all others of the pool.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {isTroubled, runCase} from '../stand-ins/deployment.js';
 
-const prefix = '/season/';
-const id = '5c0e7a21d94b36f1';
-const taskCount = 5;
-const mayMiss = 1;
-const crashes = isTroubled ? 2 : 0;
-/** Time from the start of the run to the crash of its worker, and until the machine is back, in milliseconds. */
-const crashAfterMs = 200;
-const downMs = 2000;
-/** Time after which a lasting task is at work, and after which one that is not counts as away (`noticeMs`), in milliseconds. */
-const startupMs = 100;
-const noticeMs = 4500;
+const lastingPrefix = '/season/';
+const batchPrefix = '/redraw/';
+const usualWorkers = 7;
+const lastingJobs = 26;
+const batchJobs = 6;
+const taskMs = 800;
+/** `finish_s`, in milliseconds. */
+const finishMs = 14_000;
 const services = [{name: 'league-north'}];
 
 await runCase({folder: import.meta.dirname}, async deployment => {
-	const machines = [];
-	for (let machine = 0; machine < 8; machine++) {
-		machines.push(await deployment.addMachine('league-north'));
+	for (let machine = 0; machine < usualWorkers; machine++) {
+		await deployment.addMachine('league-north', {labels: ['a', 'r1-1']});
 	}
 
-	deployment.putConfiguration(1, [{
-		name: 'r-season', pathPrefix: prefix, service: 'league-north', maxAttempts: 3, targetLatencyMs: 2500,
-	}], services);
-	await deployment.start();
-	await deployment.submit({
-		prefix, id, body: {
-			spec: JSON.stringify({steps: [{ms: 0, cpu: 5200, lasts: true}]}), steps: [{
-				count: taskCount, cpu: 5200, memMb: 9700, estimatedMs: 500, longRunning: true, antiAffinity: 1, mayMiss,
-			}],
+	const special = await deployment.addMachine('league-north', {labels: ['b', 'r1-2']});
+	deployment.putConfiguration(1, [
+		{
+			name: 'r-season', pathPrefix: lastingPrefix, service: 'league-north', targetLatencyMs: 2500,
 		},
-	});
-	for (let crash = 0; crash < crashes; crash++) {
-		await killWorkerOf(deployment, `${id}.0.0.0`, machines);
+		{
+			name: 'r-redraw', pathPrefix: batchPrefix, service: 'league-north', priority: 1,
+		},
+	], services);
+	await deployment.start();
+	for (let index = 0; index < lastingJobs; index++) {
+		await deployment.submit({
+			prefix: lastingPrefix, id: `5c0e7a21d94b00${String(index).padStart(2, '0')}`, body: {
+				spec: JSON.stringify({steps: [{ms: 0, cpu: 2000, lasts: true}]}), steps: [{
+					count: 1, cpu: 2000, memMb: 1000, estimatedMs: 500, longRunning: true, requirements: 'b',
+				}],
+			},
+		});
 	}
 
-	await sleep(8000);
-	const state = await deployment.readState({entry: 1, prefix, id});
-	deployment.record.add(`job ${id} is shown as ${state}; its runs: ${deployment.ledger.listRuns(id).map(({task, run, how}) => `${task}#${run} ${how ?? 'running'}`).join(', ')}`);
-	return listForbiddenStops(deployment.ledger);
-});
-
-/** Crashes the worker of a task's run soon after the run began. */
-async function killWorkerOf(deployment, task, machines) {
-	const deadline = deployment.record.nowMs + 10_000;
-	while (deployment.record.nowMs < deadline) {
-		const run = deployment.ledger.runs.find(other => other.task === task && other.endedMs === undefined);
-		const machine = run === undefined ? undefined : machines.find(name => deployment.cloud.getMachine(name).worker.id === run.worker);
-		if (machine !== undefined && deployment.record.nowMs - run.startedMs > crashAfterMs) {
-			deployment.cloud.killMachine(machine, downMs);
-			return;
-		}
+	await sleep(2000);
+	if (isTroubled) {
+		deployment.cloud.removeMachine(special);
+	}
 
-		await sleep(10);
+	await sleep(6000);
+	const jobs = Array.from({length: batchJobs}, (_, index) => ({
+		prefix: batchPrefix, id: `5c0e7a21d94bff0${index}`, body: {
+			spec: JSON.stringify({steps: [{ms: taskMs, cpu: 3500}]}), steps: [{
+				count: 2, cpu: 3500, memMb: 5100, estimatedMs: taskMs,
+			}],
+		},
+	}));
+	for (const job of jobs) {
+		await deployment.submit({...job, entry: 1});
+		await sleep(200);
 	}
-}
 
-/** Lists the breaks of AVAIL: stops of tasks at work while `mayMiss` others of the step were ended by a stop, or not at work for `noticeMs`. */
-function listForbiddenStops(ledger) {
-	const runs = ledger.listRuns(id);
-	const tasks = [...new Set(runs.map(({task}) => task))];
+	await sleep(finishMs);
 	const breaks = [];
-	for (const stopped of runs.filter(({how, startedMs, endedMs}) => how === 'stopped' && endedMs - startedMs > startupMs)) {
-		const away = tasks.filter(task => task !== stopped.task && isAway(runs.filter(run => run.task === task), stopped.endedMs));
-		if (away.length >= mayMiss) {
-			breaks.push(`AVAIL: ${stopped.task}#${stopped.run} is stopped at ${(stopped.endedMs / 1000).toFixed(3)} s; ${away.length} others of its step are away, and ${mayMiss} may be`);
+	for (const {prefix, id} of jobs) {
+		const state = await deployment.readState({entry: 2, prefix, id});
+		const runs = deployment.ledger.listRuns(id).length;
+		if (state !== 'succeeded' && runs === 0) {
+			breaks.push(`LOST: ${finishMs / 1000} s after the last job was accepted, job ${id} is ${state} and has never started, though the ${usualWorkers} workers of kind "a" are idle`);
 		}
 	}
 
 	return breaks;
-}
-
-function isAway(runs, atMs) {
-	if (runs.some(({startedMs, endedMs}) => startedMs <= atMs && (endedMs === undefined || endedMs > atMs))) {
-		return false;
-	}
-
-	const last = runs.findLast(({endedMs}) => endedMs !== undefined && endedMs <= atMs);
-	return last !== undefined && (last.how === 'stopped' || atMs - last.endedMs > noticeMs);
-}
+});
