--- a/review/3/case.js
+++ b/review/3/case.js
@@ -5,7 +5,9 @@
 import {isTroubled, runCase} from '../stand-ins/deployment.js';
 
 const prefix = '/redraw/';
-const machineCount = 12;
+const machineCount = 20;
+/** Moves under way at the moment at which the control falls silent. */
+const openMoves = 5;
 const taskMs = 800;
 const jobCount = 4;
 /** Length of the outage, in milliseconds: the usual `for_s` of `cloud_down`. */
@@ -21,7 +23,7 @@
 
 	deployment.putConfiguration(1, [{name: 'r-redraw', pathPrefix: prefix, service: 'league-north'}], services);
 	if (isTroubled) {
-		deployment.cloud.startOutageAtMove(outageMs);
+		deployment.cloud.startOutageAtMoves({moves: openMoves, ms: outageMs});
 	}
 
 	await deployment.start();
--- a/review/stand-ins/cloud.js
+++ b/review/stand-ins/cloud.js
@@ -2,10 +2,13 @@
  * Stand-in of the platform's control of machines: lists them, moves them between pools and takes them down for upkeep.
  */
 import {createServer} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {listenOnLoopback, readBody, sendJson} from './servers.js';
 import {createWorkerId} from './workers.js';
 
 const moveMs = 1500;
+/** Time that the control takes for a move before it carries it out, in milliseconds. */
+const moveHandlingMs = 20;
 const maintenanceMs = 2000;
 
 export class CloudStandIn {
@@ -20,8 +23,9 @@
 	#machines = new Map();
 	#server;
 	#timers = new Set();
-	/** Length of the outage that the next move begins, in milliseconds. */
-	#pendingOutageMs;
+	/** Outage that begins once this many moves are under way. */
+	#pendingOutage;
+	#openMoves = 0;
 	#isSilent = false;
 	address = '';
 
@@ -67,9 +71,9 @@
 		this.#machines.delete(machine);
 	}
 
-	/** Leaves calls unanswered and does nothing for them for `ms`, from the arrival of the next move on. */
-	startOutageAtMove(ms) {
-		this.#pendingOutageMs = ms;
+	/** Leaves calls unanswered and does nothing for them for `ms`, beginning with the open ones once `moves` moves are under way. */
+	startOutageAtMoves({moves, ms}) {
+		this.#pendingOutage = {moves, ms};
 	}
 
 	listMachines() {
@@ -101,7 +105,6 @@
 		this.#server = createServer(async (request, response) => {
 			const body = await readBody(request);
 			const {pathname} = new URL(request.url, 'http://cloud');
-			this.#startOutageIfDue(pathname);
 			if (this.#isSilent) {
 				this.#record.add(`control of machines leaves unanswered: ${pathname} ${body}`);
 				return;
@@ -115,7 +118,7 @@
 				}
 
 				case '/tamarackwind/machine-move': {
-					this.#move(JSON.parse(body), request, response);
+					await this.#handleMove(body, request, response);
 
 					break;
 				}
@@ -134,15 +137,28 @@
 		this.address = await listenOnLoopback(this.#server);
 	}
 
-	#startOutageIfDue(pathname) {
-		if (this.#pendingOutageMs !== undefined && pathname === '/tamarackwind/machine-move') {
+	#startOutageIfDue() {
+		if (this.#pendingOutage !== undefined && this.#openMoves >= this.#pendingOutage.moves) {
 			this.#record.add('outage of the control of machines begins');
 			this.#isSilent = true;
-			this.#startTimer(this.#pendingOutageMs, () => {
+			this.#startTimer(this.#pendingOutage.ms, () => {
 				this.#record.add('outage of the control of machines ends');
 				this.#isSilent = false;
 			});
-			this.#pendingOutageMs = undefined;
+			this.#pendingOutage = undefined;
+		}
+	}
+
+	/** Handles a move after the time that it takes; one that is under way when an outage begins is dropped with the rest. */
+	async #handleMove(body, request, response) {
+		this.#openMoves++;
+		this.#startOutageIfDue();
+		await sleep(moveHandlingMs);
+		this.#openMoves--;
+		if (this.#isSilent) {
+			this.#record.add(`control of machines leaves unanswered: /tamarackwind/machine-move ${body}`);
+		} else {
+			this.#move(JSON.parse(body), request, response);
 		}
 	}
 
--- a/review/stand-ins/servers.js
+++ b/review/stand-ins/servers.js
@@ -3,6 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:net';
+import process from 'node:process';
 
 /** Listens on a loopback port, any free one by default; resolves to the address. */
 export async function listenOnLoopback(server, port = 0) {
@@ -15,23 +16,24 @@
 
 /** Range of the ports that entries listen on: below those that the system hands out, so that no other socket takes one before its entry does. */
 const entryPorts = {from: 20_000, to: 32_000};
-const maxPortAttempts = 200;
+const portsPerProcess = 16;
 
-/** Finds free ports. */
+/** Finds free ports; plays that run side by side begin at different ones. */
 export async function findFreePorts(count) {
-	const ports = new Set();
-	for (let attempt = 0; ports.size < count && attempt < maxPortAttempts; attempt++) {
-		const port = entryPorts.from + Math.floor(Math.random() * (entryPorts.to - entryPorts.from));
+	const ports = [];
+	const size = entryPorts.to - entryPorts.from;
+	for (let offset = 0; ports.length < count && offset < size; offset++) {
+		const port = entryPorts.from + (((process.pid * portsPerProcess) + offset) % size);
 		if (await isFree(port)) {
-			ports.add(port);
+			ports.push(port);
 		}
 	}
 
-	if (ports.size < count) {
+	if (ports.length < count) {
 		throw new Error('too few free ports');
 	}
 
-	return [...ports];
+	return ports;
 }
 
 async function isFree(port) {
