--- a/review/1/case.js
+++ b/review/1/case.js
@@ -2,8 +2,8 @@
  * A new version of the configuration sends a queue to another service. The usual repeat of an accepted submission arrives after it.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {listDoubleRuns} from '../stand-ins/checks.js';
-import {isTroubled, runCase} from '../stand-ins/deployment.js';
+import {listDoubleRuns} from '../stand-in-checks.js';
+import {isTroubled, runCase} from '../stand-in-deployment.js';
 
 const prefix = '/redraw/';
 const taskMs = 6000;
--- a/review/2/case.js
+++ b/review/2/case.js
@@ -2,7 +2,7 @@
  * A client hands in one job with a wide step. Its progress no longer fits into one row of the store.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {isTroubled, runCase} from '../stand-ins/deployment.js';
+import {isTroubled, runCase} from '../stand-in-deployment.js';
 
 const prefix = '/redraw/';
 const taskMs = 800;
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -2,7 +2,7 @@
  * The control of machines stops answering for five seconds while idle machines are being switched off, and carries none of these moves out.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {isTroubled, runCase} from '../stand-ins/deployment.js';
+import {isTroubled, runCase} from '../stand-in-deployment.js';
 
 const prefix = '/redraw/';
 const machineCount = 20;
--- a/review/4/case.js
+++ b/review/4/case.js
@@ -2,8 +2,8 @@
  * Workers crash and start again at once under the ids that they had, while jobs go on.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {listDoubleRuns} from '../stand-ins/checks.js';
-import {isTroubled, runCase} from '../stand-ins/deployment.js';
+import {listDoubleRuns} from '../stand-in-checks.js';
+import {isTroubled, runCase} from '../stand-in-deployment.js';
 
 const prefix = '/redraw/';
 const taskMs = 1000;
--- a/review/5/case.js
+++ b/review/5/case.js
@@ -2,7 +2,7 @@
  * The only worker of one kind is lost for good. The tasks that need that kind wait, and so do all others of the pool.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {isTroubled, runCase} from '../stand-ins/deployment.js';
+import {isTroubled, runCase} from '../stand-in-deployment.js';
 
 const lastingPrefix = '/season/';
 const batchPrefix = '/redraw/';
--- a/review/stand-ins/cloud.js
+++ b/review/stand-in-cloud.js
@@ -3,8 +3,8 @@
  */
 import {createServer} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {listenOnLoopback, readBody, sendJson} from './servers.js';
-import {createWorkerId} from './workers.js';
+import {listenOnLoopback, readBody, sendJson} from './stand-in-servers.js';
+import {createWorkerId} from './stand-in-workers.js';
 
 const moveMs = 1500;
 /** Time that the control takes for a move before it carries it out, in milliseconds. */
--- a/review/stand-ins/deployment.js
+++ b/review/stand-in-deployment.js
@@ -12,13 +12,13 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {CloudStandIn} from './cloud.js';
-import {PlayRecord} from './records.js';
-import {findFreePorts} from './servers.js';
-import {StoreStandIn} from './store.js';
-import {RunLedger, WorkerStandIn} from './workers.js';
+import {CloudStandIn} from './stand-in-cloud.js';
+import {PlayRecord} from './stand-in-records.js';
+import {findFreePorts} from './stand-in-servers.js';
+import {StoreStandIn} from './stand-in-store.js';
+import {RunLedger, WorkerStandIn} from './stand-in-workers.js';
 
-const root = fileURLToPath(new URL('../..', import.meta.url));
+const root = fileURLToPath(new URL('..', import.meta.url));
 /** Longest play, in milliseconds. */
 const maxPlayMs = 110_000;
 const defaultDeadlineMs = 3000;
--- a/review/stand-ins/store.js
+++ b/review/stand-in-store.js
@@ -6,7 +6,7 @@
 import {createServer} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {listenOnLoopback, readBody, sendJson} from './servers.js';
+import {listenOnLoopback, readBody, sendJson} from './stand-in-servers.js';
 
 const txMs = 8;
 const readMs = 4;
--- a/review/stand-ins/workers.js
+++ b/review/stand-in-workers.js
@@ -4,7 +4,7 @@
  */
 import {createServer} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {listenOnLoopback, readBody, sendJson} from './servers.js';
+import {listenOnLoopback, readBody, sendJson} from './stand-in-servers.js';
 
 const heartbeatMs = 1500;
 /** A worker's entry is removed after this many heartbeats of silence. */
