Let cordons of workers expire, and reconcile unanswered moves

Cause: the cordon of a worker was a flag that was set before an order to its VM and cleared only by the answer. The sizing's own record of the move timed out, so it counted the VMs as usable and gave the rest away. Ruled out: sessions that count as unreachable (they made no call), VMs listed as moving.

Change: a cordon has a reason and expires; drains renew it. Unanswered moves are reconciled with the list of VMs. The same cause in waves: refused orders left cordons, and a VM that was removed for good during its upkeep or move counted against the wave or as arriving for ever.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -91,6 +91,20 @@
 	readonly lateRate: number;
 };
 
+/**
+ * Faults of an order to a VM:
+ * - `lost`: it times out without an effect.
+ * - `unanswered`: it takes effect, but its response is lost.
+ * - `late`: it times out and takes effect seconds later.
+ * - `repeated`: it takes effect, and once more seconds later.
+ * - `refused`: it is refused as one that can never take effect.
+ * - `busy`: it is refused for now.
+ */
+export type VmOrderFault = 'lost' | 'unanswered' | 'late' | 'repeated' | 'refused' | 'busy';
+
+/** Time after which a delayed order to a VM takes effect, in milliseconds. */
+const lateVmOrderMs = 3000;
+
 export type EmulatedFleetOptions = {
 	readonly clock: SimulatedClock;
 	readonly random: RandomSource;
@@ -120,9 +134,13 @@
 	/** Jobs for which every submission was refused. */
 	readonly refused = new Set<JobId>();
 	orderFaults: OrderFaults = {lostResponseRate: 0, lateRate: 0};
+	/** Fault of all orders to VMs. */
+	vmOrderFault: VmOrderFault | undefined;
+	/** Whether listings of the VMs time out. */
+	isVmListDown = false;
 	readonly #options: EmulatedFleetOptions;
 	readonly #bounds: Bounds;
-	readonly #vms: EmulatedVm[] = [];
+	#vms: EmulatedVm[] = [];
 	/** Tasks whose completion was acknowledged. */
 	readonly #acknowledgedTasks = new Set<string>();
 	readonly #doneAt = new Map<string, number>();
@@ -213,6 +231,45 @@
 		}));
 	}
 
+	/** Lists the VMs as the VM control does, subject to its current fault. */
+	async readVms(): Promise<FleetVm[]> {
+		if (this.isVmListDown) {
+			await this.#options.clock.sleep(timeoutMs);
+			throw createVmControlError();
+		}
+
+		return this.listVms();
+	}
+
+	/** Removes a VM for good, without notice. */
+	removeVm(id: VmId): void {
+		this.#endIncarnation(this.#findVm(id), false);
+		this.#vms = this.#vms.filter(vm => vm.id !== id);
+	}
+
+	/** Sends an order to a VM, subject to the current fault. */
+	async sendVmOrder(execute: () => Promise<FleetOrderOutcome>): Promise<FleetOrderOutcome> {
+		const {clock} = this.#options;
+		const fault = this.vmOrderFault;
+		if (fault === 'refused' || fault === 'busy') {
+			return fault;
+		}
+
+		const outcome = fault === 'lost' || fault === 'late' ? undefined : await execute();
+		if (fault === 'late' || fault === 'repeated') {
+			clock.schedule(lateVmOrderMs, () => {
+				void execute();
+			});
+		}
+
+		if (fault === 'unanswered' || outcome === undefined) {
+			await clock.sleep(timeoutMs);
+			throw createVmControlError();
+		}
+
+		return outcome;
+	}
+
 	async maintainVm(id: VmId, wave: string, fence: OrderFence): Promise<FleetOrderOutcome> {
 		const vm = this.#findVm(id);
 		this.#checkFence(vm, fence);
@@ -622,6 +679,10 @@
 	}
 }
 
+function createVmControlError(): Error {
+	return new VerdictError('VM control does not answer', {verdict: 'may-have-run', code: 'fleet_unavailable'});
+}
+
 function sumReservations(incarnation: EmulatedIncarnation): Resources {
 	let sum = noResources;
 	for (const run of incarnation.runs.values()) {
@@ -715,14 +776,14 @@
 	}
 
 	override async listVms(): Promise<FleetVm[]> {
-		return this.fleet.listVms();
+		return this.fleet.readVms();
 	}
 
 	override async moveVm(vm: VmId, pool: PoolName, fence: OrderFence): Promise<FleetOrderOutcome> {
-		return this.fleet.moveVm(vm, pool, fence);
+		return this.fleet.sendVmOrder(async () => this.fleet.moveVm(vm, pool, fence));
 	}
 
 	override async maintainVm(vm: VmId, wave: string, fence: OrderFence): Promise<FleetOrderOutcome> {
-		return this.fleet.maintainVm(vm, wave, fence);
+		return this.fleet.sendVmOrder(async () => this.fleet.maintainVm(vm, wave, fence));
 	}
 }
--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -198,9 +198,12 @@
 			if (vm === undefined) {
 				missing.set(id, missing.get(id) ?? now);
 				draining.delete(id);
-				if (now - missing.get(id)! > timings.missingVmMs && !begun.has(id)) {
-					log.info('VM of a wave no longer exists', {wave: wave.id, vm: id});
-					begun.add(id);
+				if (now - missing.get(id)! > timings.missingVmMs) {
+					down.delete(id);
+					if (!begun.has(id)) {
+						log.info('VM of a wave no longer exists', {wave: wave.id, vm: id});
+						begun.add(id);
+					}
 				}
 
 				continue;
@@ -209,7 +212,7 @@
 			missing.delete(id);
 			if (vm.state === 'upkeep') {
 				down.set(id, Math.min(now, down.get(id) ?? now));
-			} else if (vm.state === 'up' && now - (down.get(id) ?? now) > bounds.returnMs && this.#orders.isOrderable(id)) {
+			} else if (now - (down.get(id) ?? now) > (vm.state === 'up' ? bounds.returnMs : timings.missingVmMs) && this.#orders.isOrderable(id)) {
 				down.delete(id);
 			}
 		}
@@ -224,17 +227,28 @@
 			.toSorted((a, b) => a.tasks - b.tasks);
 		for (const {id} of candidates.slice(0, Math.max(0, freeSlots))) {
 			draining.set(id, this.#options.clock.readMonotonic());
-			const session = this.#findSession(vms.get(id)!);
-			if (session !== undefined) {
-				session.isCordoned = true;
-			}
+			this.#findSession(vms.get(id)!)?.cordons.renew('upkeep', this.#options.timings.moveTimeoutMs);
+		}
+	}
+
+	/** Keeps a draining VM without new work. The drain starts again if the cordon had expired, as during an outage of the VM control. */
+	#renewCordon(draining: Map<VmId, number>, vm: VmId, {cordons}: WorkerSession): void {
+		const {clock, timings} = this.#options;
+		if (!cordons.hasReason('upkeep')) {
+			draining.set(vm, clock.readMonotonic());
 		}
+
+		cordons.renew('upkeep', timings.moveTimeoutMs);
 	}
 
 	async #maintainVm(progress: WaveProgress, vm: FleetVm): Promise<void> {
 		const {clock, fleet, log, holder, epoch} = this.#options;
 		const {wave, begun, down, draining} = progress;
 		const session = this.#findSession(vm);
+		if (session !== undefined) {
+			this.#renewCordon(draining, vm.id, session);
+		}
+
 		const waitedMs = clock.readMonotonic() - (draining.get(vm.id) ?? 0);
 		if (vm.state !== 'up' || !this.#isDrained(session, waitedMs) || !await this.#orders.recordOrders([vm.id]) || !this.#isDrained(session, waitedMs)) {
 			return;
@@ -253,6 +267,8 @@
 		if (outcome === 'accepted') {
 			down.set(vm.id, clock.readMonotonic());
 			await this.#endOrderedIncarnation(vm, session);
+		} else {
+			session?.cordons.clear('upkeep');
 		}
 
 		await this.#writeState(progress, progress.state);
@@ -269,7 +285,7 @@
 
 		const vm = (await this.#options.fleet.listVms()).find(other => other.id === id);
 		if (vm?.state === 'up' && vm.worker === worker) {
-			session.isCordoned = false;
+			session.cordons.clear('upkeep');
 			this.#options.log.info('VM had already completed its upkeep', {vm: id, worker});
 		} else {
 			session.endByVmOrder('upkeep');
@@ -282,7 +298,6 @@
 			return true;
 		}
 
-		session.isCordoned = true;
 		if (session.isReachable && !session.isListed) {
 			return false;
 		}
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -38,6 +38,15 @@
 const maxBurstMs = 500;
 const millisecondsPerSecond = 1000;
 
+/** A move that was ordered, until its VM has arrived or the move times out. */
+type OrderedMove = {
+	readonly to: PoolName;
+	/** Time of the order, on the monotonic clock. */
+	readonly at: number;
+	/** Worker that ends if the order takes effect; set while the order has no answer. */
+	readonly unansweredWorker?: WorkerSession;
+};
+
 /** Adjusts the pools to the sizes that their queues demand. */
 export class PoolSizer {
 	static create(options: PoolSizerOptions): PoolSizer {
@@ -46,7 +55,7 @@
 
 	readonly #options: PoolSizerOptions;
 	readonly #trend = DemandTrend.create();
-	readonly #moving = new Map<VmId, {readonly to: PoolName; readonly at: number}>();
+	readonly #moving = new Map<VmId, OrderedMove>();
 	#loggedAt = Number.NEGATIVE_INFINITY;
 	#plannedAt: number;
 
@@ -104,18 +113,33 @@
 		}
 	}
 
-	/** Drops moves that have completed or timed out. */
+	/**
+	 * Reconciles the ordered moves with the listed VMs: ends the worker of a VM that has left although its order had no answer, and drops
+	 * moves that have completed or timed out. A VM whose order never took effect is back in use after the timeout.
+	 */
 	#updateMoving(vms: readonly FleetVm[]): void {
-		const now = this.#options.clock.readMonotonic();
-		for (const vm of vms) {
-			const move = this.#moving.get(vm.id);
-			const hasArrived = vm.pool === move?.to && vm.state === 'up' && (vm.worker === undefined || this.#findSession(vm) !== undefined);
-			if (move !== undefined && (hasArrived || now - move.at > this.#options.timings.moveTimeoutMs)) {
-				this.#moving.delete(vm.id);
+		const {clock, timings} = this.#options;
+		const listed = new Map(vms.map(vm => [vm.id, vm]));
+		for (const [id, move] of this.#moving) {
+			const vm = listed.get(id);
+			if (vm !== undefined && move.unansweredWorker !== undefined && (vm.state === 'moving' || vm.pool === move.to)) {
+				this.#moving.set(id, {to: move.to, at: move.at});
+				this.#endMovedWorker(move.unansweredWorker);
+			}
+
+			const hasArrived = vm?.pool === move.to && vm.state === 'up' && (vm.worker === undefined || this.#findSession(vm) !== undefined);
+			if (hasArrived || clock.readMonotonic() - move.at > timings.moveTimeoutMs) {
+				this.#moving.delete(id);
 			}
 		}
 	}
 
+	#endMovedWorker(session: WorkerSession): void {
+		if (!session.isClosed) {
+			session.endByVmOrder('move');
+		}
+	}
+
 	#describePools(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): SizedPool[] {
 		const schedulers = new Map(this.#options.listPools().map(pool => [pool.service as string, pool]));
 		return (this.#options.declarations.configuration?.pools ?? []).map(({name, isSpare}) => {
@@ -147,16 +171,13 @@
 	}
 
 	async #moveVm({vm, from, to}: SizingMove, vms: readonly FleetVm[]): Promise<void> {
-		const {clock, fleet, log, fence} = this.#options;
+		const {clock, fleet, log, fence, timings} = this.#options;
 		const session = this.#findSession(vms.find(other => other.id === vm)!);
 		if (session !== undefined && session.tasks.size > 0) {
 			return;
 		}
 
-		if (session !== undefined) {
-			session.isCordoned = true;
-		}
-
+		session?.cordons.renew('move', timings.moveTimeoutMs);
 		this.#moving.set(vm, {to, at: clock.readMonotonic()});
 		try {
 			const outcome = await fleet.moveVm(vm, to, fence);
@@ -173,15 +194,15 @@
 				vm, from, to, isUnsent, error: readErrorMessage(error),
 			});
 			if (!isUnsent) {
-				// The order may still take effect, so the VM gets no work until the list shows its pool.
+				// The order may still take effect, so the VM gets no work until the list shows that it did or the move times out.
+				this.#moving.set(vm, {to, at: clock.readMonotonic(), unansweredWorker: session});
+				session?.cordons.renew('move', timings.moveTimeoutMs);
 				return;
 			}
 		}
 
 		this.#moving.delete(vm);
-		if (session !== undefined) {
-			session.isCordoned = false;
-		}
+		session?.cordons.clear('move');
 	}
 
 	#findSession({worker}: FleetVm): WorkerSession | undefined {
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -6,6 +6,7 @@
 	addResources, getReservation, isWithin, noResources, type Candidate, type Resources,
 } from '@tamarackwind/scheduling';
 import {type Task} from './active-jobs.js';
+import {Cordons} from './cordons.js';
 import {isUnproven} from './crash-budgets.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {formatIncarnation, type RunKey} from './jobs.js';
@@ -58,8 +59,8 @@
 	record: WorkerRecord;
 	/** Whether the registry still lists the worker. */
 	isRegistered = true;
-	/** Whether the worker gets no new work because its VM is being drained for maintenance or a move. */
-	isCordoned = false;
+	/** Reasons for which the worker gets no new work although it is sound. */
+	readonly cordons: Cordons;
 	readonly health: WorkerHealth;
 	readonly #tasks = new Set<Task>();
 	/** Resources that the assigned tasks reserve. */
@@ -87,6 +88,7 @@
 	private constructor(options: WorkerSessionOptions) {
 		this.#options = options;
 		this.record = options.record;
+		this.cordons = Cordons.create(options.clock);
 		this.health = WorkerHealth.create();
 		this.#lease = WorkerLease.create(options.earlierRunsEndBy);
 		this.#idleSince = options.clock.readMonotonic();
@@ -114,7 +116,7 @@
 
 	/** Whether the worker may get new work. */
 	get isSchedulable(): boolean {
-		return this.#isListed && this.isReachable && this.isRegistered && !this.record.isDraining && !this.isCordoned;
+		return this.#isListed && this.isReachable && this.isRegistered && !this.record.isDraining && !this.cordons.isActive;
 	}
 
 	/** Time by which all runs on the worker have ended if the lease is not renewed, on the monotonic clock. */
