Hold back runs that a restarted worker may have begun

Cause: an order names the worker by its id, which both incarnations share, so the new one executed starts that were meant for the earlier one. The holder released all tasks when it saw the restart and started them elsewhere before it had asked the new incarnation for its runs. Ruled out: late orders (the fault shows without them).

Change: a run that the ended incarnation never listed is stopped on the next one, and the task starts elsewhere once a listing after that stop lacks it; takeovers alike. The next incarnation is called at once, before the registry lists it. Ends are acknowledged only right after the listing that showed them, since a restarted worker numbers its ends anew. The emulator's late orders are lost with the incarnation that received them, as they were when each incarnation had an id of its own.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -192,6 +192,18 @@
 		});
 	}
 
+	/** Ends the worker of a VM without notice and starts it again under the same id after `downtimeMs` milliseconds. */
+	restartWorker(id: VmId, downtimeMs: number): void {
+		const vm = this.#findVm(id);
+		const worker = vm.incarnation?.record.id;
+		this.#endIncarnation(vm, false);
+		this.#options.clock.schedule(downtimeMs, () => {
+			if (vm.incarnation === undefined && vm.state === 'up') {
+				this.#startIncarnation(vm, worker);
+			}
+		});
+	}
+
 	/** Makes a VM unreachable for `durationMs` milliseconds; its worker keeps running. */
 	setUnreachable(id: VmId, durationMs: number): void {
 		const vm = this.#findVm(id);
@@ -341,18 +353,19 @@
 		}
 
 		const draw = isRead ? 1 : random.readFraction();
+		const incarnation = vm.incarnation!;
 		if (draw < this.orderFaults.lateRate) {
 			this.counts.lateOrders++;
 			clock.schedule(1000 + (random.readFraction() * 8000), () => {
-				if (vm.incarnation?.record.id === record.id) {
-					execute(vm.incarnation);
+				// The order is lost with the incarnation that has received it.
+				if (!incarnation.isEnded && incarnation.record.id === record.id) {
+					execute(incarnation);
 				}
 			});
 			await clock.sleep(1200);
 			throw new VerdictError('worker does not answer', {verdict: 'may-have-run', code: 'worker_unavailable'});
 		}
 
-		const incarnation = vm.incarnation!;
 		const outcome = incarnation.record.id === record.id ? execute(incarnation) : undefined;
 		if (draw < this.orderFaults.lateRate + this.orderFaults.lostResponseRate) {
 			this.counts.lostResponses++;
@@ -462,16 +475,18 @@
 		};
 	}
 
-	#startIncarnation(vm: EmulatedVm): void {
+	#startIncarnation(vm: EmulatedVm, worker?: VmId): void {
 		if (vm.pool === sparePool) {
 			return;
 		}
 
+		this.#endedRecords = this.#endedRecords.filter(({record}) => record.id !== worker);
+
 		const {clock, random} = this.#options;
 		const startedAt = clock.readMonotonic();
 		this.#incarnationCount++;
 		const record: WorkerRecord = {
-			id: `worker-${this.#incarnationCount}` as VmId, startedAt, pool: vm.pool, address: `${vm.id}:1`, zone: 'zone-a' as ZoneName, isDraining: false, capacity: fullCapacity, labels: [],
+			id: worker ?? `worker-${this.#incarnationCount}` as VmId, startedAt, pool: vm.pool, address: `${vm.id}:1`, zone: 'zone-a' as ZoneName, isDraining: false, capacity: fullCapacity, labels: [],
 		};
 		vm.incarnation = new EmulatedIncarnation(record, startedAt, 1 - (random.readFraction() * 0.02), (task, isPlanned) => {
 			this.#unavailableSince.set(task, {at: clock.readMonotonic(), isPlanned});
@@ -486,6 +501,10 @@
 
 			vm.incarnation.isEnded = true;
 			vm.incarnation.runs.clear();
+			for (const wake of vm.incarnation.waiters) {
+				wake();
+			}
+
 			this.#endedRecords.push({record: vm.incarnation.record, until: this.#options.clock.readMonotonic() + (this.#bounds.heartbeatMs * listedHeartbeats)});
 			vm.incarnation = undefined;
 		}
@@ -737,6 +756,10 @@
 			renewal.incarnation.waiters.delete(wake);
 		}
 
+		if (renewal.incarnation.isEnded) {
+			throw new VerdictError('connection reset', {verdict: 'may-have-run', code: 'worker_unavailable'});
+		}
+
 		return await this.fleet.runOrder(worker, true, current => current === renewal.incarnation ? this.fleet.describeIncarnation(current) : undefined) ?? {status: 'other-life'};
 	}
 
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -47,6 +47,8 @@
 	speedPercent = 100;
 	/** Whether the worker has confirmed the current run, by its response or in a listing. */
 	isConfirmed = false;
+	/** Whether the worker incarnation to which the task is assigned has listed the current run. */
+	isListed = false;
 	/** Earliest time of the next start, on the monotonic clock. */
 	notBefore = 0;
 
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -23,7 +23,7 @@
 	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
 import {type Timings} from './timings.js';
-import {SessionOwner, WorkerSession} from './worker-sessions.js';
+import {SessionOwner, WorkerSession, type IncarnationEnd} from './worker-sessions.js';
 
 export type PoolSchedulerOptions = {
 	readonly clock: Clock;
@@ -98,8 +98,8 @@
 	readonly #fillerThrottler: FillerThrottler;
 	readonly #jobs = new Map<JobId, ActiveJob>();
 	readonly #sessions = new Map<VmId, WorkerSession>();
-	/** Tasks that an earlier holder assigned to a worker incarnation that is not listed. */
-	readonly #orphans = new Set<Task>();
+	/** Tasks whose last run may be active on a worker without a session, with the time by which that run has ended in any case. */
+	readonly #orphans = new Map<Task, number>();
 	/** Ended worker incarnations and the time at which each end was detected; the registry may still list them for some seconds. */
 	readonly #endedIncarnations = new Map<string, number>();
 	readonly #wake = Signal.create();
@@ -207,7 +207,7 @@
 		}
 
 		for (const task of orphans) {
-			this.#orphans.add(task);
+			this.#orphans.set(task, this.#options.earlierRunsEndBy);
 		}
 
 		this.#feed.start();
@@ -229,7 +229,7 @@
 	updateWorkers(records: readonly WorkerRecord[]): void {
 		const listed = new Set<VmId>();
 		let isChanged = false;
-		for (const record of records.filter(({id, startedAt}) => !this.#endedIncarnations.has(formatIncarnation({id, startedAt})))) {
+		for (const record of records.filter(({id, startedAt}) => !this.#isOutdated({id, startedAt}))) {
 			listed.add(record.id);
 			const known = this.#sessions.get(record.id);
 			if (known?.record.startedAt === record.startedAt) {
@@ -258,28 +258,39 @@
 		}
 	}
 
-	/** Lists the unreachable workers with tasks, and the workers to which an earlier holder assigned tasks and that the registry does not list. */
+	/** Reports whether the registry still lists an incarnation that has ended. */
+	#isOutdated({id, startedAt}: WorkerIncarnation): boolean {
+		const known = this.#sessions.get(id)?.record;
+		return this.#endedIncarnations.has(formatIncarnation({id, startedAt})) || (known !== undefined && startedAt < known.startedAt);
+	}
+
+	/** Lists the unreachable workers with tasks, and the workers without a session on which runs may be active. */
 	listLostWorkers(): VmId[] {
 		const unreachable = [...this.#sessions.values()].filter(session => !session.isReachable && session.tasks.size > 0).map(session => session.record.id);
-		const recorded = [...this.#orphans].flatMap(task => task.incarnation === undefined ? [] : [task.incarnation.id]);
+		const recorded = [...this.#orphans.keys()].flatMap(task => task.incarnation === undefined ? [] : [task.incarnation.id]);
 		return [...new Set([...unreachable, ...recorded])];
 	}
 
-	/** Ends the incarnations of unreachable workers whose VMs are down. */
-	endIncarnations(deadWorkers: ReadonlySet<VmId>): void {
+	/** Ends the incarnations of unreachable workers whose VMs were asked for at `downAt` and found down. */
+	endIncarnations(deadWorkers: ReadonlySet<VmId>, downAt: number): void {
 		for (const session of this.#sessions.values()) {
-			if (deadWorkers.has(session.record.id)) {
-				this.endIncarnation(session, 'VM is down');
+			if (deadWorkers.has(session.record.id) && !session.isReachable) {
+				this.endIncarnation(session, 'VM is down', {downAt});
 			}
 		}
 
-		for (const task of this.#orphans) {
-			if (task.incarnation !== undefined && deadWorkers.has(task.incarnation.id)) {
+		for (const task of this.#orphans.keys()) {
+			if (task.incarnation !== undefined && deadWorkers.has(task.incarnation.id) && !this.#isStartPending(task, downAt)) {
 				this.#releaseOrphan(task);
 			}
 		}
 	}
 
+	/** Reports whether a start that was sent to a worker may reach a later incarnation, although its VM was down at `downAt`. */
+	#isStartPending({isConfirmed, orderedAt}: Task, downAt: number): boolean {
+		return !isConfirmed && orderedAt > 0 && orderedAt + this.#options.timings.orderTimeoutMs > downAt;
+	}
+
 	override async applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<boolean> {
 		const changed = new Set<ActiveJob>();
 		this.#options.meter.track('apply listing', () => {
@@ -294,18 +305,26 @@
 		return this.#tryRecord(changed);
 	}
 
-	override endIncarnation(session: WorkerSession, reason: string, isOrdered = false): void {
+	override endIncarnation(session: WorkerSession, reason: string, end: IncarnationEnd = {}): void {
 		const {log} = this.#options;
 		log.info('worker life ended', {worker: session.name, reason, tasks: session.tasks.size});
 		this.#endedIncarnations.set(session.name, this.#options.clock.readMonotonic());
 		const changed = new Set<ActiveJob>();
-		const suspects = isOrdered || session.record.isDraining ? [] : [...listSuspects(session.tasks, session.listedAt), ...session.suspectsAtExpiry];
+		const suspects = (end.isOrdered ?? session.record.isDraining) ? [] : [...listSuspects(session.tasks, session.listedAt), ...session.suspectsAtExpiry];
 		this.#recordCrash(suspects, session.name);
 		for (const task of session.tasks) {
-			this.#releaseTask(task, changed);
+			if (this.#isPossiblyInSuccessor(task, end)) {
+				this.#holdTask(task, session);
+			} else {
+				this.#releaseTask(task, changed);
+			}
 		}
 
 		this.#closeSession(session);
+		if (end.successorStartedAt !== undefined) {
+			this.#addSuccessor(session, end.successorStartedAt);
+		}
+
 		for (const active of new Set([...changed, ...suspects.map(task => task.job)])) {
 			this.#updateState(active, changed);
 		}
@@ -313,6 +332,36 @@
 		this.#record(changed);
 	}
 
+	/** Reports whether the run of a task may be active on a later incarnation of its worker: it was ordered, and the incarnation that ended never listed it. */
+	#isPossiblyInSuccessor(task: Task, {isOrdered, isReplaced, downAt}: IncarnationEnd): boolean {
+		const isOver = isOrdered ?? isReplaced ?? false;
+		if (isOver || !task.isInFlight || task.isListed) {
+			return false;
+		}
+
+		return downAt === undefined || this.#isStartPending(task, downAt);
+	}
+
+	/** Unassigns a task from a session without making it eligible for a new start, until a later incarnation of the worker shows whether its run is active. */
+	#holdTask(task: Task, session: WorkerSession): void {
+		session.removeTask(task);
+		if (task.orderedAt > 0) {
+			task.phase = 'stopping';
+		}
+
+		this.#orphans.set(task, Math.max(session.runsEndBy, session.unlistedRunsEndBy));
+		this.#options.log.info('run in doubt', {
+			job: task.job.job.id, task: task.name, run: task.run, worker: session.name, isConfirmed: task.isConfirmed,
+		});
+	}
+
+	/** Adds the session of an incarnation that the registry does not list yet, to settle the runs that it may have begun. It gets no new work until it is registered. */
+	#addSuccessor({record}: WorkerSession, startedAt: number): void {
+		if ([...this.#orphans.keys()].some(task => task.incarnation?.id === record.id)) {
+			this.#addSession({...record, startedAt}).isRegistered = false;
+		}
+	}
+
 	/** Counts the crash of a worker against the tasks that may have caused it. */
 	#recordCrash(suspects: readonly Task[], worker: string): void {
 		recordCrash(suspects);
@@ -339,19 +388,29 @@
 		this.#wake.set();
 	}
 
-	#addSession(record: WorkerRecord): void {
+	#addSession(record: WorkerRecord): WorkerSession {
 		const {clock, control, log, earlierRunsEndBy, timings} = this.#options;
+		const orphans = [...this.#orphans].filter(([{incarnation}]) => incarnation?.id === record.id);
 		const session = WorkerSession.create({
-			clock, control, log, owner: this, record, earlierRunsEndBy, timings,
+			clock, control, log, owner: this, record, earlierRunsEndBy: Math.max(earlierRunsEndBy, ...orphans.map(([, endBy]) => endBy)), timings,
 		});
 		this.#sessions.set(record.id, session);
-		for (const task of this.#orphans) {
-			if (isSameIncarnation(task.incarnation, record)) {
-				this.#orphans.delete(task);
-				session.addTask(task);
-			} else if (task.incarnation?.id === record.id) {
-				this.#releaseOrphan(task);
-			}
+		for (const [task] of orphans) {
+			this.#orphans.delete(task);
+			this.#resumeTask(session, task);
+		}
+
+		return session;
+	}
+
+	/** Assigns a task to the session of a worker that may run it. The start of an earlier holder is void once the worker lists its runs; one of this holder has to be stopped. */
+	#resumeTask(session: WorkerSession, task: Task): void {
+		const {id, startedAt} = session.record;
+		task.incarnation = {id, startedAt};
+		task.isListed = false;
+		session.addTask(task);
+		if (task.orderedAt > 0) {
+			session.stopTask(task);
 		}
 	}
 
@@ -586,14 +645,14 @@
 		const changed = new Set<ActiveJob>();
 		for (const session of this.#sessions.values()) {
 			if (!session.isReachable && now > session.runsEndBy) {
-				this.#expireLease(session, changed);
+				this.#expireLease(session, now, changed);
 			} else if (session.isReachable && session.isListed) {
 				this.#stopStalledOrDraining(session, now);
 			}
 		}
 
-		for (const task of this.#orphans) {
-			if (now > this.#options.earlierRunsEndBy) {
+		for (const [task, endBy] of this.#orphans) {
+			if (now > endBy) {
 				this.#releaseOrphan(task);
 			}
 		}
@@ -614,19 +673,20 @@
 		this.#record(changed);
 	}
 
-	#expireLease(session: WorkerSession, changed: Set<ActiveJob>): void {
-		if (session.tasks.size > 0) {
-			this.#options.log.info('lease lapsed', {worker: session.name, tasks: session.tasks.size});
+	#expireLease(session: WorkerSession, now: number, changed: Set<ActiveJob>): void {
+		const expired = [...session.tasks].filter(task => now > session.computeRunEnd(task));
+		if (expired.length > 0) {
+			this.#options.log.info('lease lapsed', {worker: session.name, tasks: expired.length, unlisted: session.tasks.size - expired.length});
 			// The worker may be cut off rather than crashed; that shows once it answers again or its VM is found down.
-			session.suspectsAtExpiry = listSuspects(session.tasks, session.listedAt);
+			session.suspectsAtExpiry = [...session.suspectsAtExpiry, ...listSuspects(session.tasks, session.listedAt).filter(task => expired.includes(task))];
 		}
 
-		for (const task of session.tasks) {
+		for (const task of expired) {
 			this.#releaseTask(task, changed);
 			this.#updateState(task.job, changed);
 		}
 
-		if (!session.isRegistered) {
+		if (!session.isRegistered && session.tasks.size === 0) {
 			this.#closeSession(session);
 		}
 	}
@@ -739,6 +799,7 @@
 		task.run = run;
 		task.phase = 'recorded';
 		task.isConfirmed = false;
+		task.isListed = false;
 		task.incarnation = {id: session.record.id, startedAt: session.record.startedAt};
 		session.addTask(task);
 		const index = candidates.findIndex(candidate => candidate.id === choice.id);
@@ -785,6 +846,7 @@
 function observeRun(task: Task, run: ListedRun, now: number): void {
 	task.job.hasBegun = true;
 	task.isConfirmed = true;
+	task.isListed = true;
 	if (task.phase === 'starting') {
 		task.phase = 'running';
 	}
@@ -811,10 +873,6 @@
 	}
 }
 
-function isSameIncarnation(a: WorkerIncarnation | undefined, b: WorkerIncarnation): boolean {
-	return a?.id === b.id && a.startedAt === b.startedAt;
-}
-
 function formatRun({job, occurrence, step, index, run}: RunKey): string {
 	return `${job}.${occurrence}.${step}.${index}#${run}`;
 }
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -256,10 +256,11 @@
 	async #endDeadWorkers(): Promise<void> {
 		const lostWorkers = [...this.#pools.values()].flatMap(pool => pool.listLostWorkers());
 		if (lostWorkers.length > 0) {
+			const askedAt = this.#options.clock.readMonotonic();
 			const alive = new Set((await this.#options.fleet.listVms()).filter(vm => vm.state === 'up').map(vm => vm.worker));
 			const dead = new Set<VmId>(lostWorkers.filter(id => !alive.has(id)));
 			for (const pool of dead.size > 0 ? this.#pools.values() : []) {
-				pool.endIncarnations(dead);
+				pool.endIncarnations(dead, askedAt);
 			}
 		}
 	}
--- a/packages/workflows/src/timings.ts
+++ b/packages/workflows/src/timings.ts
@@ -3,6 +3,7 @@
  */
 import {createIssuesError, IssuesError, type SafeParseResult} from '@tamarackwind/core';
 import {type Bounds} from './bounds.js';
+import {computeMaxLeaseMs} from './worker-leases.js';
 
 /** Timeouts and intervals that depend on the bounds, each in milliseconds. */
 export type Timings = {
@@ -12,6 +13,11 @@
 	readonly longPollMs: number;
 	/** Time without a response after which a worker's lease is no longer renewed, so that its tasks can start elsewhere once the lease has expired. */
 	readonly maxWorkerSilenceMs: number;
+	/**
+	 * Time after the last order with a lease by which a run has ended that a restarted worker began unnoticed: it judges the lease by its
+	 * new clock and grants the longest one.
+	 */
+	readonly unlistedRunMs: number;
 	/** Time beyond `longPollMs` after which a listing times out. */
 	readonly listingSlackMs: number;
 	/** Timeout of any other order to a worker. */
@@ -143,12 +149,14 @@
 function convertBounds(bounds: Bounds): Timings {
 	const workerLeaseMs = Math.min(preferred.workerLeaseMs, bounds.maxWorkerLeaseMs);
 	const schedulerTermMs = Math.min(preferred.schedulerTermMs, workerLeaseMs * shares.termOfLease);
+	const orderTimeoutMs = Math.min(preferred.orderTimeoutMs, bounds.gangStartMs * shares.orderTimeoutOfGangStart);
 	return {
 		workerLeaseMs,
 		longPollMs: Math.floor(Math.min(preferred.longPollMs, workerLeaseMs * shares.longPollOfLease)),
 		maxWorkerSilenceMs: workerLeaseMs * leasesOfSilence,
+		unlistedRunMs: orderTimeoutMs + computeMaxLeaseMs(bounds.maxWorkerLeaseMs),
 		listingSlackMs: Math.min(preferred.listingSlackMs, workerLeaseMs * shares.listingSlackOfLease),
-		orderTimeoutMs: Math.min(preferred.orderTimeoutMs, bounds.gangStartMs * shares.orderTimeoutOfGangStart),
+		orderTimeoutMs,
 		schedulerTermMs,
 		schedulerWatchMs: Math.floor(schedulerTermMs * shares.watchOfTerm),
 		schedulerRefreshMs: schedulerTermMs * shares.refreshOfTerm,
--- a/packages/workflows/src/worker-leases.ts
+++ b/packages/workflows/src/worker-leases.ts
@@ -7,6 +7,11 @@
 /** Time that a run may take to end after its lease expired, in milliseconds; covers late timers on the worker. */
 const expiryMarginMs = 200;
 
+/** Computes the longest time for which runs go on under a lease of `leaseMs` on the worker's clock, in milliseconds. */
+export function computeMaxLeaseMs(leaseMs: number): number {
+	return (leaseMs * clockSlackFactor) + expiryMarginMs;
+}
+
 type Sample = {readonly clock: number; readonly receivedAt: number};
 
 /** Lease of all runs on one worker. Times named `...At` are on this process's monotonic clock. */
@@ -45,7 +50,7 @@
 			return this.earlierRunsEndBy;
 		}
 
-		const ownExpiry = this.#sample.receivedAt + ((this.#leaseUntil - this.#sample.clock) * clockSlackFactor) + expiryMarginMs;
+		const ownExpiry = this.#sample.receivedAt + computeMaxLeaseMs(this.#leaseUntil - this.#sample.clock);
 		return Math.max(this.earlierRunsEndBy, ownExpiry);
 	}
 
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -20,12 +20,34 @@
 const maxWorkerRetryMs = 600;
 /** Maximum wait for run ends to become durable before the lease is renewed without acknowledging them, in milliseconds. */
 const durableWaitMs = 1500;
+/** Maximum time for which a listing waits for the responses to pending stops, in milliseconds, so that it shows their effect. */
+const stopWaitMs = 100;
 /** Consecutive failed calls after which a worker counts as unreachable and gets no new work. */
 const maxFailures = 2;
 
 /** Rounding error of sums of fractional resources. */
 const roundingSlack: Resources = {cpu: 1e-6, memory: 1e-6, gpu: 1e-6};
 
+type PendingStop = {
+	readonly run: number;
+	/** Time of the worker's acknowledgement, on the monotonic clock. */
+	acknowledgedAt: number | undefined;
+	/** The call on its way. */
+	response: Promise<void> | undefined;
+};
+
+/** What is known about the end of a worker incarnation. */
+export type IncarnationEnd = {
+	/** Whether an order to the VM has ended it. */
+	readonly isOrdered?: boolean;
+	/** Whether another worker responds at its address, so that no order can reach a later incarnation under the same id. */
+	readonly isReplaced?: boolean;
+	/** Start time of the incarnation that has taken its place under the same id; it may have executed orders that were meant for the earlier one. */
+	readonly successorStartedAt?: number;
+	/** Time at which the VM was asked for and found down, on the monotonic clock. */
+	readonly downAt?: number;
+};
+
 /** Callbacks and state that a session needs from the scheduler of its pool. */
 export abstract class SessionOwner {
 	abstract readonly fencingToken: number;
@@ -33,8 +55,8 @@
 	abstract get isRenewalAllowed(): boolean;
 	/** Applies a listing; resolves to whether all run ends in it are durable. */
 	abstract applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<boolean>;
-	/** Handles the end of the worker's incarnation, by an order to its VM or for an unknown cause. */
-	abstract endIncarnation(session: WorkerSession, reason: string, isOrdered?: boolean): void;
+	/** Handles the end of the worker's incarnation. */
+	abstract endIncarnation(session: WorkerSession, reason: string, end?: IncarnationEnd): void;
 	/** Handles a call that the worker rejected because a later holder has fenced this one off. */
 	abstract handleFenced(session: WorkerSession): void;
 }
@@ -75,10 +97,17 @@
 	readonly unknownRuns = new Map<string, RunKey>();
 	readonly #options: WorkerSessionOptions;
 	readonly #wake = Signal.create();
-	readonly #pendingStops = new Map<Task, {run: number; acknowledgedAt: number | undefined; isSending: boolean}>();
+	readonly #pendingStops = new Map<Task, PendingStop>();
 	#lease: WorkerLease;
 	#idleSince: number;
-	#acknowledgedEnds = 0;
+	/** Sequence number up to which ends are durable. */
+	#durableEnds = 0;
+	/** Whether the last listing contained ends, which the worker keeps until they are acknowledged. */
+	#hasListedEnds = false;
+	/** Time at which the last listing was requested, on the monotonic clock. */
+	#listingSentAt = Number.NEGATIVE_INFINITY;
+	/** Time of the last order that carried a lease, on the monotonic clock. */
+	#leaseSentAt = Number.NEGATIVE_INFINITY;
 	#failures = 0;
 	/** Time of the last listing, on the monotonic clock. */
 	#listedAt: number;
@@ -119,11 +148,22 @@
 		return this.#isListed && this.isReachable && this.isRegistered && !this.record.isDraining && !this.cordons.isActive;
 	}
 
-	/** Time by which all runs on the worker have ended if the lease is not renewed, on the monotonic clock. */
+	/** Returns the time by which the run of a task has ended if the lease is not renewed, on the monotonic clock. A run that was never listed may have begun on a later incarnation. */
+	computeRunEnd({isListed, orderedAt}: Task): number {
+		const isUnlisted = !isListed && orderedAt > 0;
+		return isUnlisted ? Math.max(this.#lease.expiresAt, this.unlistedRunsEndBy) : this.#lease.expiresAt;
+	}
+
+	/** Time by which the runs that the worker has listed have ended if the lease is not renewed, on the monotonic clock. */
 	get runsEndBy(): number {
 		return this.#lease.expiresAt;
 	}
 
+	/** Time by which runs have ended that a later incarnation under the same id may have begun, on the monotonic clock. */
+	get unlistedRunsEndBy(): number {
+		return this.#leaseSentAt + this.#options.timings.unlistedRunMs;
+	}
+
 	/** Tasks assigned to the worker that are not known to have ended. */
 	get tasks(): ReadonlySet<Task> {
 		return this.#tasks;
@@ -161,7 +201,9 @@
 
 	/** Extends the lease for a start that is sent now; returns its end on the worker's clock. */
 	renewLease(): number {
-		return this.#lease.renew(this.#options.clock.readMonotonic(), this.#options.timings.workerLeaseMs) ?? 0;
+		const now = this.#options.clock.readMonotonic();
+		this.#leaseSentAt = now;
+		return this.#lease.renew(now, this.#options.timings.workerLeaseMs) ?? 0;
 	}
 
 	/** Makes the loop call the worker immediately. */
@@ -174,7 +216,7 @@
 		task.phase = 'stopping';
 		const known = this.#pendingStops.get(task);
 		if (known?.run !== task.run) {
-			this.#pendingStops.set(task, {run: task.run, acknowledgedAt: undefined, isSending: false});
+			this.#pendingStops.set(task, {run: task.run, acknowledgedAt: undefined, response: undefined});
 		}
 
 		void this.#sendStop(task);
@@ -225,7 +267,7 @@
 
 	/** Ends the incarnation after an order to the VM has terminated the worker. */
 	endByVmOrder(reason: string): void {
-		this.#options.owner.endIncarnation(this, reason, true);
+		this.#options.owner.endIncarnation(this, reason, {isOrdered: true});
 	}
 
 	/** Ends the loop; runs on the worker continue. */
@@ -279,23 +321,25 @@
 
 	async #callWorker(): Promise<void> {
 		const {clock, control, owner, timings} = this.#options;
-		for (const task of this.#pendingStops.keys()) {
-			void this.#sendStop(task);
-		}
-
+		await this.#sendStops();
 		const sentAt = clock.readMonotonic();
+		const isLeaseRenewed = sentAt - this.#listedAt < timings.maxWorkerSilenceMs;
+		const waitMs = this.#isListed && this.isReachable && !this.#hasUnlistedStop ? timings.longPollMs : 0;
+		this.#listingSentAt = sentAt;
+		this.#leaseSentAt = isLeaseRenewed ? sentAt : this.#leaseSentAt;
 		const outcome = await control.renewLease(this.record, {
 			fencingToken: owner.fencingToken,
-			acknowledgedEnds: this.#acknowledgedEnds,
-			leaseUntil: sentAt - this.#listedAt < timings.maxWorkerSilenceMs ? this.#lease.renew(sentAt, timings.workerLeaseMs) : undefined,
-			waitMs: this.#isListed && this.isReachable ? timings.longPollMs : 0,
+			// A later incarnation numbers its ends anew, so only ends of the last listing are acknowledged, and none after a failed call.
+			acknowledgedEnds: this.#hasListedEnds && this.#failures === 0 ? this.#durableEnds : 0,
+			leaseUntil: isLeaseRenewed ? this.#lease.renew(sentAt, timings.workerLeaseMs) : undefined,
+			waitMs,
 		});
 		if (this.#isClosed) {
 			return;
 		}
 
 		if (outcome.status === 'other-life') {
-			owner.endIncarnation(this, 'another incarnation responds at the worker\'s address');
+			owner.endIncarnation(this, 'another incarnation responds at the worker\'s address', {isReplaced: true});
 		} else if (outcome.status === 'fenced') {
 			owner.handleFenced(this);
 			await clock.sleep(workerRetryMs);
@@ -307,7 +351,7 @@
 	async #handleListing(listing: WorkerListing, sentAt: number): Promise<void> {
 		const {clock, owner} = this.#options;
 		if (listing.startedAt !== undefined && listing.startedAt !== this.record.startedAt) {
-			owner.endIncarnation(this, 'worker has restarted');
+			owner.endIncarnation(this, 'worker has restarted', {successorStartedAt: listing.startedAt});
 			return;
 		}
 
@@ -321,26 +365,43 @@
 		}
 
 		const durable = owner.applyListing(this, listing, sentAt);
-		const lastSequence = Math.max(this.#acknowledgedEnds, ...listing.ends.map(end => end.sequence));
-		if (lastSequence > this.#acknowledgedEnds) {
+		this.#hasListedEnds = listing.ends.length > 0;
+		const lastSequence = Math.max(this.#durableEnds, ...listing.ends.map(end => end.sequence));
+		if (lastSequence > this.#durableEnds) {
 			await waitAtMost(clock, this.#markAcknowledged(durable, lastSequence), durableWaitMs);
 		}
 	}
 
 	async #markAcknowledged(durable: Promise<boolean>, lastSequence: number): Promise<void> {
 		if (await durable) {
-			this.#acknowledgedEnds = Math.max(this.#acknowledgedEnds, lastSequence);
+			this.#durableEnds = Math.max(this.#durableEnds, lastSequence);
+		}
+	}
+
+	/** Whether a stop was acknowledged since the last listing for a run that no listing has shown; the next listing tells whether the run exists. */
+	get #hasUnlistedStop(): boolean {
+		return [...this.#pendingStops].some(([task, {acknowledgedAt}]) => !task.isListed && acknowledgedAt !== undefined && acknowledgedAt >= this.#listingSentAt);
+	}
+
+	/** Sends the stops that have no response yet, and waits for the responses for a short time. */
+	async #sendStops(): Promise<void> {
+		const unanswered = [...this.#pendingStops].filter(([, {acknowledgedAt}]) => acknowledgedAt === undefined).map(([task]) => task);
+		if (unanswered.length > 0) {
+			await waitAtMost(this.#options.clock, Promise.all(unanswered.map(async task => this.#sendStop(task))), stopWaitMs);
 		}
 	}
 
+	/** Sends the stop of a task unless it is on its way or was acknowledged. */
 	async #sendStop(task: Task): Promise<void> {
 		const stop = this.#pendingStops.get(task);
-		if (stop === undefined || stop.isSending || stop.acknowledgedAt !== undefined) {
-			return;
+		if (stop !== undefined && stop.acknowledgedAt === undefined) {
+			stop.response ??= this.#requestStop(task, stop);
+			await stop.response;
 		}
+	}
 
+	async #requestStop(task: Task, stop: PendingStop): Promise<void> {
 		const {control, owner, clock, log} = this.#options;
-		stop.isSending = true;
 		try {
 			const outcome = await control.stopRun(this.record, {key: {...task.key, run: stop.run}, fencingToken: owner.fencingToken});
 			if (outcome === 'done') {
@@ -351,7 +412,7 @@
 				worker: this.name, task: task.name, run: stop.run, error: readErrorMessage(error),
 			});
 		} finally {
-			stop.isSending = false;
+			stop.response = undefined;
 		}
 	}
 }
