Give a job one row, whatever service its queue belongs to

Cause: table and partition of a job's row were named after the service of its queue, so the repeat looked in another place. Ruled out: entries with different versions (one version in force is enough), a holder that takes up one row twice.

Change: one table of jobs, placed by the id; the row holds the service. The insert if absent decides also between entries with different versions, still one transaction. GET and DELETE need no search. The holder follows one feed for all pools.

--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -279,6 +279,12 @@
 		return id;
 	}
 
+	/** Repeats the submission of a job at an entry whose configuration sends the queue to the given service; resolves to the outcome. */
+	async repeatSubmission(id: JobId, service: string, entry: EmulatedEntry): Promise<string> {
+		const {job} = this.fleet.jobs.get(id)!;
+		return entry.submitter.submit({...job, service: service as ServiceName, queue: service});
+	}
+
 	/** Cancels a job and records the time of the acknowledgement. */
 	async cancel(id: JobId): Promise<void> {
 		const job = this.accepted.get(id);
@@ -287,7 +293,7 @@
 			try {
 				this.cancelled.add(id);
 				this.fleet.cancelRequested.add(id);
-				if (await entry.submitter.cancel(job.service, id)) {
+				if (await entry.submitter.cancel(id)) {
 					this.fleet.cancelledAt.set(id, this.clock.readMonotonic());
 				}
 			} catch {
@@ -306,7 +312,7 @@
 
 	/** Reads the state of a job as a client does. */
 	async getState(id: JobId): Promise<string | undefined> {
-		return this.#entries[0]!.queries.getState([this.fleet.jobs.get(id)!.job.service], id);
+		return this.#entries[0]!.queries.getState(this.fleet.jobs.get(id)!.job.service, id);
 	}
 
 	async #trySubmit(job: Job): Promise<string> {
--- a/packages/workflows/src/job-feeds.ts
+++ b/packages/workflows/src/job-feeds.ts
@@ -1,17 +1,19 @@
 /**
- * Reads the jobs of a service for its scheduler: first all stored jobs, then each submission and cancellation as it is committed.
+ * Reads the submitted jobs of all services for the schedulers of their pools: first all stored jobs, then each submission and
+ * cancellation as it is committed.
  */
 import {
 	readErrorMessage, type Clock, type JobId, type ServiceName,
 } from '@tamarackwind/core';
-import {type Row, type RowChange, type WatchableTableService} from '@tamarackwind/clients';
-import {ActiveJob, type Task} from './active-jobs.js';
+import {
+	type Row, type RowChange, type RowKey, type WatchableTableService,
+} from '@tamarackwind/clients';
+import {type ActiveJob} from './active-jobs.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
+import {JobRemover} from './job-removers.js';
 import {type Job} from './jobs.js';
-import {
-	fenceKey, getCancelKey, getJobKey, getJobTable, getProgressKey, getProgressPartition, getSubmissionPartition, listSubmissionPartitions, parseCancelKey, progressTable,
-} from './table-keys.js';
-import {decodeJob, decodeProgress, type Progress} from './records.js';
+import {jobTable, listSubmissionPartitions, parseCancelKey} from './table-keys.js';
+import {decodeJob} from './records.js';
 import {type Timings} from './timings.js';
 
 /** A decoded change of the submitted jobs. */
@@ -19,215 +21,199 @@
 	= | {readonly kind: 'submitted'; readonly id: JobId; readonly job: Job; readonly version: number}
 		| {readonly kind: 'cancelled'; readonly id: JobId};
 
+/** Receives the changes of one service's jobs. */
+export type JobSubscriber = (changes: readonly JobChange[]) => void;
+
 export type JobFeedOptions = {
 	readonly clock: Clock;
 	readonly tables: WatchableTableService;
 	readonly log: RateLimitedLog;
-	readonly service: ServiceName;
+	/** Retention of ended jobs, in milliseconds. */
 	readonly retentionMs: number;
 	readonly timings: Timings;
-	readonly onChanges: (changes: readonly JobChange[]) => void;
 };
 
+type Submission = {readonly job: Job; readonly version: number; isCancelled: boolean};
+
 /** Delay after a failed watch, in milliseconds. */
 const retryDelayMs = 100;
-/** Interval at which jobs past their retention are removed, in milliseconds. */
-const removalIntervalMs = 5000;
-/** Maximum number of jobs removed in one transaction. */
-const maxRemovals = 30;
 
-/** Reads and watches the submissions of one service. */
+/** Reads and watches the submissions of all services. A job belongs to the service that its queue had when it was accepted. */
 export class JobFeed {
 	static create(options: JobFeedOptions): JobFeed {
 		return new JobFeed(options);
 	}
 
 	readonly #options: JobFeedOptions;
-	/** Ended jobs, with the time at which their rows may be deleted. */
-	readonly #ended = new Map<JobId, number>();
+	readonly #remover: JobRemover;
+	readonly #submissions = new Map<JobId, Submission>();
+	readonly #subscribers = new Map<ServiceName, JobSubscriber>();
+	#loaded: Promise<void> | undefined;
 	#version = 0;
-	/** Version at which each partition of the service was last listed; changes up to it are known. */
+	/** Version at which each partition was last listed; changes up to it are known. */
 	#listedVersions: ReadonlyMap<string, number> = new Map();
 	#isClosed = false;
 
 	private constructor(options: JobFeedOptions) {
 		this.#options = options;
+		this.#remover = JobRemover.create({
+			...options, onRemoved: id => {
+				this.#submissions.delete(id);
+			},
+		});
 	}
 
-	/** Reads all stored jobs with their progress; `orphans` are the tasks that an earlier holder had assigned. */
-	async load(): Promise<{jobs: ActiveJob[]; orphans: Task[]}> {
-		const {service, clock, log} = this.#options;
-		const {progress, unreadable} = await this.#readProgress();
-		const rows = await this.#readSubmissions();
-		const now = {monotonic: clock.readMonotonic(), wall: clock.readWall()};
-		const jobs = new Map<JobId, ActiveJob>();
-		for (const item of this.#decodeRows(rows)) {
-			if (unreadable.has(item.id)) {
-				continue;
-			}
-
-			if (item.kind === 'submitted') {
-				const active = ActiveJob.create(item.job, now);
-				const saved = progress.get(item.id);
-				if (saved !== undefined) {
-					active.restoreProgress(saved);
-				}
-
-				jobs.set(item.id, active);
-			} else {
-				const active = jobs.get(item.id);
-				if (active !== undefined && !active.isTerminal) {
-					active.isCancelled = true;
-				}
-			}
-		}
-
-		for (const active of jobs.values()) {
-			active.updateState();
+	/** Lists all submissions, and starts to watch their changes. Further calls wait for the same listing. */
+	async load(): Promise<void> {
+		this.#loaded ??= this.#start();
+		try {
+			await this.#loaded;
+		} catch (error) {
+			this.#loaded = undefined;
+			throw error;
 		}
+	}
 
-		const all = [...jobs.values()];
-		const orphans = all.flatMap(active => active.tasks.filter(task => task.incarnation !== undefined));
-		log.info('service loaded', {
-			service, jobs: all.length, running: all.filter(active => !active.isTerminal).length, orphans: orphans.length, version: this.#version,
-		});
-		return {jobs: all, orphans};
+	/** Returns the known jobs of a service as changes; later ones are passed to the subscriber. */
+	subscribe(service: ServiceName, subscriber: JobSubscriber): JobChange[] {
+		this.#subscribers.set(service, subscriber);
+		return [...this.#submissions].filter(([, {job}]) => job.service === service).flatMap(([id, {job, version, isCancelled}]): JobChange[] => [
+			{
+				kind: 'submitted', id, job, version,
+			},
+			...(isCancelled ? [{kind: 'cancelled', id} as const] : []),
+		]);
 	}
 
-	/** Watches changes and removes jobs past their retention, until `close`. */
-	start(): void {
-		void this.#watchAll();
-		void this.#removeEnded();
+	/** Ends the subscription of a service. */
+	endSubscription(service: ServiceName, subscriber: JobSubscriber): void {
+		if (this.#subscribers.get(service) === subscriber) {
+			this.#subscribers.delete(service);
+		}
 	}
 
 	/** Schedules the rows of an ended job for deletion at the end of its retention. */
 	scheduleRemoval(active: ActiveJob): void {
-		const {clock, retentionMs} = this.#options;
-		const age = Math.max(0, clock.readWall() - (active.endedAt ?? clock.readWall()));
-		this.#ended.set(active.job.id, clock.readMonotonic() + retentionMs - Math.min(age, retentionMs));
+		this.#remover.scheduleJob(active);
+	}
+
+	/** Schedules progress rows without a submitted job for deletion. */
+	scheduleProgressRemoval(id: JobId, keys: readonly RowKey[]): void {
+		this.#remover.scheduleProgress(id, keys);
 	}
 
 	close(): void {
 		this.#isClosed = true;
+		this.#remover.close();
+		this.#subscribers.clear();
+	}
+
+	async #start(): Promise<void> {
+		this.#update(await this.#readSubmissions());
+		void this.#watchAll();
 	}
 
 	/** Lists the submissions of all partitions; the watch continues from the lowest version of these listings. */
 	async #readSubmissions(): Promise<Row[]> {
-		const {tables, service} = this.#options;
-		const ranges = await Promise.all(listSubmissionPartitions(service).map(async partition => ({partition, ...await tables.listRange(getJobTable(service), {partition})})));
+		const {tables} = this.#options;
+		const ranges = await Promise.all(listSubmissionPartitions().map(async partition => ({partition, ...await tables.listRange(jobTable, {partition})})));
 		this.#listedVersions = new Map(ranges.map(({partition, version}) => [partition, version]));
 		this.#version = Math.min(...this.#listedVersions.values());
 		return ranges.flatMap(({rows}) => rows);
 	}
 
-	/** Reads the progress of all jobs. A job whose row is unreadable is not scheduled, since its tasks may have run already. */
-	async #readProgress(): Promise<{progress: Map<JobId, Progress>; unreadable: Set<JobId>}> {
-		const {tables, service, log} = this.#options;
-		const {rows} = await tables.listRange(progressTable, {partition: getProgressPartition(service)});
-		const progress = new Map<JobId, Progress>();
-		const unreadable = new Set<JobId>();
-		for (const {key, value, version} of rows.filter(row => row.key !== fenceKey)) {
-			try {
-				progress.set(key as JobId, decodeProgress(value));
-			} catch (error) {
-				unreadable.add(key as JobId);
-				log.warn('progress row is invalid', {
-					service, job: key, version, error: readErrorMessage(error),
-				});
-			}
-		}
-
-		return {progress, unreadable};
-	}
-
 	async #watchAll(): Promise<void> {
-		const {clock, log, service} = this.#options;
+		const {clock, log} = this.#options;
 		while (!this.#isClosed) {
 			try {
 				await this.#watch();
 			} catch (error) {
-				log.warn('watching submissions failed', {service, error: readErrorMessage(error)});
+				log.warn('watching submissions failed', {error: readErrorMessage(error)});
 				await clock.sleep(retryDelayMs);
 			}
 		}
 	}
 
 	async #watch(): Promise<void> {
-		const {tables, service, log, onChanges, timings} = this.#options;
-		const outcome = await tables.watchRows(getJobTable(service), {after: this.#version, waitMs: timings.submissionWatchMs});
+		const {tables, log, timings} = this.#options;
+		const outcome = await tables.watchRows(jobTable, {after: this.#version, waitMs: timings.submissionWatchMs});
 		if (this.#isClosed) {
 			return;
 		}
 
 		if (outcome.status === 'changes') {
 			this.#version = outcome.version;
-			const changes = outcome.changes.filter(change => change.version > (this.#listedVersions.get(change.partition ?? '') ?? Number.POSITIVE_INFINITY) && change.value !== undefined);
-			if (changes.length > 0) {
-				onChanges(this.#decodeRows(changes));
-			}
+			this.#update(outcome.changes.filter(change => change.version > (this.#listedVersions.get(change.partition ?? '') ?? Number.POSITIVE_INFINITY)));
 		} else {
-			log.info('submission history expired; listing all submissions again', {service, version: this.#version});
+			log.info('submission history expired; listing all submissions again', {version: this.#version});
 			const rows = await this.#readSubmissions();
-			onChanges(this.#decodeRows(rows.filter(row => !this.#ended.has(row.key as JobId))));
+			const listed = new Set(rows.map(({key}) => key));
+			this.#update([...rows, ...[...this.#submissions.keys()].filter(id => !listed.has(id)).map(key => ({table: jobTable, key, version: this.#version}))]);
 		}
 	}
 
-	#decodeRows(rows: ReadonlyArray<Row | RowChange>): JobChange[] {
-		const {service, log} = this.#options;
-		const changes: JobChange[] = [];
-		for (const {key, value, version} of rows) {
-			const cancelled = parseCancelKey(key);
-			if (cancelled !== undefined) {
-				changes.push({kind: 'cancelled', id: cancelled});
-				continue;
-			}
-
-			try {
-				const job = decodeJob(key as JobId, service, value);
-				if (job !== undefined) {
-					changes.push({
-						kind: 'submitted', id: job.id, job, version,
-					});
-				}
-			} catch (error) {
-				log.warn('job row is invalid', {
-					service, job: key, version, error: readErrorMessage(error),
-				});
+	/** Applies rows to the known submissions, and passes what is new to the subscribers. */
+	#update(rows: ReadonlyArray<Row | RowChange>): void {
+		const changes = new Map<ServiceName, JobChange[]>();
+		for (const row of rows) {
+			const changed = this.#applyRow(row);
+			if (changed !== undefined) {
+				const {service} = changed.job;
+				changes.set(service, [...changes.get(service) ?? [], changed.change]);
 			}
 		}
 
-		return changes;
+		for (const [service, list] of changes) {
+			this.#subscribers.get(service)?.(list);
+		}
 	}
 
-	async #removeEnded(): Promise<void> {
-		const {clock, log, service} = this.#options;
-		while (!this.#isClosed) {
-			await clock.sleep(removalIntervalMs);
-			const now = clock.readMonotonic();
-			const due = [...this.#ended].filter(([, at]) => at <= now).map(([id]) => id).slice(0, maxRemovals);
-			try {
-				await this.#removeJobs(due);
-			} catch (error) {
-				log.warn('removing ended jobs failed', {service, jobs: due.length, error: readErrorMessage(error)});
-			}
+	#applyRow({key, value, version}: Row | RowChange): {readonly job: Job; readonly change: JobChange} | undefined {
+		const cancelled = parseCancelKey(key);
+		if (cancelled !== undefined) {
+			return value === undefined ? undefined : this.#applyCancellation(cancelled);
 		}
+
+		const id = key as JobId;
+		if (value === undefined) {
+			this.#submissions.delete(id);
+			return undefined;
+		}
+
+		const job = this.#submissions.has(id) ? undefined : this.#decode(id, value, version);
+		if (job === undefined) {
+			return undefined;
+		}
+
+		this.#submissions.set(id, {job, version, isCancelled: false});
+		if (this.#remover.holdRepeated(id)) {
+			return undefined;
+		}
+
+		return {
+			job, change: {
+				kind: 'submitted', id, job, version,
+			},
+		};
 	}
 
-	async #removeJobs(ids: readonly JobId[]): Promise<void> {
-		const {tables, service} = this.#options;
-		if (ids.length === 0 || this.#isClosed) {
-			return;
+	#applyCancellation(id: JobId): {readonly job: Job; readonly change: JobChange} | undefined {
+		const submission = this.#submissions.get(id);
+		if (submission === undefined || submission.isCancelled) {
+			return undefined;
 		}
 
-		const partitions = new Set(ids.map(id => getSubmissionPartition(service, id)));
-		await Promise.all([...partitions].map(async partition => {
-			const part = ids.filter(id => getSubmissionPartition(service, id) === partition);
-			return tables.commit({checks: [], writes: part.flatMap(id => [getJobKey(service, id), getCancelKey(service, id)])});
-		}));
-		await tables.commit({checks: [], writes: ids.map(id => getProgressKey(service, id))});
-		for (const id of ids) {
-			this.#ended.delete(id);
+		submission.isCancelled = true;
+		return {job: submission.job, change: {kind: 'cancelled', id}};
+	}
+
+	/** Decodes the row of a job; `undefined` for a tombstone and for an invalid row. */
+	#decode(id: JobId, value: unknown, version: number): Job | undefined {
+		try {
+			return decodeJob(id, value);
+		} catch (error) {
+			this.#options.log.warn('job row is invalid', {job: id, version, error: readErrorMessage(error)});
+			return undefined;
 		}
 	}
 }
-
--- a/packages/workflows/src/job-queries.ts
+++ b/packages/workflows/src/job-queries.ts
@@ -2,10 +2,10 @@
  * Reads the states of jobs from the tables, for responses to clients.
  */
 import {type JobId, type ServiceName} from '@tamarackwind/core';
-import {getKeyAfter, type Row, type WatchableTableService} from '@tamarackwind/clients';
+import {getKeyAfter, type WatchableTableService} from '@tamarackwind/clients';
 import {isTerminal, type JobState} from './jobs.js';
 import {
-	getCancelKey, getJobKey, getJobTable, getProgressKey, getSubmissionPartition, parseCancelKey,
+	getCancelKey, getJobKey, getProgressKey, getSubmissionPartition, jobTable, parseCancelKey,
 } from './table-keys.js';
 import {decodeJob, decodeProgress} from './records.js';
 
@@ -22,40 +22,39 @@
 
 	private constructor(private readonly tables: WatchableTableService) {}
 
-	/** Reads the state of a job that may belong to any of the services; `undefined` when there is no such job. */
-	async getState(services: readonly ServiceName[], id: JobId): Promise<JobState | undefined> {
+	/** Reads the state of a job; `undefined` when there is no such job. `service` is the one that its queue belongs to now, which may differ from the one that runs the job. */
+	async getState(service: ServiceName, id: JobId): Promise<JobState | undefined> {
 		const cached = this.#cachedStates.get(id);
 		if (cached !== undefined) {
 			return cached;
 		}
 
-		for (const service of services) {
-			const state = await this.#readState(service, id);
-			if (state !== undefined) {
-				this.#storeState(id, state);
-				return state;
-			}
+		const state = await this.#readProgressState(service, id) ?? await this.#readSubmissionState(service, id);
+		if (state !== undefined) {
+			this.#storeState(id, state);
 		}
 
-		return undefined;
+		return state;
 	}
 
-	async #readState(service: ServiceName, id: JobId): Promise<JobState | undefined> {
+	/** Reads the state in the progress row, which includes a cancellation once the holder has processed it. */
+	async #readProgressState(service: ServiceName, id: JobId): Promise<JobState | undefined> {
 		const progress = await this.tables.getRow(getProgressKey(service, id));
-		if (progress !== undefined) {
-			// The progress row includes a cancellation once the holder has processed it.
-			return decodeProgress(progress.value).state;
-		}
+		return progress === undefined ? undefined : decodeProgress(progress.value).state;
+	}
 
-		const {rows} = await this.tables.readRange(getJobTable(service), {
-			partition: getSubmissionPartition(service, id), from: getJobKey(service, id).key, to: getKeyAfter(getCancelKey(service, id).key),
+	async #readSubmissionState(service: ServiceName, id: JobId): Promise<JobState | undefined> {
+		const {rows} = await this.tables.readRange(jobTable, {
+			partition: getSubmissionPartition(id), from: getJobKey(id).key, to: getKeyAfter(getCancelKey(id).key),
 		});
-		const isSubmitted = rows.some(row => row.key === id && decodeJob(id, service, row.value) !== undefined);
-		if (!isSubmitted) {
+		const row = rows.find(({key}) => key === id);
+		const job = row === undefined ? undefined : decodeJob(id, row.value);
+		if (job === undefined) {
 			return undefined;
 		}
 
-		return rows.some((row: Row) => parseCancelKey(row.key) === id) ? 'cancelled' : 'queued';
+		const state = job.service === service ? undefined : await this.#readProgressState(job.service, id);
+		return state ?? (rows.some(({key}) => parseCancelKey(key) === id) ? 'cancelled' : 'queued');
 	}
 
 	#storeState(id: JobId, state: JobState): void {
--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -55,6 +55,8 @@
 	readonly #options: JobSubmitterOptions;
 	/** Unsent submissions, by partition. */
 	readonly #queues = new Map<string, PendingSubmission[]>();
+	/** Outcomes of the jobs that are being submitted; a transaction must not write a row twice. */
+	readonly #pending = new Map<JobId, Promise<SubmitOutcome>>();
 	/** Time at which the in-flight transaction of each partition was sent, on the monotonic clock. */
 	readonly #sentAt = new Map<string, number>();
 	/** Time of the last response of the store, on the monotonic clock. */
@@ -68,9 +70,19 @@
 		this.#suspicionTimeout = AdaptiveTimeout.create({clock: options.clock, ...suspicion});
 	}
 
-	/** Submits a job; a job that already exists is accepted again. While the outcome of earlier submissions is in doubt, the job is refused immediately without an attempt. */
+	/** Submits a job; a job that already exists is accepted again, and one that is being submitted by another request gets the outcome of that. While the outcome of earlier submissions is in doubt, the job is refused immediately without an attempt. */
 	async submit(job: Job): Promise<SubmitOutcome> {
-		const partition = getSubmissionPartition(job.service, job.id);
+		const pending = this.#pending.get(job.id) ?? this.#submit(job);
+		this.#pending.set(job.id, pending);
+		try {
+			return await pending;
+		} finally {
+			this.#pending.delete(job.id);
+		}
+	}
+
+	async #submit(job: Job): Promise<SubmitOutcome> {
+		const partition = getSubmissionPartition(job.id);
 		if (this.#isInDoubt(job.service)) {
 			this.#options.log.info('submission refused', {job: job.id, queue: job.queue, reason: 'earlier submissions have no response yet'});
 			return 'refused';
@@ -87,7 +99,7 @@
 			if (queue === undefined) {
 				const first = [pending];
 				this.#queues.set(partition, first);
-				void this.#drain(job.service, partition, first);
+				void this.#drain(partition, first);
 			} else {
 				queue.push(pending);
 			}
@@ -100,20 +112,20 @@
 	 * @returns whether the job exists.
 	 * @throws {VerdictError} when the outcome is unknown.
 	 */
-	async cancel(service: ServiceName, id: JobId): Promise<boolean> {
+	async cancel(id: JobId): Promise<boolean> {
 		const {tables} = this.#options;
-		const row = await tables.getRow(getJobKey(service, id));
+		const key = getJobKey(id);
+		const row = await tables.getRow(key);
 		if (row === undefined || isTombstone(row)) {
 			return false;
 		}
 
-		const key = getJobKey(service, id);
 		const outcome = await tables.commit({
 			checks: [{...key, version: row.version}],
-			writes: [{...getCancelKey(service, id), value: {}}],
+			writes: [{...getCancelKey(id), value: {}}],
 			isRepeatable: true,
 		});
-		return outcome.status === 'committed' || await tables.getRow(getCancelKey(service, id)) !== undefined;
+		return outcome.status === 'committed' || await tables.getRow(getCancelKey(id)) !== undefined;
 	}
 
 	/** Reports whether an earlier outcome of the service is open, or the store has not responded since its oldest transaction was sent and that is long ago. */
@@ -123,7 +135,7 @@
 			|| (this.#respondedAt < oldestSentAt && this.#options.clock.readMonotonic() - oldestSentAt > this.#suspicionTimeout.ms);
 	}
 
-	async #drain(service: ServiceName, partition: string, queue: PendingSubmission[]): Promise<void> {
+	async #drain(partition: string, queue: PendingSubmission[]): Promise<void> {
 		const {clock} = this.#options;
 		await clock.sleep(batchDelayMs);
 		while (queue.length > 0) {
@@ -140,7 +152,7 @@
 					queue.unshift(...unresolved);
 					await clock.sleep(busyRetryDelayMs);
 				} else {
-					void this.#settle(service, unresolved, error);
+					void this.#settle(unresolved, error);
 					this.#refuseUnsent(queue.splice(0));
 				}
 			}
@@ -169,8 +181,8 @@
 		let remaining = [...batch];
 		while (remaining.length > 0) {
 			const outcome = await this.#options.tables.commit({
-				checks: remaining.map(({job, expectedVersion}) => ({...getJobKey(job.service, job.id), version: expectedVersion})),
-				writes: remaining.map(({job}) => ({...getJobKey(job.service, job.id), value: encodeJob(job)})),
+				checks: remaining.map(({job, expectedVersion}) => ({...getJobKey(job.id), version: expectedVersion})),
+				writes: remaining.map(({job}) => ({...getJobKey(job.id), value: encodeJob(job)})),
 				isRepeatable: true,
 			});
 			if (outcome.status === 'committed') {
@@ -208,7 +220,7 @@
 				continue;
 			}
 
-			const row = await this.#options.tables.getRow(getJobKey(pending.job.service, pending.job.id));
+			const row = await this.#options.tables.getRow(getJobKey(pending.job.id));
 			if (row !== undefined && !isTombstone(row)) {
 				this.#options.log.info('job accepted before', {job: pending.job.id, queue: pending.job.queue, version: row.version});
 				pending.resolve('accepted');
@@ -222,8 +234,9 @@
 	}
 
 	/** Determines the outcome of a batch whose transaction failed. */
-	async #settle(service: ServiceName, batch: readonly PendingSubmission[], error: unknown): Promise<void> {
-		this.#unsettled.set(service, (this.#unsettled.get(service) ?? 0) + 1);
+	async #settle(batch: readonly PendingSubmission[], error: unknown): Promise<void> {
+		const services = new Set(batch.map(({job}) => job.service));
+		this.#countUnsettled(services, 1);
 		const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
 		this.#options.log.warn('submissions not written', {
 			jobs: batch.map(({job}) => job.id).slice(0, 5), count: batch.length, isUnsent, error: readErrorMessage(error),
@@ -231,13 +244,19 @@
 		await Promise.all(batch.map(async pending => {
 			pending.resolve(isUnsent ? 'refused' : await this.#settleJob(pending));
 		}));
-		this.#unsettled.set(service, (this.#unsettled.get(service) ?? 1) - 1);
+		this.#countUnsettled(services, -1);
+	}
+
+	#countUnsettled(services: ReadonlySet<ServiceName>, change: 1 | -1): void {
+		for (const service of services) {
+			this.#unsettled.set(service, (this.#unsettled.get(service) ?? 0) + change);
+		}
 	}
 
 	/** Determines the outcome of one job: writes a tombstone in its place, so that a late write of it fails, or finds that the job exists. */
 	async #settleJob({job, submittedAt, expectedVersion}: PendingSubmission): Promise<SubmitOutcome> {
 		const {clock, tables, log} = this.#options;
-		const key = getJobKey(job.service, job.id);
+		const key = getJobKey(job.id);
 		const deadline = submittedAt + maxSettleMs;
 		for (let attempt = 0; attempt < minSettleAttempts || clock.readMonotonic() < deadline; attempt++) {
 			const startedAt = clock.readMonotonic();
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -11,14 +11,16 @@
 import {ActiveJob, type StepState, type Task} from './active-jobs.js';
 import {AdviceCache} from './advice-caches.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
-import {JobFeed, type JobChange} from './job-feeds.js';
+import {type JobChange, type JobFeed, type JobSubscriber} from './job-feeds.js';
 import {type LoadMeter} from './load-meters.js';
 import {listSuspects, recordCrash} from './crash-budgets.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
+import {readProgress, restoreJobs, type SavedProgress} from './progress-readers.js';
 import {ProgressWriter} from './progress-writers.js';
 import {FillerThrottler} from './filler-throttlers.js';
 import {RunStarter} from './starters.js';
 import {Signal} from './signals.js';
+import {getProgressKey} from './table-keys.js';
 import {
 	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
@@ -43,8 +45,8 @@
 	readonly earlierRunsEndBy: number;
 	/** Called when another holder has taken over the pool's service. */
 	readonly onLost: () => void;
-	/** Retention of ended jobs, in milliseconds. */
-	readonly retentionMs: number;
+	/** Submitted jobs of all services. */
+	readonly feed: JobFeed;
 	readonly timings: Timings;
 };
 
@@ -92,7 +94,6 @@
 	readonly fencingToken: number;
 	readonly #options: PoolSchedulerOptions;
 	readonly #progressWriter: ProgressWriter;
-	readonly #feed: JobFeed;
 	readonly #starter: RunStarter;
 	readonly #advice: AdviceCache;
 	readonly #fillerThrottler: FillerThrottler;
@@ -103,6 +104,10 @@
 	/** Ended worker incarnations and the time at which each end was detected; the registry may still list them for some seconds. */
 	readonly #endedIncarnations = new Map<string, number>();
 	readonly #wake = Signal.create();
+	readonly #subscriber: JobSubscriber = changes => {
+		this.#applyChanges(changes);
+	};
+
 	#timeoutsHandledAt = Number.NEGATIVE_INFINITY;
 	#isClosed = false;
 
@@ -116,11 +121,6 @@
 				options.onLost();
 			},
 		});
-		this.#feed = JobFeed.create({
-			...options, onChanges: changes => {
-				this.#applyChanges(changes);
-			},
-		});
 		this.#starter = RunStarter.create({
 			clock: options.clock, control: options.control, log: options.log, epoch: options.epoch, canOrder: options.canOrder,
 			onSettled: task => {
@@ -201,20 +201,36 @@
 	/** Takes over the service: fences off earlier holders, loads the stored jobs and starts scheduling. */
 	async open(): Promise<void> {
 		await this.#progressWriter.open();
-		const {jobs, orphans} = await this.#feed.load();
+		const {feed, service, clock, earlierRunsEndBy} = this.#options;
+		const saved = await readProgress(this.#options);
+		await feed.load();
+		const submissions = feed.subscribe(service, this.#subscriber);
+		const jobs = restoreJobs(submissions, saved, {monotonic: clock.readMonotonic(), wall: clock.readWall()});
 		for (const active of jobs) {
 			this.#jobs.set(active.job.id, active);
+			for (const task of active.tasks.filter(({incarnation}) => incarnation !== undefined)) {
+				this.#orphans.set(task, earlierRunsEndBy);
+			}
 		}
 
-		for (const task of orphans) {
-			this.#orphans.set(task, this.#options.earlierRunsEndBy);
-		}
-
-		this.#feed.start();
+		this.#removeUnusedProgress(submissions, saved);
+		this.#options.log.info('service loaded', {
+			service, jobs: jobs.length, running: jobs.filter(active => !active.isTerminal).length, orphans: this.#orphans.size,
+		});
 		void this.#run();
 		this.#record(new Set(jobs.filter(active => this.#setEndTime(active))));
 	}
 
+	/** Schedules the progress of jobs for deletion whose submission an earlier holder has deleted. */
+	#removeUnusedProgress(submissions: readonly JobChange[], {progress}: SavedProgress): void {
+		const submitted = new Set(submissions.map(({id}) => id));
+		for (const id of progress.keys()) {
+			if (!submitted.has(id)) {
+				this.#options.feed.scheduleProgressRemoval(id, [getProgressKey(this.service, id)]);
+			}
+		}
+	}
+
 	/** Sets the end time of a job that was cancelled before its holder recorded it; returns whether the job changed. */
 	#setEndTime(active: ActiveJob): boolean {
 		const isNew = active.isTerminal && active.endedAt === undefined;
@@ -380,7 +396,7 @@
 	close(): void {
 		this.#isClosed = true;
 		this.#progressWriter.close();
-		this.#feed.close();
+		this.#options.feed.endSubscription(this.service, this.#subscriber);
 		for (const session of this.#sessions.values()) {
 			session.close();
 		}
@@ -665,7 +681,7 @@
 
 		for (const [id, active] of this.#jobs) {
 			if (active.isTerminal && !active.tasks.some(task => task.isInFlight)) {
-				this.#feed.scheduleRemoval(active);
+				this.#options.feed.scheduleRemoval(active);
 				this.#jobs.delete(id);
 			}
 		}
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -37,6 +37,7 @@
 });
 
 const jobSchema = z.object({
+	service: z.string().transform(name => name as ServiceName),
 	queue: z.string(),
 	payload: z.string(),
 	steps: z.array(stepSchema).min(1),
@@ -57,14 +58,14 @@
 export const tombstone: SubmissionRow = {isRefused: true};
 
 /** Encodes a job for its row. */
-export function encodeJob({id: _id, service: _service, ...row}: Job): SubmissionRow {
-	return row as SubmissionRow;
+export function encodeJob({id: _id, ...row}: Job): SubmissionRow {
+	return row as unknown as SubmissionRow;
 }
 
 /** Decodes the row of a submitted job; `undefined` for a tombstone. */
-export function decodeJob(id: JobId, service: ServiceName, value: unknown): Job | undefined {
+export function decodeJob(id: JobId, value: unknown): Job | undefined {
 	const row = submissionSchema.parse(value);
-	return 'isRefused' in row ? undefined : {...row, id, service};
+	return 'isRefused' in row ? undefined : {...row, id};
 }
 
 /** A task that was started and is not done. */
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -8,6 +8,7 @@
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type Bounds} from './bounds.js';
 import {FleetMaintainer} from './fleet-maintainers.js';
+import {JobFeed} from './job-feeds.js';
 import {type LoadMeter} from './load-meters.js';
 import {schedulerRole} from './table-keys.js';
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
@@ -73,6 +74,7 @@
 	readonly #pools = new Map<ServiceName, PoolScheduler>();
 	readonly #openingPools = new Set<ServiceName>();
 	#fleetMaintainer: FleetMaintainer | undefined;
+	#feed: JobFeed | undefined;
 	/** Epoch under which this entry schedules; `undefined` while it does not. */
 	#epoch: number | undefined;
 	#acquiredAt = 0;
@@ -158,6 +160,7 @@
 			this.#epoch = epoch;
 			this.#acquiredAt = clock.readMonotonic();
 			log.info('duty taken', {duty: schedulerRole, epoch, holder});
+			this.#feed = JobFeed.create(this.#options);
 			this.#fleetMaintainer = FleetMaintainer.create({
 				...this.#options,
 				epoch,
@@ -173,24 +176,25 @@
 
 	#openPools(): void {
 		const {declarations} = this.#options;
-		if (this.#epoch === undefined || !this.#canOrder) {
+		if (this.#epoch === undefined || this.#feed === undefined || !this.#canOrder) {
 			return;
 		}
 
 		for (const {name} of declarations.configuration?.pools ?? []) {
 			if (!this.#pools.has(name) && !this.#openingPools.has(name)) {
-				void this.#openPool(name, this.#epoch);
+				void this.#openPool(name, this.#epoch, this.#feed);
 			}
 		}
 	}
 
-	async #openPool(service: ServiceName, epoch: number): Promise<void> {
+	async #openPool(service: ServiceName, epoch: number, feed: JobFeed): Promise<void> {
 		const {log, bounds, timings} = this.#options;
 		this.#openingPools.add(service);
 		const pool = PoolScheduler.create({
 			...this.#options,
 			service,
 			epoch,
+			feed,
 			canOrder: () => this.#canOrder && this.#epoch === epoch,
 			isRenewalAllowed: () => this.#isRenewalAllowed && this.#epoch === epoch,
 			earlierRunsEndBy: this.#acquiredAt + (leaseRenewalGraceMs - timings.schedulerTermMs) + (bounds.maxWorkerLeaseMs * clockSlackFactor),
@@ -218,6 +222,8 @@
 		this.#isRegistryRead = false;
 		this.#fleetMaintainer?.close();
 		this.#fleetMaintainer = undefined;
+		this.#feed?.close();
+		this.#feed = undefined;
 		for (const pool of this.#pools.values()) {
 			pool.close();
 		}
--- a/packages/workflows/src/table-keys.ts
+++ b/packages/workflows/src/table-keys.ts
@@ -8,11 +8,10 @@
 export const progressTable = 'progress';
 /** Key of the fence row in a partition of `progress`, which each transaction of the holder checks and rewrites. */
 export const fenceKey = 'fence';
-/** Number of tables over which the jobs of all services are spread; each service uses one table, so that its change feed has few changes of other services. */
-const jobTableCount = 64;
-
-/** Number of partitions of a service's submitted jobs: a partition commits transactions one at a time, so entries would wait for each other at a slow store. */
-const submissionPartitionCount = 32;
+/** Table of the submitted jobs of all services. */
+export const jobTable = 'jobs';
+/** Number of partitions of the submitted jobs: a partition commits transactions one at a time, so entries would wait for each other at a slow store. */
+const submissionPartitionCount = 128;
 
 /** Role of the scheduler lease, and partition of its rows. */
 export const schedulerRole = 'scheduler';
@@ -31,19 +30,14 @@
 	return hash;
 }
 
-/** Returns the table of a service's submitted jobs. */
-export function getJobTable(service: ServiceName): string {
-	return `jobs-${hashText(service, jobTableCount)}`;
-}
-
 /** Lists the partitions in which entries submit and cancel jobs; they are separate from the holder's own writes. */
-export function listSubmissionPartitions(service: ServiceName): string[] {
-	return Array.from({length: submissionPartitionCount}, (_, index) => `submitted/${service}/${index}`);
+export function listSubmissionPartitions(): string[] {
+	return Array.from({length: submissionPartitionCount}, (_, index) => `submitted/${index}`);
 }
 
-/** Returns the partition of a submitted job. */
-export function getSubmissionPartition(service: ServiceName, job: JobId): string {
-	return `submitted/${service}/${hashText(job, submissionPartitionCount)}`;
+/** Returns the partition of a submitted job. It depends on the id alone, so that a job has one row even if its queue moves to another service. */
+export function getSubmissionPartition(job: JobId): string {
+	return `submitted/${hashText(job, submissionPartitionCount)}`;
 }
 
 /** Returns the partition of the rows that the holder writes. */
@@ -52,16 +46,16 @@
 }
 
 /** Returns the key of a submitted job's row. */
-export function getJobKey(service: ServiceName, job: JobId): RowKey {
-	return {table: getJobTable(service), partition: getSubmissionPartition(service, job), key: job};
+export function getJobKey(job: JobId): RowKey {
+	return {table: jobTable, partition: getSubmissionPartition(job), key: job};
 }
 
 /** Suffix of a cancellation's key, which sorts it directly after its job. */
 const cancelSuffix = '!';
 
 /** Returns the key of a job's cancellation row. */
-export function getCancelKey(service: ServiceName, job: JobId): RowKey {
-	return {...getJobKey(service, job), key: `${job}${cancelSuffix}`};
+export function getCancelKey(job: JobId): RowKey {
+	return {...getJobKey(job), key: `${job}${cancelSuffix}`};
 }
 
 /** Returns the job id in a cancellation's key; `undefined` for the key of a job. */
--- a/packages/workflows/tests/job-submitters.test.ts
+++ b/packages/workflows/tests/job-submitters.test.ts
@@ -99,7 +99,7 @@
 			await write();
 		}
 
-		const row = await tables.getRow(getJobKey(service, '0123456789abcdef' as JobId));
+		const row = await tables.getRow(getJobKey('0123456789abcdef' as JobId));
 		t.is(row !== undefined && !('isRefused' in (row.value as Record<string, unknown>)), isStored);
 	});
 }
@@ -108,19 +108,19 @@
 	const clock = ManualClock.create();
 	const tables = MemoryTableService.create(clock);
 	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
-	await tables.commit({checks: [], writes: [{...getJobKey(service, 'refused' as JobId), value: tombstone}]});
+	await tables.commit({checks: [], writes: [{...getJobKey('refused' as JobId), value: tombstone}]});
 	const submitted = Promise.all(['new', 'new', 'refused'].map(async id => submitter.submit(createJob(id))));
 	await clock.advance(100);
 	t.deepEqual(await submitted, ['accepted', 'accepted', 'accepted']);
-	t.true(await submitter.cancel(service, 'new' as JobId));
-	t.false(await submitter.cancel(service, 'other' as JobId));
+	t.true(await submitter.cancel('new' as JobId));
+	t.false(await submitter.cancel('other' as JobId));
 });
 
 /** Lists ids of jobs that share a partition. */
 function listJobsOfOnePartition(count: number): string[] {
-	const ids = Array.from({length: 100}, (_, index) => index.toString(16).padStart(16, '0'));
-	const partition = getSubmissionPartition(service, ids[0] as JobId);
-	return ids.filter(id => getSubmissionPartition(service, id as JobId) === partition).slice(0, count);
+	const ids = Array.from({length: 2000}, (_, index) => index.toString(16).padStart(16, '0'));
+	const partition = getSubmissionPartition(ids[0] as JobId);
+	return ids.filter(id => getSubmissionPartition(id as JobId) === partition).slice(0, count);
 }
 
 type BusyCase = {readonly name: string; readonly busyMs: number; readonly outcome: SubmitOutcome};
