Spread the progress of a large job over rows that the store takes

Cause: rows grew with tasks, repetitions and checkpoints, and no writer knew the limits of the store. Ruled out: a planning pass that blocks the holder, workers that refuse.

Jobs of more than 61 tasks keep their progress in rows of 32 tasks, of which only changed ones are written; transactions are split by size; a job that the store rejects all the same ends as failed and holds up no other; a job whose own row is too large is refused with 413 and the limit. States of jobs are recomputed once a listing, and the occupancy of a step counted once a pass, since both grew with the square of a wide step's tasks.

--- a/packages/clients/src/memory-stores.ts
+++ b/packages/clients/src/memory-stores.ts
@@ -1,20 +1,22 @@
 /**
  * In-memory implementations of the platform's stores, for fakes and tests.
  */
-import {SystemClock, type Clock} from '@tamarackwind/core';
+import {SystemClock, VerdictError, type Clock} from '@tamarackwind/core';
 import {FaultInjector} from './faults.js';
 import {ObjectStore, type PutOptions} from './objects.js';
 import {
-	absentVersion, defaultScanLimit, WatchableTableService, type CommitOutcome, type RangeOptions, type Row, type RowChange, type RowKey, type RowRange,
-	type ScanOptions, type Transaction, type WatchOptions, type WatchOutcome,
+	absentVersion, defaultScanLimit, platformRejectedCode, WatchableTableService, type CommitOutcome, type RangeOptions, type Row, type RowChange, type RowKey, type RowRange,
+	type ScanOptions, type TableLimits, type Transaction, type WatchOptions, type WatchOutcome,
 } from './tables.js';
 
+const unlimited: TableLimits = {valueBytes: Number.POSITIVE_INFINITY, transactionBytes: Number.POSITIVE_INFINITY, transactionEntries: Number.POSITIVE_INFINITY};
+
 type StoredRow = {readonly json: string; readonly version: number};
 
 /** In-memory table service. */
 export class MemoryTableService extends WatchableTableService {
-	static create(clock: Clock = SystemClock.create()): MemoryTableService {
-		return new MemoryTableService(clock);
+	static create(clock: Clock = SystemClock.create(), limits: TableLimits = unlimited): MemoryTableService {
+		return new MemoryTableService(clock, limits);
 	}
 
 	readonly faults = FaultInjector.create();
@@ -27,9 +29,10 @@
 	#version = absentVersion;
 	#reads = 0;
 	#writes = 0;
+	#rejections = 0;
 	readonly #clock: Clock;
 
-	private constructor(clock: Clock) {
+	private constructor(clock: Clock, readonly limits: TableLimits) {
 		super();
 		this.#clock = clock;
 	}
@@ -99,6 +102,7 @@
 
 	override async commit(transaction: Transaction): Promise<CommitOutcome> {
 		await this.faults.applyBeforeCall();
+		this.#checkLimits(transaction);
 		const outcome = this.#apply(transaction);
 		this.faults.applyAfterWrite();
 		return outcome;
@@ -130,6 +134,26 @@
 		this.#watchers.delete(notify);
 	}
 
+	/** Number of transactions that were rejected because of the limits. */
+	get rejections(): number {
+		return this.#rejections;
+	}
+
+	/** Rejects a transaction beyond the limits. */
+	#checkLimits({checks, writes}: Transaction): void {
+		if (this.limits === unlimited) {
+			return;
+		}
+
+		const sizes = writes.map(({value}) => value === undefined ? 0 : Buffer.byteLength(JSON.stringify(value)));
+		const {valueBytes, transactionBytes, transactionEntries} = this.limits;
+		const sum = sizes.reduce((total, size) => total + size, 0);
+		if (Math.max(0, ...sizes) > valueBytes || sum > transactionBytes || checks.length + writes.length > transactionEntries) {
+			this.#rejections++;
+			throw new VerdictError(`transaction of ${checks.length + writes.length} entries and ${sum} bytes is beyond the limits`, {verdict: 'not-run', code: platformRejectedCode});
+		}
+	}
+
 	#apply({checks, writes}: Transaction): CommitOutcome {
 		const conflicts = checks.filter(check => (this.#readRow(check)?.version ?? absentVersion) !== check.version);
 		if (conflicts.length > 0) {
--- a/packages/clients/src/tables.ts
+++ b/packages/clients/src/tables.ts
@@ -5,6 +5,19 @@
 /** Code of the error of a call that was rejected only because too many calls were queued. */
 export const platformBusyCode = 'platform_busy';
 
+/** Code of the error of a call that the service rejected as invalid and would reject again. */
+export const platformRejectedCode = 'platform_rejected';
+
+/** Limits of the service on rows and transactions. */
+export type TableLimits = {
+	/** Maximum size of a row's value, in bytes of its JSON. */
+	readonly valueBytes: number;
+	/** Maximum sum of the sizes of all values in a transaction, in bytes of their JSON. */
+	readonly transactionBytes: number;
+	/** Maximum number of checks and writes in a transaction. */
+	readonly transactionEntries: number;
+};
+
 /** Identifies one row. */
 export type RowKey = {
 	readonly table: string;
@@ -145,6 +158,9 @@
  * const outcome = await tables.watchRows('jobs', {after: version, waitMs: 1000});
  */
 export abstract class WatchableTableService extends TableService {
+	/** Limits on rows and transactions, which writers have to observe. */
+	abstract readonly limits: TableLimits;
+
 	/** Reads rows of one partition in key order. */
 	abstract readRange(table: string, options?: RangeOptions): Promise<RowRange>;
 
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -6,12 +6,12 @@
 	Log, SeededRandom, VerdictError, type JobId, type PoolName, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {
-	MemoryTableService, WatchableTableService, type CommitOutcome, type RangeOptions, type Row, type RowKey, type RowRange, type ScanOptions, type Transaction, type WatchOptions,
+	MemoryTableService, WatchableTableService, type CommitOutcome, type RangeOptions, type Row, type RowKey, type RowRange, type ScanOptions, type TableLimits, type Transaction, type WatchOptions,
 	type WatchOutcome,
 } from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {
-	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice,
+	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice, type Schedule,
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
@@ -35,11 +35,17 @@
 	progressDelayMs: number;
 };
 
+/** Limits of the emulated store. */
+const storeLimits: TableLimits = {valueBytes: 49_152, transactionBytes: 690_000, transactionEntries: 100};
 const callDelayMs = 4;
 const timeoutMs = 1000;
 
 /** Injects faults into one entry's calls of the tables. */
 class FaultyTables extends WatchableTableService {
+	override get limits(): TableLimits {
+		return this.tables.limits;
+	}
+
 	readonly faults: TableFaults = {
 		isDown: false, isUnresponsive: false, lostResponseRate: 0, lateRate: 0, delayMs: 0, progressDelayMs: 0,
 	};
@@ -134,6 +140,11 @@
 	}
 }
 
+export type SubmitOptions = Partial<Pick<EmulatedJob, 'failingTasks' | 'crashingTasks'>> & {
+	/** Recurrence of the job, with the first due time relative to the submission. */
+	readonly schedule?: Schedule;
+};
+
 /** One emulated entry. */
 export type EmulatedEntry = {readonly name: string; readonly tables: FaultyTables; readonly scheduler: Scheduler; readonly submitter: JobSubmitter; readonly queries: JobQueries; readonly watcher: DeclarationWatcher};
 
@@ -175,7 +186,7 @@
 		this.#options = options;
 		this.#pools = options.pools ?? defaultPools;
 		this.random = SeededRandom.create(options.seed);
-		this.tables = MemoryTableService.create(this.clock);
+		this.tables = MemoryTableService.create(this.clock, storeLimits);
 		this.fleet = EmulatedFleet.create({
 			clock: this.clock, random: this.random, pools: this.#pools.map(([name, count]) => [name as PoolName, count]), bounds: options.bounds, enforcesCapacity: options.enforcesCapacity,
 		});
@@ -243,7 +254,7 @@
 	}
 
 	/** Submits a job to random entries as a client does, in at most 5 attempts; marks it as refused if every attempt was refused. */
-	async submit(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set()}: Partial<Pick<EmulatedJob, 'failingTasks' | 'crashingTasks'>> = {}): Promise<JobId> {
+	async submit(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set(), schedule}: SubmitOptions = {}): Promise<JobId> {
 		const id = this.random.createToken().slice(0, 16) as JobId;
 		const service = this.random.pickItem(this.#pools.filter(([name]) => name !== sparePool))![0] as ServiceName;
 		const job: Job = {
@@ -252,6 +263,7 @@
 			queue: service,
 			payload: '',
 			steps,
+			...(schedule === undefined ? {} : {schedule: {...schedule, firstAt: this.clock.readWall() + schedule.firstAt}}),
 			submittedAt: this.clock.readWall(),
 			policy: {
 				priority: 0, maxAttempts: 3, slackFactor: 2, targetLatencyMs: 600,
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -102,6 +102,8 @@
  */
 export type VmOrderFault = 'lost' | 'unanswered' | 'late' | 'repeated' | 'refused' | 'busy';
 
+/** Length of a checkpoint. */
+const checkpointLength = 16;
 /** Time after which a delayed order to a VM takes effect, in milliseconds. */
 const lateVmOrderMs = 3000;
 
@@ -469,7 +471,7 @@
 			startedAt: incarnation.startedAt,
 			clock: Math.floor(incarnation.readClock(now)),
 			running: [...incarnation.runs.values()].map(run => ({
-				key: run.key, checkpoint: '', load: 0, percent: computePercent(run, now),
+				key: run.key, checkpoint: run.task.step.isCheckpointing ? createCheckpoint(run, now) : '', load: 0, percent: computePercent(run, now),
 			})),
 			ends: [...incarnation.ends],
 		};
@@ -698,6 +700,11 @@
 	}
 }
 
+/** Creates the checkpoint that a run has reached. */
+function createCheckpoint(run: EmulatedRun, now: number): string {
+	return `${computePercent(run, now)}`.padStart(checkpointLength, '0');
+}
+
 function createVmControlError(): Error {
 	return new VerdictError('VM control does not answer', {verdict: 'may-have-run', code: 'fleet_unavailable'});
 }
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -1,11 +1,13 @@
 /**
  * In-memory state of the jobs that the scheduler's holder runs: the phases of their tasks, and the encoding of progress rows.
  */
+import {type RowKey, type TableLimits, type Write} from '@tamarackwind/clients';
 import {computeCriticalPathMs, type RankedJob, type StepSpec} from '@tamarackwind/scheduling';
 import {
 	formatTask, isTerminal, type Job, type JobState, type RunKey, type TaskKey, type WorkerIncarnation,
 } from './jobs.js';
-import {type Progress, type ProgressRow} from './records.js';
+import {headRow, maxCheckpointBytes, ProgressLayout} from './progress-layouts.js';
+import {type Progress, type ProgressPartRow, type ProgressRow} from './records.js';
 
 /**
  * - `waiting`: not assigned to a worker.
@@ -23,18 +25,15 @@
 		return new Task(job, step, index);
 	}
 
-	phase: TaskPhase = 'waiting';
-	/** Number of the last ordered run; 0 before the first. */
-	run = 0;
-	/** Number of failed runs. */
-	failures = 0;
-	/** Number of workers that crashed while a run of the task may have been the cause. */
-	crashes = 0;
 	/** Whether the task gets no further start because workers crash under it. */
 	isGivenUp = false;
+	/** Latest checkpoint; it becomes durable with the next change of the task's other progress. */
 	checkpoint = '';
-	/** Worker incarnation to which the last run was assigned; `undefined` once that run is known to have ended. */
-	incarnation: WorkerIncarnation | undefined;
+	#phase: TaskPhase = 'waiting';
+	#run = 0;
+	#failures = 0;
+	#crashes = 0;
+	#incarnation: WorkerIncarnation | undefined;
 	/** Progress reported by the worker, in percent. */
 	percent = 0;
 	/** Time at which the start was sent, or its response received, on the monotonic clock; 0 for a start that an earlier holder sent until the run is listed. */
@@ -54,6 +53,55 @@
 
 	private constructor(readonly job: ActiveJob, readonly stepState: StepState, readonly index: number) {}
 
+	get phase(): TaskPhase {
+		return this.#phase;
+	}
+
+	set phase(phase: TaskPhase) {
+		this.#phase = phase;
+		this.job.markChanged(this);
+	}
+
+	/** Number of the last ordered run; 0 before the first. */
+	get run(): number {
+		return this.#run;
+	}
+
+	set run(run: number) {
+		this.#run = run;
+		this.job.markChanged(this);
+	}
+
+	/** Number of failed runs. */
+	get failures(): number {
+		return this.#failures;
+	}
+
+	set failures(failures: number) {
+		this.#failures = failures;
+		this.job.markChanged(this);
+	}
+
+	/** Number of workers that crashed while a run of the task may have been the cause. */
+	get crashes(): number {
+		return this.#crashes;
+	}
+
+	set crashes(crashes: number) {
+		this.#crashes = crashes;
+		this.job.markChanged(this);
+	}
+
+	/** Worker incarnation to which the last run was assigned; `undefined` once that run is known to have ended. */
+	get incarnation(): WorkerIncarnation | undefined {
+		return this.#incarnation;
+	}
+
+	set incarnation(incarnation: WorkerIncarnation | undefined) {
+		this.#incarnation = incarnation;
+		this.job.markChanged(this);
+	}
+
 	get spec(): StepSpec {
 		return this.stepState.spec;
 	}
@@ -111,8 +159,9 @@
 
 /** A job that the holder schedules. */
 export class ActiveJob {
-	static create(job: Job, now: {readonly monotonic: number; readonly wall: number}): ActiveJob {
-		return new ActiveJob(job, now);
+	/** `limits` are those of the table service that keeps the job's progress. */
+	static create(job: Job, now: {readonly monotonic: number; readonly wall: number}, limits: TableLimits): ActiveJob {
+		return new ActiveJob(job, now, limits);
 	}
 
 	state: JobState = 'queued';
@@ -120,14 +169,22 @@
 	readonly isLongRunning: boolean;
 	/** Whether a cancellation of the job has been read. */
 	isCancelled = false;
+	/** Whether the table service rejects the progress of the job, so that only its state is kept. */
+	isUnrecordable = false;
 	/** Whether a worker has confirmed a run or an earlier holder recorded the end of one. */
 	hasBegun = false;
 	/** Submission time on the monotonic clock, from which the latency objective is measured. */
 	readonly submittedAt: number;
+	/** Progress rows that have changed since they were taken for writing. */
+	readonly #changedRows = new Set<number>([headRow]);
+	/** State in the head row that was taken last. */
+	#takenState: JobState | undefined;
+	#layout: ProgressLayout;
 	#cachedRank: {readonly doneSteps: number; readonly rankedJob: RankedJob} | undefined;
 	readonly #occurrences = new Map<number, readonly StepState[]>();
 
-	private constructor(readonly job: Job, now: {readonly monotonic: number; readonly wall: number}) {
+	private constructor(readonly job: Job, now: {readonly monotonic: number; readonly wall: number}, limits: TableLimits) {
+		this.#layout = ProgressLayout.create(job, limits);
 		this.isLongRunning = job.steps.some(step => step.isLongRunning);
 		// The wall clocks of entries differ slightly; a submission time in the future counts as now.
 		this.submittedAt = now.monotonic - Math.max(0, now.wall - job.submittedAt);
@@ -209,6 +266,8 @@
 		const {maxAttempts} = job.policy;
 		if (this.isCancelled) {
 			this.state = 'cancelled';
+		} else if (this.isUnrecordable) {
+			this.state = 'failed';
 		} else if (tasks.some(task => task.isGivenUp || (!task.spec.isLongRunning && task.phase !== 'done' && task.failures >= maxAttempts))) {
 			this.state = 'failed';
 		} else if (this.#occurrences.size === (job.schedule?.repetitions ?? 1) && tasks.every(task => task.phase === 'done')) {
@@ -218,24 +277,57 @@
 		}
 	}
 
-	/** Encodes the progress that the next holder needs. */
-	encodeProgress(): ProgressRow {
+	/** Keys of all progress rows that the job may have. */
+	get progressKeys(): RowKey[] {
+		return this.#layout.listKeys(this.job);
+	}
+
+	/** Notes a change of a task's progress. */
+	markChanged({stepState: {occurrence, step}, index}: Task): void {
+		this.#changedRows.add(this.#layout.findRow({occurrence, step, index}));
+	}
+
+	/** Takes the indices of the progress rows to write, the head row first; the rows are unchanged from then on until a task changes again. */
+	takeChangedRows(): number[] {
+		const isWhole = this.#layout.tasksPerRow === undefined;
+		const hasHead = isWhole || this.#isOver || this.state !== this.#takenState;
+		const parts = this.#isOver ? [] : [...this.#changedRows].filter(row => row !== headRow);
+		this.#changedRows.clear();
+		this.#takenState = this.state;
+		return hasHead ? [headRow, ...parts] : parts;
+	}
+
+	/** Encodes a progress row for the next holder. */
+	encodeProgressRow(row: number): Write {
 		const {state, endedAt} = this;
-		if (this.isTerminal && !this.tasks.some(task => task.isInFlight)) {
-			return {state, endedAt, steps: []};
+		const {tasksPerRow} = this.#layout;
+		const key = this.#layout.getKey(this.job, row);
+		if (row !== headRow) {
+			return {...key, value: {steps: this.#encodePart(row)} satisfies ProgressPartRow};
 		}
 
-		const steps = this.steps.filter(step => step.tasks.some(task => task.run > 0)).map(step => ({
-			occurrence: step.occurrence,
-			step: step.step,
-			done: step.tasks.filter(task => task.phase === 'done').map(task => task.index),
-			open: step.tasks.filter(task => task.run > 0 && task.phase !== 'done').map(task => encodeOpenTask(task)),
-		}));
-		return {state, endedAt, steps};
+		const steps = this.#isOver || tasksPerRow !== undefined ? [] : this.steps.flatMap(step => encodeStep(step, step.tasks));
+		return {
+			...key, value: {
+				state, endedAt, ...(tasksPerRow === undefined ? {} : {tasksPerRow}), steps,
+			} satisfies ProgressRow,
+		};
+	}
+
+	/** Whether the job has ended and no run of it may be active, so that its state is all that is left to keep. */
+	get #isOver(): boolean {
+		return this.isUnrecordable || (this.isTerminal && !this.tasks.some(task => task.isInFlight));
+	}
+
+	#encodePart(row: number): ProgressPartRow['steps'] {
+		const tasks = this.#layout.listPositions(row).flatMap(position => this.findTask(position) ?? []);
+		const steps = new Set(tasks.map(({stepState}) => stepState));
+		return [...steps].flatMap(step => encodeStep(step, tasks.filter(({stepState}) => stepState === step)));
 	}
 
 	/** Restores progress that an earlier holder wrote; tasks that it had assigned are restored as `starting` until their workers' listings show whether they run. */
 	restoreProgress(progress: Progress): void {
+		this.#layout = ProgressLayout.restore(this.job, progress.tasksPerRow);
 		this.state = progress.state;
 		this.endedAt = progress.endedAt;
 		this.isCancelled ||= progress.state === 'cancelled';
@@ -254,6 +346,18 @@
 				restoreOpenTask(tasks[open.index], open);
 			}
 		}
+
+		this.#restoreGangs();
+		this.#changedRows.clear();
+	}
+
+	/** Completes gangs of which only some rows show the end: the end of one member is that of all. */
+	#restoreGangs(): void {
+		for (const {tasks} of this.steps.filter(step => step.spec.isGang && step.tasks.some(task => task.phase === 'done'))) {
+			for (const task of tasks) {
+				restoreDoneTask(task);
+			}
+		}
 	}
 
 	#openOccurrence(occurrence: number): void {
@@ -263,13 +367,28 @@
 
 type OpenTask = Progress['steps'][number]['open'][number];
 
-function encodeOpenTask(task: Task): ProgressRow['steps'][number]['open'][number] {
-	const {incarnation} = task;
-	return [task.index, task.run, task.failures, incarnation?.id ?? '', incarnation?.startedAt ?? 0, task.checkpoint, task.crashes];
+/** Encodes the progress of tasks of one step; none while no run of them was ordered. */
+function encodeStep({occurrence, step}: StepState, tasks: readonly Task[]): ProgressPartRow['steps'] {
+	const started = tasks.filter(task => task.run > 0);
+	return started.length === 0
+		? []
+		: [{
+			occurrence,
+			step,
+			done: started.filter(task => task.phase === 'done').map(task => task.index),
+			open: started.filter(task => task.phase !== 'done').map(task => encodeOpenTask(task)),
+		}];
+}
+
+function encodeOpenTask(task: Task): ProgressPartRow['steps'][number]['open'][number] {
+	const {incarnation, checkpoint} = task;
+	const keptCheckpoint = Buffer.byteLength(JSON.stringify(checkpoint)) <= maxCheckpointBytes ? checkpoint : '';
+	return [task.index, task.run, task.failures, incarnation?.id ?? '', incarnation?.startedAt ?? 0, keptCheckpoint, task.crashes];
 }
 
 function restoreDoneTask(task: Task | undefined): void {
 	if (task !== undefined) {
+		task.incarnation = undefined;
 		task.phase = 'done';
 		task.run = Math.max(task.run, 1);
 	}
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -7,6 +7,7 @@
 export * from './active-jobs.js';
 export * from './rate-limited-logs.js';
 export * from './load-meters.js';
+export * from './progress-layouts.js';
 export * from './progress-writers.js';
 export * from './configurations.js';
 export * from './signals.js';
--- a/packages/workflows/src/job-removers.ts
+++ b/packages/workflows/src/job-removers.ts
@@ -8,7 +8,7 @@
 import {type ActiveJob} from './active-jobs.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {
-	getCancelKey, getJobKey, getProgressKey, getSubmissionPartition,
+	getCancelKey, getJobKey, getSubmissionPartition,
 } from './table-keys.js';
 
 export type JobRemoverOptions = {
@@ -55,10 +55,10 @@
 	}
 
 	/** Schedules the rows of an ended job for deletion at the end of its retention. */
-	scheduleJob({job, endedAt}: ActiveJob): void {
+	scheduleJob({job, endedAt, progressKeys}: ActiveJob): void {
 		const {clock, retentionMs} = this.#options;
 		const age = Math.max(0, clock.readWall() - (endedAt ?? clock.readWall()));
-		this.#ended.set(job.id, {at: clock.readMonotonic() + retentionMs - Math.min(age, retentionMs), progress: [getProgressKey(job.service, job.id)]});
+		this.#ended.set(job.id, {at: clock.readMonotonic() + retentionMs - Math.min(age, retentionMs), progress: progressKeys});
 	}
 
 	/** Schedules the progress rows of a job without a submission for deletion. */
--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -44,7 +44,7 @@
 	minMs: 500, maxMs: 1500, factor: 2, windowMs: 5000,
 };
 
-type PendingSubmission = {readonly job: Job; readonly submittedAt: number; readonly resolve: (outcome: SubmitOutcome) => void; expectedVersion: number; isResolved: boolean};
+type PendingSubmission = {readonly job: Job; readonly row: SubmissionRow; readonly bytes: number; readonly submittedAt: number; readonly resolve: (outcome: SubmitOutcome) => void; expectedVersion: number; isResolved: boolean};
 
 /** Accepts and cancels jobs. */
 export class JobSubmitter {
@@ -70,6 +70,13 @@
 		this.#suspicionTimeout = AdaptiveTimeout.create({clock: options.clock, ...suspicion});
 	}
 
+	/** Returns an error message that names the limit if the table service can't keep a job; `undefined` otherwise. */
+	findSizeError(job: Job): string | undefined {
+		const {valueBytes} = this.#options.tables.limits;
+		const bytes = countBytes(encodeJob(job));
+		return bytes > valueBytes ? `job takes ${bytes} bytes, more than the ${valueBytes} bytes that a row of the store holds` : undefined;
+	}
+
 	/** Submits a job; a job that already exists is accepted again, and one that is being submitted by another request gets the outcome of that. While the outcome of earlier submissions is in doubt, the job is refused immediately without an attempt. */
 	async submit(job: Job): Promise<SubmitOutcome> {
 		const pending = this.#pending.get(job.id) ?? this.#submit(job);
@@ -88,9 +95,10 @@
 			return 'refused';
 		}
 
+		const row = encodeJob(job);
 		return new Promise(resolve => {
 			const pending: PendingSubmission = {
-				job, resolve(outcome) {
+				job, row, bytes: countBytes(row), resolve(outcome) {
 					pending.isResolved = true;
 					resolve(outcome);
 				}, submittedAt: this.#options.clock.readMonotonic(), expectedVersion: absentVersion, isResolved: false,
@@ -139,7 +147,7 @@
 		const {clock} = this.#options;
 		await clock.sleep(batchDelayMs);
 		while (queue.length > 0) {
-			const batch = queue.splice(0, maxBatchJobs);
+			const batch = queue.splice(0, this.#countBatch(queue));
 			const sentAt = clock.readMonotonic();
 			this.#sentAt.set(partition, sentAt);
 			try {
@@ -162,6 +170,17 @@
 		this.#queues.delete(partition);
 	}
 
+	/** Counts the jobs at the head of a queue that fit into one transaction. */
+	#countBatch(queue: readonly PendingSubmission[]): number {
+		const {transactionBytes} = this.#options.tables.limits;
+		let bytes = 0;
+		const end = queue.slice(0, maxBatchJobs).findIndex(pending => {
+			bytes += pending.bytes;
+			return bytes > transactionBytes;
+		});
+		return end === -1 ? maxBatchJobs : Math.max(1, end);
+	}
+
 	/** Reports whether a batch failed because its partition is busy and all of its jobs can still wait. */
 	#isRetryable(batch: readonly PendingSubmission[], error: unknown): boolean {
 		const now = this.#options.clock.readMonotonic();
@@ -182,7 +201,7 @@
 		while (remaining.length > 0) {
 			const outcome = await this.#options.tables.commit({
 				checks: remaining.map(({job, expectedVersion}) => ({...getJobKey(job.id), version: expectedVersion})),
-				writes: remaining.map(({job}) => ({...getJobKey(job.id), value: encodeJob(job)})),
+				writes: remaining.map(({job, row}) => ({...getJobKey(job.id), value: row})),
 				isRepeatable: true,
 			});
 			if (outcome.status === 'committed') {
@@ -287,6 +306,10 @@
 	}
 }
 
+function countBytes(row: SubmissionRow): number {
+	return Buffer.byteLength(JSON.stringify(row));
+}
+
 function isTombstone(row: Row): boolean {
 	return 'isRefused' in (row.value as SubmissionRow);
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -20,7 +20,6 @@
 import {FillerThrottler} from './filler-throttlers.js';
 import {RunStarter} from './starters.js';
 import {Signal} from './signals.js';
-import {getProgressKey} from './table-keys.js';
 import {
 	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
@@ -117,9 +116,13 @@
 		this.service = options.service;
 		this.fencingToken = options.epoch;
 		this.#progressWriter = ProgressWriter.create({
-			...options, onLost() {
+			...options,
+			onLost() {
 				options.onLost();
 			},
+			onRejected: active => {
+				this.#endUnrecordableJob(active);
+			},
 		});
 		this.#starter = RunStarter.create({
 			clock: options.clock, control: options.control, log: options.log, epoch: options.epoch, canOrder: options.canOrder,
@@ -205,7 +208,7 @@
 		const saved = await readProgress(this.#options);
 		await feed.load();
 		const submissions = feed.subscribe(service, this.#subscriber);
-		const jobs = restoreJobs(submissions, saved, {monotonic: clock.readMonotonic(), wall: clock.readWall()});
+		const jobs = restoreJobs(submissions, saved, {monotonic: clock.readMonotonic(), wall: clock.readWall()}, this.#options.tables.limits);
 		for (const active of jobs) {
 			this.#jobs.set(active.job.id, active);
 			for (const task of active.tasks.filter(({incarnation}) => incarnation !== undefined)) {
@@ -222,11 +225,11 @@
 	}
 
 	/** Schedules the progress of jobs for deletion whose submission an earlier holder has deleted. */
-	#removeUnusedProgress(submissions: readonly JobChange[], {progress}: SavedProgress): void {
+	#removeUnusedProgress(submissions: readonly JobChange[], {keys}: SavedProgress): void {
 		const submitted = new Set(submissions.map(({id}) => id));
-		for (const id of progress.keys()) {
+		for (const [id, rows] of keys) {
 			if (!submitted.has(id)) {
-				this.#options.feed.scheduleProgressRemoval(id, [getProgressKey(this.service, id)]);
+				this.#options.feed.scheduleProgressRemoval(id, rows);
 			}
 		}
 	}
@@ -315,6 +318,7 @@
 			}
 
 			this.#applyRuns(session, listing.running, sentAt, changed);
+			this.#updateStates(changed);
 			this.#fillerThrottler.update(session);
 		});
 		this.#wake.set();
@@ -341,9 +345,7 @@
 			this.#addSuccessor(session, end.successorStartedAt);
 		}
 
-		for (const active of new Set([...changed, ...suspects.map(task => task.job)])) {
-			this.#updateState(active, changed);
-		}
+		this.#updateStates(new Set([...changed, ...suspects.map(task => task.job)]), changed);
 
 		this.#record(changed);
 	}
@@ -444,13 +446,13 @@
 	}
 
 	#applyChanges(changes: readonly JobChange[]): void {
-		const {clock, log} = this.#options;
+		const {clock, log, tables} = this.#options;
 		for (const change of changes) {
 			const active = this.#jobs.get(change.id);
 			if (change.kind === 'cancelled') {
 				this.#cancelJob(active);
 			} else if (active === undefined) {
-				this.#jobs.set(change.id, ActiveJob.create(change.job, {monotonic: clock.readMonotonic(), wall: clock.readWall()}));
+				this.#jobs.set(change.id, ActiveJob.create(change.job, {monotonic: clock.readMonotonic(), wall: clock.readWall()}, tables.limits));
 				log.info('job taken up', {job: change.id, queue: change.job.queue, version: change.version});
 			}
 		}
@@ -467,6 +469,21 @@
 		}
 	}
 
+	/** Ends a job whose progress the table service rejects, so that it holds up no other job. */
+	#endUnrecordableJob(active: ActiveJob): void {
+		this.#options.log.warn('job given up; its progress is rejected', {job: active.job.id, queue: active.job.queue, tasks: active.tasks.length});
+		active.isUnrecordable = true;
+		const changed = new Set<ActiveJob>();
+		this.#updateState(active, changed);
+	}
+
+	/** Recomputes the states of jobs after changes, and adds the jobs to `changed`. */
+	#updateStates(jobs: ReadonlySet<ActiveJob>, changed = new Set<ActiveJob>()): void {
+		for (const active of jobs) {
+			this.#updateState(active, changed);
+		}
+	}
+
 	/** Recomputes a job's state after a change; stops its remaining runs once it has ended. */
 	#updateState(active: ActiveJob, changed: Set<ActiveJob>): void {
 		changed.add(active);
@@ -536,7 +553,7 @@
 			task.notBefore = task.spec.isLongRunning ? now + restartDelayMs : 0;
 		}
 
-		this.#updateState(task.job, changed);
+		changed.add(task.job);
 	}
 
 	/** Stops the other runs of a gang after the start of one member failed, since no member works without the others. */
@@ -579,7 +596,6 @@
 					job: task.job.job.id, task: task.name, run: task.run, worker: session.name, phase: task.phase,
 				});
 				this.#releaseTask(task, changed);
-				this.#updateState(task.job, changed);
 			}
 		}
 	}
@@ -699,9 +715,10 @@
 
 		for (const task of expired) {
 			this.#releaseTask(task, changed);
-			this.#updateState(task.job, changed);
 		}
 
+		this.#updateStates(changed);
+
 		if (!session.isRegistered && session.tasks.size === 0) {
 			this.#closeSession(session);
 		}
@@ -777,9 +794,10 @@
 		}
 
 		const placed: Task[] = [];
+		const {occupancy} = step;
 		for (const task of waiting) {
 			const choice = chooseWorker({
-				step: step.spec, candidates: allowed, occupancy: step.occupancy, isSuspect: task.crashes > 0,
+				step: step.spec, candidates: allowed, occupancy, isSuspect: task.crashes > 0,
 			});
 			if (choice === undefined) {
 				if (task.crashes > 0) {
@@ -790,6 +808,7 @@
 			}
 
 			this.#assign(task, choice, candidates, task.run + 1);
+			occupancy.set(choice.id, (occupancy.get(choice.id) ?? 0) + 1);
 			placed.push(task);
 		}
 
--- a/packages/workflows/src/progress-writers.ts
+++ b/packages/workflows/src/progress-writers.ts
@@ -2,12 +2,15 @@
  * Writes the job progress of a service in batches. Each transaction checks the version of the fence row that the previous one wrote.
  */
 import {
-	readErrorMessage, type Clock, type ServiceName,
+	readErrorMessage, VerdictError, type Clock, type ServiceName,
 } from '@tamarackwind/core';
-import {absentVersion, type Row, type WatchableTableService} from '@tamarackwind/clients';
+import {
+	absentVersion, platformRejectedCode, type Row, type WatchableTableService,
+} from '@tamarackwind/clients';
 import {type ActiveJob} from './active-jobs.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
-import {getFenceKey, getProgressKey} from './table-keys.js';
+import {headRow} from './progress-layouts.js';
+import {getFenceKey} from './table-keys.js';
 import {type FenceRow} from './records.js';
 
 export type ProgressWriterOptions = {
@@ -17,17 +20,24 @@
 	readonly service: ServiceName;
 	readonly epoch: number;
 	readonly holder: string;
+	/** Called when the table service rejects the progress of a job; the job must be encodable afterwards. */
+	readonly onRejected: (job: ActiveJob) => void;
 	/** Called once when another holder has taken over the fence. */
 	readonly onLost: () => void;
 };
 
-/** Rows in one transaction besides the fence; the table service accepts 100. */
+/** Maximum number of progress rows in one transaction, which also checks and writes the fence. */
 const maxBatchRows = 90;
 /** Delay before a transaction in which changes are batched, in milliseconds. */
 const batchDelayMs = 4;
 /** Delay before a failed transaction is retried, in milliseconds. */
 const retryDelayMs = 100;
 
+/** A progress row to write. */
+type PendingRow = {readonly job: ActiveJob; readonly row: number};
+
+type WriteOutcome = 'committed' | 'failed' | 'rejected';
+
 type Batch = {readonly promise: Promise<void>; readonly resolve: () => void; readonly reject: (error: unknown) => void};
 
 /** Thrown when a holder has lost its service to another holder before a write became durable. */
@@ -136,7 +146,7 @@
 			}
 
 			this.#current = batch;
-			const isWritten = await this.#write(jobs);
+			const isWritten = await this.#write(jobs.flatMap(job => job.takeChangedRows().map(row => ({job, row}))));
 			if (isWritten) {
 				batch.resolve();
 			} else {
@@ -147,27 +157,83 @@
 		this.#isRunning = false;
 	}
 
-	async #write(jobs: readonly ActiveJob[]): Promise<boolean> {
-		for (let start = 0; start < jobs.length; start += maxBatchRows) {
-			const part = jobs.slice(start, start + maxBatchRows);
-			while (!await this.#tryWrite(part)) {
-				if (this.#isClosed) {
+	async #write(rows: readonly PendingRow[]): Promise<boolean> {
+		for (const part of this.#splitRows(rows)) {
+			if (!await this.#writePart(part)) {
+				return false;
+			}
+		}
+
+		return true;
+	}
+
+	/** Splits rows into transactions within the limits of the table service; one without rows tells that earlier writes are durable. */
+	#splitRows(rows: readonly PendingRow[]): PendingRow[][] {
+		const {transactionBytes, valueBytes} = this.#options.tables.limits;
+		if (rows.length <= maxBatchRows && rows.length * valueBytes <= transactionBytes) {
+			return [[...rows]];
+		}
+
+		const parts: PendingRow[][] = [[]];
+		let bytes = 0;
+		for (const pending of rows) {
+			const rowBytes = estimateBytes(pending);
+			if (parts.at(-1)!.length >= maxBatchRows || (bytes + rowBytes > transactionBytes && parts.at(-1)!.length > 0)) {
+				parts.push([]);
+				bytes = 0;
+			}
+
+			parts.at(-1)!.push(pending);
+			bytes += rowBytes;
+		}
+
+		return parts;
+	}
+
+	/** Writes rows in one transaction, with retries; resolves to `false` once the writer is closed. If they are rejected, each job is written by itself. */
+	async #writePart(part: readonly PendingRow[]): Promise<boolean> {
+		for (;;) {
+			const outcome = await this.#tryWrite(part);
+			if (outcome === 'committed') {
+				return true;
+			}
+
+			if (this.#isClosed) {
+				return false;
+			}
+
+			if (outcome === 'rejected' && part.some(({job}) => !job.isUnrecordable) && await this.#tryWrite([]) === 'committed') {
+				return this.#writeJobs(part);
+			}
+
+			await this.#options.clock.sleep(retryDelayMs);
+		}
+	}
+
+	/** Writes the rows of each job by itself, after they were rejected together; gives up a job whose rows are rejected again. */
+	async #writeJobs(part: readonly PendingRow[]): Promise<boolean> {
+		const jobs = new Set(part.map(({job}) => job));
+		for (const job of jobs) {
+			const rows = part.filter(pending => pending.job === job);
+			if (jobs.size === 1 || await this.#tryWrite(rows) === 'rejected') {
+				this.#options.onRejected(job);
+				if (!await this.#writePart([{job, row: headRow}])) {
 					return false;
 				}
-
-				await this.#options.clock.sleep(retryDelayMs);
+			} else if (!await this.#writePart(rows)) {
+				return false;
 			}
 		}
 
 		return true;
 	}
 
-	/** Attempts one transaction; resolves to whether it is known to be committed. */
-	async #tryWrite(jobs: readonly ActiveJob[]): Promise<boolean> {
+	/** Attempts one transaction. */
+	async #tryWrite(part: readonly PendingRow[]): Promise<WriteOutcome> {
 		const {tables, service, log} = this.#options;
 		const fence = getFenceKey(service);
 		this.#sequence++;
-		const rows = jobs.map(job => ({...getProgressKey(service, job.job.id), value: job.encodeProgress()}));
+		const rows = part.map(({job, row}) => job.encodeProgressRow(row));
 		try {
 			const outcome = await tables.commit({
 				checks: [{...fence, version: this.#version}],
@@ -177,15 +243,14 @@
 			if (outcome.status === 'committed') {
 				this.#version = outcome.version;
 				this.#writes++;
-				return true;
+				return 'committed';
 			}
 
-			return await this.#resolveConflict();
+			return await this.#resolveConflict() ? 'committed' : 'failed';
 		} catch (error) {
-			log.warn('writing progress failed', {service, jobs: jobs.length, error: readErrorMessage(error)});
+			log.warn('writing progress failed', {service, rows: rows.length, error: readErrorMessage(error)});
+			return error instanceof VerdictError && error.code === platformRejectedCode ? 'rejected' : 'failed';
 		}
-
-		return false;
 	}
 
 	/** Determines whether a transaction of this holder without a response was committed or another holder has taken over the fence. Resolves to whether the latest transaction is committed. */
@@ -209,6 +274,11 @@
 	}
 }
 
+/** Estimates the encoded size of a row, in bytes. */
+function estimateBytes({job, row}: PendingRow): number {
+	return Buffer.byteLength(JSON.stringify(job.encodeProgressRow(row).value));
+}
+
 function createBatch(): Batch {
 	let resolve!: () => void;
 	let reject!: (error: unknown) => void;
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -5,21 +5,25 @@
 import {
 	type JobId, type RackName, type ServiceName, type VmId,
 } from '@tamarackwind/core';
+import {type StepSpec} from '@tamarackwind/scheduling';
 import {type Job} from './jobs.js';
 
 const resourcesSchema = z.object({cpu: z.number(), memory: z.number(), gpu: z.number()});
 
+/** A flag that is omitted if it is not set. */
+const flagSchema = z.boolean().default(false);
+
 const stepSchema = z.object({
 	count: z.int().min(1),
 	resources: resourcesSchema,
 	estimatedMs: z.number(),
-	after: z.array(z.int()),
-	isCheckpointing: z.boolean(),
-	isGang: z.boolean(),
-	isSameRack: z.boolean(),
-	isSpeculative: z.boolean(),
-	isLongRunning: z.boolean(),
-	isFiller: z.boolean(),
+	after: z.array(z.int()).default([]),
+	isCheckpointing: flagSchema,
+	isGang: flagSchema,
+	isSameRack: flagSchema,
+	isSpeculative: flagSchema,
+	isLongRunning: flagSchema,
+	isFiller: flagSchema,
 	requirement: z.string().optional(),
 	affinity: z.string().transform(text => text as RackName).optional(),
 	antiAffinity: z.int().optional(),
@@ -58,8 +62,15 @@
 export const tombstone: SubmissionRow = {isRefused: true};
 
 /** Encodes a job for its row. */
-export function encodeJob({id: _id, ...row}: Job): SubmissionRow {
-	return row as unknown as SubmissionRow;
+export function encodeJob({id: _id, steps, ...row}: Job): SubmissionRow {
+	return {...row, steps: steps.map(step => encodeStep(step))};
+}
+
+/** Encodes a step without the fields that have their default values. */
+function encodeStep({after, ...step}: StepSpec): z.input<typeof stepSchema> {
+	return {
+		...Object.fromEntries(Object.entries(step).filter(([, value]) => value !== false && value !== undefined)) as Omit<StepSpec, 'after'>, ...(after.length === 0 ? {} : {after: [...after]}),
+	};
 }
 
 /** Decodes the row of a submitted job; `undefined` for a tombstone. */
@@ -86,14 +97,29 @@
 	state: z.enum(['queued', 'running', 'succeeded', 'failed', 'cancelled']),
 	/** When the job ended, in milliseconds since the Unix epoch. */
 	endedAt: z.number().optional(),
+	/** Number of tasks in each further row of a job whose progress does not fit into one row. */
+	tasksPerRow: z.int().min(1).optional(),
 	steps: z.array(stepProgressSchema),
 });
 
+/** A further row of a job's progress. */
+const progressPartSchema = z.object({steps: z.array(stepProgressSchema)});
+
 /** Value of an encoded progress row. */
 export type ProgressRow = z.input<typeof progressSchema>;
 /** A decoded progress row. */
 export type Progress = z.output<typeof progressSchema>;
 
+/** Value of an encoded further row. */
+export type ProgressPartRow = z.input<typeof progressPartSchema>;
+/** A decoded further row. */
+export type ProgressPart = z.output<typeof progressPartSchema>;
+
+/** Decodes a further row of a job's progress. */
+export function decodeProgressPart(value: unknown): ProgressPart {
+	return progressPartSchema.parse(value);
+}
+
 /** Decodes a progress row. */
 export function decodeProgress(value: unknown): Progress {
 	return progressSchema.parse(value);
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -58,6 +58,8 @@
 const registryWaitMs = 300;
 /** Pause between two watches on the registry, in milliseconds: batches changes. */
 const registryPauseMs = 20;
+/** Share of a row's maximum size that the status may take; the rest is left to the renewal around it. */
+const maxStatusShare = 0.75;
 const clockSlackFactor = 1.03;
 
 /** Competes for the scheduler lease and schedules jobs while this entry holds it. */
@@ -280,6 +282,13 @@
 			backlogMs[pool.service] = Math.round(work / Math.max(1, cpu));
 		}
 
-		return {waiting, backlogMs};
+		const status = {waiting, backlogMs};
+		const {valueBytes} = this.#options.tables.limits;
+		if (JSON.stringify(status).length > valueBytes * maxStatusShare) {
+			this.#options.log.warn('status of the holder is too large to publish', {pools: this.#pools.size, limit: valueBytes});
+			return {waiting: {}, backlogMs: {}};
+		}
+
+		return status;
 	}
 }
--- a/packages/workflows/tests/job-submitters.test.ts
+++ b/packages/workflows/tests/job-submitters.test.ts
@@ -318,3 +318,14 @@
 	await later;
 	t.is(outcomes.get(last), 'accepted');
 });
+
+// Guards against a transaction that the store rejects because of its size, which would refuse all jobs in it.
+test('jobs that exceed the size of one transaction together are submitted in several', async t => {
+	const clock = ManualClock.create();
+	const tables = MemoryTableService.create(clock, {valueBytes: 10_000, transactionBytes: 25_000, transactionEntries: 100});
+	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
+	const submitted = Promise.all(listJobsOfOnePartition(12).map(async id => submitter.submit({...createJob(id), payload: 'x'.repeat(4000)})));
+	await clock.advance(200);
+	t.deepEqual(new Set(await submitted), new Set(['accepted']));
+	t.is(tables.rejections, 0);
+});
--- a/packages/workflows/tests/progress-writers.test.ts
+++ b/packages/workflows/tests/progress-writers.test.ts
@@ -1,17 +1,20 @@
 import {
 	Log, ManualClock, VerdictError, type JobId, type ServiceName,
 } from '@tamarackwind/core';
-import {MemoryTableService, type CommitOutcome, type Transaction} from '@tamarackwind/clients';
+import {
+	MemoryTableService, platformRejectedCode, type CommitOutcome, type Transaction,
+} from '@tamarackwind/clients';
 import test from 'ava';
 import {
-	ActiveJob, RateLimitedLog, decodeProgress, FenceLostError, getProgressKey, ProgressWriter,
+	ActiveJob, RateLimitedLog, decodeProgress, FenceLostError, getProgressKey, ProgressWriter, type ProgressWriterOptions,
 } from '../src/index.js';
 
 const service = 'north' as ServiceName;
+const limits = {valueBytes: 49_152, transactionBytes: 690_000, transactionEntries: 100};
 
-function createActiveJob(): ActiveJob {
+function createActiveJob(id = 'job-1'): ActiveJob {
 	return ActiveJob.create({
-		id: 'job-1' as JobId,
+		id: id as JobId,
 		service,
 		queue: 'redraw',
 		payload: '',
@@ -23,12 +26,12 @@
 			count: 2, resources: {cpu: 1, memory: 1, gpu: 0}, estimatedMs: 1, after: [], isCheckpointing: false, isGang: false, isSameRack: false, isSpeculative: false,
 			isLongRunning: false, isFiller: false,
 		}],
-	}, {monotonic: 0, wall: 0});
+	}, {monotonic: 0, wall: 0}, limits);
 }
 
-function createWriter(tables: MemoryTableService, clock: ManualClock, epoch: number, onLost: () => void = () => {}): ProgressWriter {
+function createWriter(tables: MemoryTableService, clock: ManualClock, epoch: number, callbacks: Partial<Pick<ProgressWriterOptions, 'onLost' | 'onRejected'>> = {}): ProgressWriter {
 	return ProgressWriter.create({
-		clock, tables, service, epoch, holder: `entry-${epoch}`, log: RateLimitedLog.create(Log.createSilent(), clock), onLost,
+		clock, tables, service, epoch, holder: `entry-${epoch}`, log: RateLimitedLog.create(Log.createSilent(), clock), onLost() {}, onRejected() {}, ...callbacks,
 	});
 }
 
@@ -41,8 +44,10 @@
 	const clock = ManualClock.create();
 	const tables = MemoryTableService.create(clock);
 	let isLost = false;
-	const first = createWriter(tables, clock, 1, () => {
-		isLost = true;
+	const first = createWriter(tables, clock, 1, {
+		onLost() {
+			isLost = true;
+		},
 	});
 	await first.open();
 	await createWriter(tables, clock, 2).open();
@@ -99,3 +104,60 @@
 		t.deepEqual(await readDone(tables), [0, 1]);
 	});
 }
+
+/** Rejects each transaction that writes progress of the given job, unless it is its final state. */
+function rejectJob(tables: MemoryTableService, id: string): void {
+	const commit = tables.commit.bind(tables);
+	tables.commit = async (transaction: Transaction): Promise<CommitOutcome> => {
+		const isRejected = transaction.writes.some(({key, value}) => key === id && (value as {state: string}).state !== 'failed');
+		if (isRejected) {
+			throw new VerdictError('value is invalid', {verdict: 'not-run', code: platformRejectedCode});
+		}
+
+		return commit(transaction);
+	};
+}
+
+// Guards against a row that the store never accepts, which would hold up the progress of all jobs of a service.
+test('a job whose progress is rejected is given up, and the progress of the others is written', async t => {
+	const clock = ManualClock.create();
+	const tables = MemoryTableService.create(clock);
+	rejectJob(tables, 'job-bad');
+	const rejected: string[] = [];
+	const writer = createWriter(tables, clock, 1, {
+		onRejected(job) {
+			rejected.push(job.job.id);
+			job.isUnrecordable = true;
+			job.updateState();
+		},
+	});
+	await writer.open();
+	const [bad, good] = [createActiveJob('job-bad'), createActiveJob('job-1')];
+	const recorded = writer.record([bad, good]);
+	await clock.advance(1000);
+	await recorded;
+	t.deepEqual(rejected, ['job-bad']);
+	t.deepEqual(await readDone(tables), []);
+	t.is(decodeProgress((await tables.getRow(getProgressKey(service, 'job-bad' as JobId)))!.value).state, 'failed');
+});
+
+test('rows beyond the size of a transaction are written in several', async t => {
+	const clock = ManualClock.create();
+	const tables = MemoryTableService.create(clock, {...limits, transactionBytes: 60_000});
+	const writer = createWriter(tables, clock, 1);
+	await writer.open();
+	const jobs = Array.from({length: 200}, (_, index) => createActiveJob(`job-${index}`));
+	for (const job of jobs) {
+		job.openOccurrences(0);
+		for (const task of job.tasks) {
+			task.run = 1;
+			task.checkpoint = 'c'.repeat(200);
+		}
+	}
+
+	const recorded = writer.record(jobs);
+	await clock.advance(1000);
+	await recorded;
+	t.is(tables.rejections, 0);
+	t.true(writer.writes > 2);
+});
