Drop the placement tickets of an ended incarnation

Change: the cache drops the tickets of a worker whose incarnation has ended, and a ticket that was refused. Evidence: advice-caches.test.ts; before, the cache had no way to drop a ticket, so it does not compile there.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -62,6 +62,21 @@
 		return this.#entries.get(formatStep(task))?.tickets.get(worker);
 	}
 
+	/** Drops the tickets for a worker whose incarnation has ended; tickets are valid for one incarnation. */
+	clearWorker(worker: VmId): void {
+		for (const {tickets, requested} of this.#entries.values()) {
+			tickets.delete(worker);
+			requested.delete(worker);
+		}
+	}
+
+	/** Drops the ticket of a task's step for a worker that refused it, so that it is requested again. */
+	clearTicket(task: Task, worker: VmId): void {
+		const entry = this.#entries.get(formatStep(task));
+		entry?.tickets.delete(worker);
+		entry?.requested.delete(worker);
+	}
+
 	async #requestTickets(task: Task, entry: StepTickets, workers: readonly VmId[]): Promise<void> {
 		const {clock, advisor, log, onResponse} = this.#options;
 		const {job, occurrence, step} = task.key;
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -12,6 +12,7 @@
 export * from './configurations.js';
 export * from './signals.js';
 export * from './worker-health.js';
+export * from './advice-caches.js';
 export * from './cordons.js';
 export * from './crash-budgets.js';
 export * from './worker-leases.js';
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -126,6 +126,9 @@
 		});
 		this.#starter = RunStarter.create({
 			clock: options.clock, control: options.control, log: options.log, epoch: options.epoch, canOrder: options.canOrder,
+			onTicketRefused: (task, session) => {
+				this.#advice.clearTicket(task, session.record.id);
+			},
 			onSettled: task => {
 				this.#stopPartialGang(task);
 				this.#wake.set();
@@ -329,6 +332,7 @@
 		const {log} = this.#options;
 		log.info('worker life ended', {worker: session.name, reason, tasks: session.tasks.size});
 		this.#endedIncarnations.set(session.name, this.#options.clock.readMonotonic());
+		this.#advice.clearWorker(session.record.id);
 		const changed = new Set<ActiveJob>();
 		const suspects = (end.isOrdered ?? session.record.isDraining) ? [] : [...listSuspects(session.tasks, session.listedAt), ...session.suspectsAtExpiry];
 		this.#recordCrash(suspects, session.name);
--- a/packages/workflows/src/starters.ts
+++ b/packages/workflows/src/starters.ts
@@ -16,6 +16,8 @@
 	readonly log: RateLimitedLog;
 	readonly epoch: number;
 	readonly canOrder: () => boolean;
+	/** Called when a worker has refused the ticket of a start. */
+	readonly onTicketRefused: (task: Task, session: WorkerSession) => void;
 	/** Called when a start has failed or must be treated as failed. */
 	readonly onSettled: (task: Task) => void;
 };
@@ -78,7 +80,10 @@
 			.with('unhealthy', 'no-room', 'fenced', 'invalid', () => {
 				session.health.recordRefusal(clock.readMonotonic() + refusalBackoffMs);
 			})
-			.with('superseded', 'expired', 'no-ticket', 'other-life', () => {})
+			.with('no-ticket', () => {
+				this.#options.onTicketRefused(task, session);
+			})
+			.with('superseded', 'expired', 'other-life', () => {})
 			.exhaustive();
 		this.#release(task, session);
 	}
--- /dev/null
+++ b/packages/workflows/tests/advice-caches.test.ts
@@ -0,0 +1,57 @@
+import {
+	Log, ManualClock, type JobId, type VmId,
+} from '@tamarackwind/core';
+import test from 'ava';
+import {
+	AdviceCache, PlacementAdvisor, RateLimitedLog, type PlacementAdvice, type Task,
+} from '../src/index.js';
+
+/** Gives each worker a new ticket at each request. */
+class CountingAdvisor extends PlacementAdvisor {
+	requests: VmId[][] = [];
+
+	override async requestTickets(_step: unknown, workers: readonly VmId[]): Promise<PlacementAdvice> {
+		this.requests.push([...workers]);
+		return {tickets: new Map(workers.map(id => [id, `ticket-${this.requests.length}`])), validMs: 60_000};
+	}
+}
+
+const task = {key: {job: '5c0e7a21d94b36f8' as JobId, occurrence: 0, step: 0}} as unknown as Task;
+const candidates = ['worker-1', 'worker-2'].map(id => ({id: id as VmId}));
+const [restarted] = candidates;
+
+type Case = {readonly name: string; readonly apply: (cache: AdviceCache) => void};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a worker has restarted under its id', apply(cache) {
+			cache.clearWorker(restarted!.id);
+		},
+	},
+	{
+		name: 'a worker has refused its ticket', apply(cache) {
+			cache.clearTicket(task, restarted!.id);
+		},
+	},
+];
+
+// Guards against starts that are refused until the ticket of an earlier incarnation expires.
+for (const {name, apply} of cases) {
+	test(`a new ticket is requested once ${name}`, async t => {
+		const clock = ManualClock.create();
+		const advisor = new CountingAdvisor();
+		const cache = AdviceCache.create({
+			clock, advisor, log: RateLimitedLog.create(Log.createSilent(), clock), onResponse() {},
+		});
+		cache.filterAllowed(task, candidates);
+		await clock.advance(10);
+		t.deepEqual(cache.filterAllowed(task, candidates), candidates);
+		apply(cache);
+		t.is(cache.getTicket(task, restarted!.id), undefined);
+		t.deepEqual(cache.filterAllowed(task, candidates), candidates.slice(1));
+		await clock.advance(10);
+		t.deepEqual(cache.filterAllowed(task, candidates), candidates);
+		t.is(cache.getTicket(task, restarted!.id), 'ticket-2');
+		t.deepEqual(advisor.requests, [candidates.map(({id}) => id), [restarted!.id]]);
+	});
+}
