--- a/packages/testing/tests/queue-moves.test.ts
+++ b/packages/testing/tests/queue-moves.test.ts
@@ -60,6 +60,15 @@
 			}
 		},
 	},
+	{
+		name: ', while the store drops its history', apply({tables, clock}) {
+			for (const at of [2, 10, 1000, 1600, 6100]) {
+				clock.schedule(at, () => {
+					tables.clearHistory();
+				});
+			}
+		},
+	},
 	{
 		name: ', and another entry takes over', apply(system) {
 			system.clock.schedule(1000, () => {
