Move the runs in doubt to a class of their own

DoubtfulRuns holds them now; no change of behaviour. Besides, an idle session that goes on after a while lists the ends of its worker again before it acknowledges them: the worker may have restarted meanwhile.

--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -17,6 +17,7 @@
 export * from './crash-budgets.js';
 export * from './worker-leases.js';
 export * from './worker-sessions.js';
+export * from './doubtful-runs.js';
 export * from './job-removers.js';
 export * from './job-feeds.js';
 export * from './progress-readers.js';
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -17,6 +17,7 @@
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
 import {readProgress, restoreJobs, type SavedProgress} from './progress-readers.js';
 import {ProgressWriter} from './progress-writers.js';
+import {DoubtfulRuns, type DoubtfulRun} from './doubtful-runs.js';
 import {FillerThrottler} from './filler-throttlers.js';
 import {RunStarter} from './starters.js';
 import {Signal} from './signals.js';
@@ -98,8 +99,7 @@
 	readonly #fillerThrottler: FillerThrottler;
 	readonly #jobs = new Map<JobId, ActiveJob>();
 	readonly #sessions = new Map<VmId, WorkerSession>();
-	/** Tasks whose last run may be active on a worker without a session, with the time by which that run has ended in any case. */
-	readonly #orphans = new Map<Task, number>();
+	readonly #doubtfulRuns: DoubtfulRuns;
 	/** Ended worker incarnations and the time at which each end was detected; the registry may still list them for some seconds. */
 	readonly #endedIncarnations = new Map<string, number>();
 	readonly #wake = Signal.create();
@@ -115,6 +115,7 @@
 		this.#options = options;
 		this.service = options.service;
 		this.fencingToken = options.epoch;
+		this.#doubtfulRuns = DoubtfulRuns.create(options.timings.orderTimeoutMs);
 		this.#progressWriter = ProgressWriter.create({
 			...options,
 			onLost() {
@@ -215,13 +216,13 @@
 		for (const active of jobs) {
 			this.#jobs.set(active.job.id, active);
 			for (const task of active.tasks.filter(({incarnation}) => incarnation !== undefined)) {
-				this.#orphans.set(task, earlierRunsEndBy);
+				this.#doubtfulRuns.add({task, endBy: earlierRunsEndBy});
 			}
 		}
 
 		this.#removeUnusedProgress(submissions, saved);
 		this.#options.log.info('service loaded', {
-			service, jobs: jobs.length, running: jobs.filter(active => !active.isTerminal).length, orphans: this.#orphans.size,
+			service, jobs: jobs.length, running: jobs.filter(active => !active.isTerminal).length, orphans: this.#doubtfulRuns.count,
 		});
 		void this.#run();
 		this.#record(new Set(jobs.filter(active => this.#setEndTime(active))));
@@ -289,8 +290,7 @@
 	/** Lists the unreachable workers with tasks, and the workers without a session on which runs may be active. */
 	listLostWorkers(): VmId[] {
 		const unreachable = [...this.#sessions.values()].filter(session => !session.isReachable && session.tasks.size > 0).map(session => session.record.id);
-		const recorded = [...this.#orphans.keys()].flatMap(task => task.incarnation === undefined ? [] : [task.incarnation.id]);
-		return [...new Set([...unreachable, ...recorded])];
+		return [...new Set([...unreachable, ...this.#doubtfulRuns.listWorkers()])];
 	}
 
 	/** Ends the incarnations of unreachable workers whose VMs were asked for at `downAt` and found down. */
@@ -301,16 +301,7 @@
 			}
 		}
 
-		for (const task of this.#orphans.keys()) {
-			if (task.incarnation !== undefined && deadWorkers.has(task.incarnation.id) && !this.#isStartPending(task, downAt)) {
-				this.#releaseOrphan(task);
-			}
-		}
-	}
-
-	/** Reports whether a start that was sent to a worker may reach a later incarnation, although its VM was down at `downAt`. */
-	#isStartPending({isConfirmed, orderedAt}: Task, downAt: number): boolean {
-		return !isConfirmed && orderedAt > 0 && orderedAt + this.#options.timings.orderTimeoutMs > downAt;
+		this.#releaseDoubtful(this.#doubtfulRuns.takeDown(deadWorkers, downAt));
 	}
 
 	override async applyListing(session: WorkerSession, listing: WorkerListing, sentAt: number): Promise<boolean> {
@@ -337,7 +328,7 @@
 		const suspects = (end.isOrdered ?? session.record.isDraining) ? [] : [...listSuspects(session.tasks, session.listedAt), ...session.suspectsAtExpiry];
 		this.#recordCrash(suspects, session.name);
 		for (const task of session.tasks) {
-			if (this.#isPossiblyInSuccessor(task, end)) {
+			if (this.#doubtfulRuns.isDoubtful(task, end)) {
 				this.#holdTask(task, session);
 			} else {
 				this.#releaseTask(task, changed);
@@ -354,16 +345,6 @@
 		this.#record(changed);
 	}
 
-	/** Reports whether the run of a task may be active on a later incarnation of its worker: it was ordered, and the incarnation that ended never listed it. */
-	#isPossiblyInSuccessor(task: Task, {isOrdered, isReplaced, downAt}: IncarnationEnd): boolean {
-		const isOver = isOrdered ?? isReplaced ?? false;
-		if (isOver || !task.isInFlight || task.isListed) {
-			return false;
-		}
-
-		return downAt === undefined || this.#isStartPending(task, downAt);
-	}
-
 	/** Unassigns a task from a session without making it eligible for a new start, until a later incarnation of the worker shows whether its run is active. */
 	#holdTask(task: Task, session: WorkerSession): void {
 		session.removeTask(task);
@@ -371,7 +352,7 @@
 			task.phase = 'stopping';
 		}
 
-		this.#orphans.set(task, Math.max(session.runsEndBy, session.unlistedRunsEndBy));
+		this.#doubtfulRuns.add({task, endBy: Math.max(session.runsEndBy, session.unlistedRunsEndBy)});
 		this.#options.log.info('run in doubt', {
 			job: task.job.job.id, task: task.name, run: task.run, worker: session.name, isConfirmed: task.isConfirmed,
 		});
@@ -379,7 +360,7 @@
 
 	/** Adds the session of an incarnation that the registry does not list yet, to settle the runs that it may have begun. It gets no new work until it is registered. */
 	#addSuccessor({record}: WorkerSession, startedAt: number): void {
-		if ([...this.#orphans.keys()].some(task => task.incarnation?.id === record.id)) {
+		if (this.#doubtfulRuns.listWorkers().includes(record.id)) {
 			this.#addSession({...record, startedAt}).isRegistered = false;
 		}
 	}
@@ -412,13 +393,12 @@
 
 	#addSession(record: WorkerRecord): WorkerSession {
 		const {clock, control, log, earlierRunsEndBy, timings} = this.#options;
-		const orphans = [...this.#orphans].filter(([{incarnation}]) => incarnation?.id === record.id);
+		const doubtful = this.#doubtfulRuns.takeWorker(record.id);
 		const session = WorkerSession.create({
-			clock, control, log, owner: this, record, earlierRunsEndBy: Math.max(earlierRunsEndBy, ...orphans.map(([, endBy]) => endBy)), timings,
+			clock, control, log, owner: this, record, earlierRunsEndBy: Math.max(earlierRunsEndBy, ...doubtful.map(({endBy}) => endBy)), timings,
 		});
 		this.#sessions.set(record.id, session);
-		for (const [task] of orphans) {
-			this.#orphans.delete(task);
+		for (const {task} of doubtful) {
 			this.#resumeTask(session, task);
 		}
 
@@ -443,10 +423,12 @@
 		}
 	}
 
-	#releaseOrphan(task: Task): void {
-		this.#orphans.delete(task);
-		this.#releaseTask(task, new Set());
-		this.#wake.set();
+	/** Makes tasks eligible for a new start whose last run is known to have ended. */
+	#releaseDoubtful(runs: readonly DoubtfulRun[]): void {
+		for (const {task} of runs) {
+			this.#releaseTask(task, new Set());
+			this.#wake.set();
+		}
 	}
 
 	#applyChanges(changes: readonly JobChange[]): void {
@@ -687,11 +669,7 @@
 			}
 		}
 
-		for (const [task, endBy] of this.#orphans) {
-			if (now > endBy) {
-				this.#releaseOrphan(task);
-			}
-		}
+		this.#releaseDoubtful(this.#doubtfulRuns.takeExpired(now));
 
 		for (const [incarnation, endedAt] of this.#endedIncarnations) {
 			if (now - endedAt > this.#options.timings.endedIncarnationRetentionMs) {
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -329,8 +329,7 @@
 		this.#leaseSentAt = isLeaseRenewed ? sentAt : this.#leaseSentAt;
 		const outcome = await control.renewLease(this.record, {
 			fencingToken: owner.fencingToken,
-			// A later incarnation numbers its ends anew, so only ends of the last listing are acknowledged, and none after a failed call.
-			acknowledgedEnds: this.#hasListedEnds && this.#failures === 0 ? this.#durableEnds : 0,
+			acknowledgedEnds: this.#isAcknowledgementSafe(sentAt) ? this.#durableEnds : 0,
 			leaseUntil: isLeaseRenewed ? this.#lease.renew(sentAt, timings.workerLeaseMs) : undefined,
 			waitMs,
 		});
@@ -378,6 +377,11 @@
 		}
 	}
 
+	/** Reports whether ends may be acknowledged. A later incarnation numbers its ends anew, so only ends of a recent listing are, and none after a failed call. */
+	#isAcknowledgementSafe(now: number): boolean {
+		return this.#hasListedEnds && this.#failures === 0 && now - this.#listedAt <= durableWaitMs;
+	}
+
 	/** Whether a stop was acknowledged since the last listing for a run that no listing has shown; the next listing tells whether the run exists. */
 	get #hasUnlistedStop(): boolean {
 		return [...this.#pendingStops].some(([task, {acknowledgedAt}]) => !task.isListed && acknowledgedAt !== undefined && acknowledgedAt >= this.#listingSentAt);
