--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -43,7 +43,21 @@
 	'wave',
 ] as const;
 
-export type FaultKind = (typeof faultKinds)[number];
+/** Further kinds of faults. They are listed apart, since a history draws its faults from the list of kinds, and known seeds would play other histories. */
+export const furtherFaultKinds = [
+	'worker restart',
+	'VM orders lost',
+	'VM orders unanswered',
+	'VM orders late',
+	'VM list down',
+	'queue moved',
+] as const;
+
+export type FaultKind = (typeof faultKinds)[number] | (typeof furtherFaultKinds)[number];
+
+const restartMs = {min: 20, range: 900};
+/** Faults of the VM control, by kind. */
+const vmOrderFaults = {'VM orders lost': 'lost', 'VM orders unanswered': 'unanswered', 'VM orders late': 'late'} as const;
 
 const warmUpMs = 4000;
 const faultPhaseMs = 24_000;
@@ -136,7 +150,42 @@
 		});
 	};
 
+	const setVmOrderFault = (name: keyof typeof vmOrderFaults): void => {
+		fleet.vmOrderFault = vmOrderFaults[name];
+		scheduleRestore(() => {
+			fleet.vmOrderFault = undefined;
+		});
+	};
+
 	const actions: Record<FaultKind, () => void> = {
+		'worker restart'() {
+			const vm = random.pickItem(fleet.vms)!.id;
+			const downtimeMs = restartMs.min + (random.readFraction() * restartMs.range);
+			fleet.restartWorker(vm, downtimeMs);
+			clock.schedule(downtimeMs + (random.readFraction() * restartMs.range), () => {
+				fleet.restartWorker(vm, restartMs.min);
+			});
+		},
+		'VM orders lost'() {
+			setVmOrderFault('VM orders lost');
+		},
+		'VM orders unanswered'() {
+			setVmOrderFault('VM orders unanswered');
+		},
+		'VM orders late'() {
+			setVmOrderFault('VM orders late');
+		},
+		'VM list down'() {
+			fleet.isVmListDown = true;
+			scheduleRestore(() => {
+				fleet.isVmListDown = false;
+			});
+		},
+		'queue moved'() {
+			for (const [id, {service}] of system.accepted) {
+				void system.repeatSubmission(id, service as string === 'north' ? 'south' : 'north', random.pickItem(system.entries)!);
+			}
+		},
 		'kill holder'() {
 			system.killEntry(holder);
 			scheduleRestore(() => {
--- a/packages/testing/tests/system-histories.test.ts
+++ b/packages/testing/tests/system-histories.test.ts
@@ -19,6 +19,11 @@
 	[2006, 'detects ends of runs that are acknowledged before they are durable', undefined],
 	[2015, 'detects a start without a response that is not stopped', undefined],
 	[2100, 'a worker that is cut off continues until its lease has expired', ['worker cut']],
+	[5001, 'workers that restart under their ids beside takeovers and lost orders', ['worker restart', 'worker restart', 'kill holder', 'orders lost']],
+	[5002, 'workers that restart under their ids while the store is away', ['worker restart', 'worker restart', 'tables down', 'orders late']],
+	[5003, 'orders to VMs without an answer during waves and takeovers', ['VM orders lost', 'VM orders unanswered', 'VM list down', 'wave', 'kill holder']],
+	[5004, 'orders to VMs executed late during waves', ['VM orders late', 'wave', 'worker restart']],
+	[5005, 'queues that move to another service beside lost answers, late writes and takeovers', ['queue moved', 'queue moved', 'answers lost', 'writes late', 'kill holder']],
 	[1005, 'outages of the tables', ['tables down', 'tables silent', 'tables slow', 'history gone']],
 ];
 
--- a/scripts/play-histories.js
+++ b/scripts/play-histories.js
@@ -3,7 +3,7 @@
  */
 import {randomInt} from 'node:crypto';
 import process from 'node:process';
-import {playHistory} from '../packages/testing/dist/src/index.js';
+import {faultKinds, furtherFaultKinds, playHistory} from '../packages/testing/dist/src/index.js';
 
 const maxSeed = 2 ** 31;
 const defaultRuns = 100;
@@ -11,7 +11,7 @@
 const faults = {};
 let broken = 0;
 for (let seed = first; seed < first + runs; seed++) {
-	const history = await playHistory({seed});
+	const history = await playHistory({seed, kinds: [...faultKinds, ...furtherFaultKinds]});
 	for (const [kind, count] of Object.entries(history.faults)) {
 		faults[kind] = (faults[kind] ?? 0) + count;
 	}
