--- a/packages/workflows/src/explanations.ts
+++ b/packages/workflows/src/explanations.ts
@@ -32,7 +32,7 @@
 /** Time before the first line of a job from which shared messages are included, in milliseconds: the duration of a takeover of the scheduler lease. */
 const sharedLeadMs = 4000;
 /** Messages that explain why a task needed another run. */
-const repeatMessages = new Set(['run ended', 'run stopped', 'run not found on worker', 'start refused', 'start not answered', 'task evicted', 'task preempted']);
+const repeatMessages = new Set(['run ended', 'run stopped', 'run not found on worker', 'start refused', 'start not answered', 'task evicted', 'task preempted', 'run in doubt', 'run lost with its worker']);
 
 /**
  * Parses log lines; ignores text before the JSON object of a line and lines without one.
