Count a crash against a run in doubt only once it is settled

Cause: the suspects of a crash were the runs that the worker had confirmed by a response, and a response does not tell the two lives apart. Ruled out: crashes under the task (its run went on on the new life). Change: the count waits until the next listing shows where the run is.

--- a/packages/testing/tests/crash-budgets.test.ts
+++ b/packages/testing/tests/crash-budgets.test.ts
@@ -112,3 +112,42 @@
 	await system.clock.run(5000);
 	t.deepEqual(lost, []);
 });
+
+// Guards against a crash that counts against a run which the worker began only after it, under the same id.
+test('a restart does not count against the tasks that the worker starts after it', async t => {
+	const lost: string[] = [];
+	const endings = new Map<string, string>();
+	const system = await EmulatedSystem.create({
+		seed: 6, pools: [['north', 1], ['spare', 0]], write(line) {
+			const {message, task, run, ending} = JSON.parse(line) as {message: string; task?: string; run?: number; ending?: string};
+			if (message === 'run lost with its worker') {
+				lost.push(`${task}#${run}`);
+			} else if (message === 'run ended') {
+				endings.set(`${task}#${run}`, ending!);
+			}
+		},
+	});
+	const {clock, fleet} = system;
+	await clock.run(warmUpMs);
+	const jobs: JobId[] = [];
+	const submit = async (): Promise<void> => {
+		jobs.push(await system.submit([createStep({resources: {cpu: 100, memory: 100, gpu: 0}})], 400));
+	};
+
+	for (let at = 0; at < 12_000; at += 60) {
+		clock.schedule(at, () => {
+			void submit();
+		});
+	}
+
+	for (let at = 1000; at < 12_000; at += 1500) {
+		clock.schedule(at, () => {
+			fleet.restartWorker(fleet.vms[0]!.id, 5);
+		});
+	}
+
+	await clock.run(observationMs);
+	t.deepEqual(fleet.violations, []);
+	t.true(lost.length > 0);
+	t.deepEqual(lost.filter(run => endings.has(run)), [], 'no run that ended on a worker counts as lost with it');
+});
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -46,6 +46,8 @@
 	speedPercent = 100;
 	/** Whether the worker has confirmed the current run, by its response or in a listing. */
 	isConfirmed = false;
+	/** Number of suspects of a crash that counts against the task unless its run turns out to have begun after it; 0 when there is none. */
+	pendingSuspects = 0;
 	/** Whether the worker incarnation to which the task is assigned has listed the current run. */
 	isListed = false;
 	/** Earliest time of the next start, on the monotonic clock. */
--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -26,12 +26,12 @@
 }
 
 /**
- * Counts the crash of a worker against its suspects. A task is given up after `minCrashes` only if it is the single suspect of the last one,
+ * Counts the crash of a worker against tasks, which are `suspectCount` suspects together with others that are still in doubt. A task is given up after `minCrashes` only if it is the single suspect of the last one,
  * so that neither its neighbours nor crashes for another reason use up its budget, and after `maxCrashes` in any case.
  */
-export function recordCrash(suspects: readonly Task[]): void {
+export function recordCrash(suspects: readonly Task[], suspectCount = suspects.length): void {
 	for (const task of suspects) {
 		task.crashes++;
-		task.isGivenUp ||= task.crashes >= (suspects.length === 1 ? minCrashes : maxCrashes);
+		task.isGivenUp ||= task.crashes >= (suspectCount === 1 ? minCrashes : maxCrashes);
 	}
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -326,9 +326,10 @@
 		this.#advice.clearWorker(session.record.id);
 		const changed = new Set<ActiveJob>();
 		const suspects = (end.isOrdered ?? session.record.isDraining) ? [] : [...listSuspects(session.tasks, session.listedAt), ...session.suspectsAtExpiry];
-		this.#recordCrash(suspects, session.name);
+		this.#recordCrash(suspects.filter(task => !this.#doubtfulRuns.isDoubtful(task, end)), session.name, suspects.length);
 		for (const task of session.tasks) {
 			if (this.#doubtfulRuns.isDoubtful(task, end)) {
+				task.pendingSuspects ||= suspects.includes(task) ? suspects.length : 0;
 				this.#holdTask(task, session);
 			} else {
 				this.#releaseTask(task, changed);
@@ -366,8 +367,8 @@
 	}
 
 	/** Counts the crash of a worker against the tasks that may have caused it. */
-	#recordCrash(suspects: readonly Task[], worker: string): void {
-		recordCrash(suspects);
+	#recordCrash(suspects: readonly Task[], worker: string, suspectCount: number): void {
+		recordCrash(suspects, suspectCount);
 		for (const task of suspects) {
 			this.#options.log.info('run lost with its worker', {
 				job: task.job.job.id, task: task.name, run: task.run, worker, crashes: task.crashes, isGivenUp: task.isGivenUp,
@@ -425,10 +426,14 @@
 
 	/** Makes tasks eligible for a new start whose last run is known to have ended. */
 	#releaseDoubtful(runs: readonly DoubtfulRun[]): void {
+		const changed = new Set<ActiveJob>();
 		for (const {task} of runs) {
-			this.#releaseTask(task, new Set());
+			this.#releaseTask(task, changed);
 			this.#wake.set();
 		}
+
+		this.#updateStates(changed);
+		this.#record(new Set([...changed].filter(({isTerminal}) => isTerminal)));
 	}
 
 	#applyChanges(changes: readonly JobChange[]): void {
@@ -525,6 +530,7 @@
 		}
 
 		task.job.hasBegun = true;
+		task.pendingSuspects = 0;
 		this.#releaseTask(task, changed);
 		if (ending === 'done' && !task.spec.isLongRunning) {
 			session.health.recordEnding(key.job, false, now);
@@ -602,6 +608,11 @@
 
 	/** Unassigns a task from its worker and makes it eligible for a new start. */
 	#releaseTask(task: Task, changed: Set<ActiveJob>): void {
+		if (task.pendingSuspects > 0) {
+			this.#recordCrash([task], task.incarnation?.id ?? '', task.pendingSuspects);
+			task.pendingSuspects = 0;
+		}
+
 		this.#findSession(task)?.removeTask(task);
 		if (task.phase !== 'done') {
 			task.phase = 'waiting';
@@ -864,6 +875,7 @@
 	task.job.hasBegun = true;
 	task.isConfirmed = true;
 	task.isListed = true;
+	task.pendingSuspects = 0;
 	if (task.phase === 'starting') {
 		task.phase = 'running';
 	}
