--- a/packages/testing/tests/system-histories.test.ts
+++ b/packages/testing/tests/system-histories.test.ts
@@ -28,9 +28,9 @@
 	[5003, 'orders to VMs without an answer during waves and takeovers', ['VM orders lost', 'VM orders unanswered', 'VM list down', 'wave', 'kill holder']],
 	[5004, 'orders to VMs executed late during waves', ['VM orders late', 'wave', 'worker restart']],
 	[5005, 'queues that move to another service beside lost answers, late writes and takeovers', ['queue moved', 'queue moved', 'answers lost', 'writes late', 'kill holder']],
-	[10166, 'a restart counted as a crash under the run that began after it', allKinds],
-	[10276, 'the same beside a takeover', allKinds],
-	[10141, 'a lasting job is given up after two crashes of workers under one of its tasks', allKinds],
+	[10_166, 'a restart counted as a crash under the run that began after it', allKinds],
+	[10_276, 'the same beside a takeover', allKinds],
+	[10_141, 'a lasting job is given up after two crashes of workers under one of its tasks', allKinds],
 	[1005, 'outages of the tables', ['tables down', 'tables silent', 'tables slow', 'history gone']],
 ];
 
