Give a waiting request a timeout of its own in the test of verdicts

Traced: both requests had the same timeout, and the case relied on both timers firing in one turn of the event loop. If they start a millisecond apart, the first one's timeout frees the connection, the second request is sent and received, and 'may-have-run' is its true verdict (five of five tries with gaps of 0 to 20 ms, two requests received each time). The request that waits times out first now, with the same verdict and count as before, and a new case covers the other order.

--- a/packages/clients/tests/connections.test.ts
+++ b/packages/clients/tests/connections.test.ts
@@ -39,6 +39,8 @@
 	readonly name: string;
 	readonly handle: (response: ServerResponse, count: number) => void;
 	readonly timeoutMs?: number;
+	/** Timeout of the second request, if it differs. */
+	readonly secondTimeoutMs?: number;
 	/** Verdicts of two concurrent requests over one connection. */
 	readonly verdicts: ReadonlyArray<Verdict | 'answered'>;
 	readonly received: number;
@@ -46,7 +48,10 @@
 
 const cases: readonly Case[] = [
 	{
-		name: 'a request that waits for a connection behind one without a response was not sent', timeoutMs: silenceTimeoutMs, handle() {}, verdicts: ['may-have-run', 'not-run'], received: 1,
+		name: 'a request that waits for a connection behind one without a response was not sent', timeoutMs: silenceTimeoutMs, secondTimeoutMs: silenceTimeoutMs / 2, handle() {}, verdicts: ['may-have-run', 'not-run'], received: 1,
+	},
+	{
+		name: 'a request that gets the connection when the one before it times out may have run', timeoutMs: silenceTimeoutMs, secondTimeoutMs: silenceTimeoutMs * 2, handle() {}, verdicts: ['may-have-run', 'may-have-run'], received: 2,
 	},
 	{
 		name: 'both requests have responses', handle(response) {
@@ -69,11 +74,11 @@
 	},
 ];
 
-for (const {name, handle, verdicts, received, timeoutMs: limitMs = timeoutMs} of cases) {
+for (const {name, handle, verdicts, received, timeoutMs: limitMs = timeoutMs, secondTimeoutMs = limitMs} of cases) {
 	test(`verdict: ${name}`, async t => {
 		const {url, server, counts} = await openServer(handle);
 		const connection = PlatformConnection.create({url, timeoutMs: limitMs, connectionLimit: 1});
-		t.deepEqual(await Promise.all([readVerdict(connection.request(request)), readVerdict(connection.request(request))]), verdicts);
+		t.deepEqual(await Promise.all([readVerdict(connection.request(request)), readVerdict(connection.request({...request, timeoutMs: secondTimeoutMs}))]), verdicts);
 		t.is(counts.requests, received);
 		await connection.close();
 		server.closeAllConnections();
