Report why tasks wait, by reason

Cause: nothing told why an accepted job stands. After `run lost with its worker` the logs were silent until the next start, so the three hypotheses of the standing jobs could not be told apart.

Change: the holder observes once a second the tasks that could run and have no run, and logs for each reason how many wait, since when, which jobs, and what of the pool is in use; a warning if the wait is over 3 s beside a pool that is half free. No decision changes.

Tests: wait-monitors, explanations.

--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -8,6 +8,7 @@
 } from './jobs.js';
 import {headRow, maxCheckpointBytes, ProgressLayout} from './progress-layouts.js';
 import {type Progress, type ProgressPartRow, type ProgressRow} from './records.js';
+import {type WaitReason} from './wait-monitors.js';
 
 /**
  * - `waiting`: not assigned to a worker.
@@ -136,6 +137,10 @@
 
 	readonly spec: StepSpec;
 	readonly tasks: readonly Task[];
+	/** Why the last planning pass did not place a task of the step, for tasks under which no worker has crashed. */
+	waitReason: WaitReason | undefined;
+	/** The same for tasks under which a worker has crashed. */
+	suspectWaitReason: WaitReason | undefined;
 
 	private constructor(job: ActiveJob, readonly occurrence: number, readonly step: number) {
 		this.spec = job.job.steps[step]!;
@@ -219,16 +224,12 @@
 
 	/** Lists the steps with waiting tasks whose preceding steps are all done. */
 	listReadySteps(): StepState[] {
-		const ready: StepState[] = [];
-		for (const steps of this.#occurrences.values()) {
-			for (const step of steps) {
-				if (step.tasks.some(task => task.phase === 'waiting') && step.spec.after.every(earlier => steps[earlier]?.isDone ?? false)) {
-					ready.push(step);
-				}
-			}
-		}
+		return this.#listSteps(task => task.phase === 'waiting');
+	}
 
-		return ready;
+	/** Lists the steps that are not done and whose preceding steps all are. */
+	listOpenSteps(): StepState[] {
+		return this.#listSteps(task => task.phase !== 'done');
 	}
 
 	/** Finds a task; returns `undefined` when the job has no such task. */
@@ -362,6 +363,20 @@
 		}
 	}
 
+	/** Lists the steps whose preceding steps are all done, and of which some task fulfils the condition. */
+	#listSteps(isIncluded: (task: Task) => boolean): StepState[] {
+		const listed: StepState[] = [];
+		for (const steps of this.#occurrences.values()) {
+			for (const step of steps) {
+				if (step.tasks.some(task => isIncluded(task)) && step.spec.after.every(earlier => steps[earlier]?.isDone ?? false)) {
+					listed.push(step);
+				}
+			}
+		}
+
+		return listed;
+	}
+
 	#openOccurrence(occurrence: number): void {
 		this.#occurrences.set(occurrence, this.job.steps.map((_, step) => StepState.create(this, occurrence, step)));
 	}
--- a/packages/workflows/src/explanations.ts
+++ b/packages/workflows/src/explanations.ts
@@ -2,6 +2,7 @@
  * Explains a job from the log lines of the entries: its timeline, the time spent in each stage, and the cause of its outcome.
  */
 import * as z from 'zod';
+import {loggedWaitMs} from './wait-monitors.js';
 
 const lineSchema = z.looseObject({
 	time: z.iso.datetime(),
@@ -14,6 +15,9 @@
 /** One stage of a job between its submission and its end. */
 export type Stage = {readonly name: string; readonly from: string; readonly ms: number};
 
+/** Time for which some task of a job could run and did not, for one reason. */
+export type Wait = {readonly reason: string; readonly from: string; readonly ms: number};
+
 /** Explanation of one job, derived from log lines. */
 export type Explanation = {
 	readonly id: string;
@@ -21,6 +25,8 @@
 	readonly timeline: readonly LogLine[];
 	/** Stages of the job, in order. */
 	readonly stages: readonly Stage[];
+	/** Time for which tasks of the job waited, by reason. */
+	readonly waits: readonly Wait[];
 	/** Runs after a task's first, each with the logged reason. */
 	readonly repeats: readonly string[];
 	/** One-sentence summary. */
@@ -31,6 +37,10 @@
 const sharedMessages = new Set(['store lost', 'store regained', 'duty taken', 'duty lost', 'duty released', 'service loaded', 'started', 'stopping']);
 /** Time before the first line of a job from which shared messages are included, in milliseconds: the duration of a takeover of the scheduler lease. */
 const sharedLeadMs = 4000;
+/** Messages that name jobs whose tasks wait, and the reason. */
+const waitMessages = new Set(['tasks wait', 'tasks wait although the pool has room']);
+/** Time between two lines on the same wait, in milliseconds: they are written each second. */
+const maxWaitGapMs = 2500;
 /** Messages that explain why a task needed another run. */
 const repeatMessages = new Set(['run ended', 'run stopped', 'run not found on worker', 'start refused', 'start not answered', 'task evicted', 'task preempted', 'run in doubt', 'run lost with its worker']);
 
@@ -53,9 +63,10 @@
 	const sorted = lines.toSorted((a, b) => readTime(a) - readTime(b));
 	const jobLines = sorted.filter(line => isAboutJob(line, id));
 	const stages = listStages(jobLines);
+	const waits = listWaits(jobLines);
 	const repeats = listRepeats(jobLines);
 	return {
-		id, timeline: collectTimeline(jobLines, sorted), stages, repeats, summary: formatSummary(jobLines, stages, repeats),
+		id, timeline: collectTimeline(jobLines, sorted), stages, waits, repeats, summary: formatSummary(jobLines, {stages, waits, repeats}),
 	};
 }
 
@@ -85,7 +96,14 @@
 	}
 
 	const [from, to] = [readTime(first) - sharedLeadMs, readTime(last)];
-	return sorted.filter(line => jobLines.includes(line) || (sharedMessages.has(line.message) && readTime(line) >= from && readTime(line) <= to));
+	return sorted
+		.filter(line => jobLines.includes(line) || (sharedMessages.has(line.message) && readTime(line) >= from && readTime(line) <= to))
+		.map(line => waitMessages.has(line.message) ? removeJobs(line) : line);
+}
+
+/** Leaves out the ids of the other jobs that wait for the same reason. */
+function removeJobs({jobs: _jobs, ...line}: LogLine): LogLine {
+	return line;
 }
 
 function listStages(jobLines: readonly LogLine[]): Stage[] {
@@ -101,6 +119,22 @@
 	return known.slice(0, -1).map(([name, line], index) => ({name, from: line.time, ms: readTime(known[index + 1]![1]) - readTime(line)}));
 }
 
+/** Sums up consecutive lines on the waits of a job, each of which covers the time since the one before or, for the first, the shortest logged wait. */
+function listWaits(jobLines: readonly LogLine[]): Wait[] {
+	const waits: Wait[] = [];
+	let last: {readonly reason: string; readonly until: number} | undefined;
+	for (const line of jobLines.filter(({message}) => waitMessages.has(message))) {
+		const reason = String(line.reason);
+		const until = readTime(line);
+		const continued = last?.reason === reason && until - last.until <= maxWaitGapMs ? waits.pop() : undefined;
+		const from = continued?.from ?? new Date(until - loggedWaitMs).toISOString();
+		waits.push({reason, from, ms: until - Date.parse(from)});
+		last = {reason, until};
+	}
+
+	return waits;
+}
+
 function listRepeats(jobLines: readonly LogLine[]): string[] {
 	const repeats: string[] = [];
 	for (const [index, line] of jobLines.entries()) {
@@ -120,7 +154,7 @@
 	return typeof detail === 'string' ? `${line.message} (${detail})` : line.message;
 }
 
-function formatSummary(jobLines: readonly LogLine[], stages: readonly Stage[], repeats: readonly string[]): string {
+function formatSummary(jobLines: readonly LogLine[], {stages, waits, repeats}: Pick<Explanation, 'stages' | 'waits' | 'repeats'>): string {
 	const refusal = jobLines.findLast(line => line.message === 'request not served' && line.method === 'POST');
 	const isAccepted = jobLines.some(line => line.message.startsWith('job accepted') || line.message === 'job taken up');
 	if (jobLines.length === 0) {
@@ -137,6 +171,7 @@
 	return [
 		state,
 		...(longest === undefined ? [] : [`longest part: ${longest.name}, ${longest.ms} ms`]),
+		...waits.map(({reason, ms}) => `tasks waited ${ms} ms: ${reason}`),
 		...(repeats.length === 0 ? [] : [`${repeats.length} runs had to be repeated`]),
 	].join('; ');
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -6,7 +6,7 @@
 } from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
 import {
-	addResources, chooseWorker, compareRanks, getReservation, planGang, rankJob, type Candidate, type Rank, type Resources,
+	addResources, chooseWorker, compareRanks, getReservation, isEligible, planGang, rankJob, type Candidate, type Rank, type Resources, type StepSpec,
 } from '@tamarackwind/scheduling';
 import {ActiveJob, type StepState, type Task} from './active-jobs.js';
 import {AdviceCache} from './advice-caches.js';
@@ -25,6 +25,7 @@
 	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
 import {type Timings} from './timings.js';
+import {WaitMonitor, type WaitReason} from './wait-monitors.js';
 import {SessionOwner, WorkerSession, type IncarnationEnd} from './worker-sessions.js';
 
 export type PoolSchedulerOptions = {
@@ -102,6 +103,8 @@
 	readonly #doubtfulRuns: DoubtfulRuns;
 	/** Ended worker incarnations and the time at which each end was detected; the registry may still list them for some seconds. */
 	readonly #endedIncarnations = new Map<string, number>();
+	/** Observes the tasks that wait. */
+	readonly waits: WaitMonitor;
 	readonly #wake = Signal.create();
 	readonly #subscriber: JobSubscriber = changes => {
 		this.#applyChanges(changes);
@@ -115,6 +118,7 @@
 		this.#options = options;
 		this.service = options.service;
 		this.fencingToken = options.epoch;
+		this.waits = WaitMonitor.create(options);
 		this.#doubtfulRuns = DoubtfulRuns.create(options.timings.orderTimeoutMs);
 		this.#progressWriter = ProgressWriter.create({
 			...options,
@@ -681,6 +685,7 @@
 		}
 
 		this.#releaseDoubtful(this.#doubtfulRuns.takeExpired(now));
+		this.waits.observe(this.#jobs.values(), now, () => this.computeLoad());
 
 		for (const [incarnation, endedAt] of this.#endedIncarnations) {
 			if (now - endedAt > this.#options.timings.endedIncarnationRetentionMs) {
@@ -779,6 +784,8 @@
 	}
 
 	#placeStep(step: StepState, candidates: PlanCandidate[], now: number): Task[] {
+		step.waitReason = undefined;
+		step.suspectWaitReason = undefined;
 		const waiting = step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= now);
 		const {advice} = waiting[0]?.job.job.policy ?? {};
 		const allowed = advice === undefined || waiting.length === 0 ? candidates : this.#advice.filterAllowed(waiting[0]!, candidates);
@@ -793,10 +800,13 @@
 				step: step.spec, candidates: allowed, occupancy, isSuspect: task.crashes > 0,
 			});
 			if (choice === undefined) {
+				const reason = allowed.length < candidates.length ? 'no-ticket' : explainUnplaced(step.spec, candidates);
 				if (task.crashes > 0) {
+					step.suspectWaitReason = reason === 'no-room' && chooseWorker({step: step.spec, candidates, occupancy}) !== undefined ? 'suspect' : reason;
 					continue;
 				}
 
+				step.waitReason = reason;
 				break;
 			}
 
@@ -811,6 +821,7 @@
 	#placeGang(step: StepState, waiting: readonly Task[], allowed: readonly PlanCandidate[], candidates: PlanCandidate[]): Task[] {
 		const plan = planGang(step.spec, allowed);
 		if (plan === undefined) {
+			step.waitReason = 'gang-no-room';
 			return [];
 		}
 
@@ -855,6 +866,11 @@
 	}
 }
 
+/** Tells why no candidate has a place for a task of a step. */
+function explainUnplaced(step: StepSpec, candidates: readonly PlanCandidate[]): WaitReason {
+	return candidates.some(candidate => isEligible(candidate, step)) ? 'no-room' : 'no-matching-worker';
+}
+
 /** Finds the session with a worker of any pool. */
 export function findWorkerSession(pools: Iterable<PoolScheduler>, worker: VmId | undefined): WorkerSession | undefined {
 	if (worker === undefined) {
--- a/packages/workflows/tests/explanations.test.ts
+++ b/packages/workflows/tests/explanations.test.ts
@@ -56,6 +56,20 @@
 		repeats: [`task ${id}.0.0.0 run 2: run ended (failed)`],
 		summary: 'not ended; last line "run ordered"; longest part: waited for a holder of the duty, 0 ms; 1 runs had to be repeated',
 	},
+	{
+		name: 'a job that stands after a crash',
+		lines: [
+			write(10, 'job accepted', {job: id}),
+			write(12, 'tasks wait', {reason: 'suspect', jobs: ['fedcba9876543210', id]}),
+			write(13, 'tasks wait', {reason: 'suspect', jobs: [id]}),
+			write(14, 'tasks wait although the pool has room', {reason: 'suspect', jobs: [id]}),
+			write(15, 'tasks wait', {reason: 'no-room', jobs: ['fedcba9876543210']}),
+			write(18, 'tasks wait', {reason: 'suspect', jobs: [id]}),
+			write(19, 'tasks wait', {reason: 'unconfirmed', jobs: [id]}),
+		],
+		messages: ['job accepted', 'tasks wait', 'tasks wait', 'tasks wait although the pool has room', 'tasks wait', 'tasks wait'],
+		summary: 'not ended; last line "tasks wait"; tasks waited 3000 ms: suspect; tasks waited 1000 ms: suspect; tasks waited 1000 ms: unconfirmed',
+	},
 ];
 
 for (const {name, lines, summary, messages, repeats = []} of cases) {
