Reproduce the jobs that stand after crashes in the emulator

Callers see accepted jobs without a run for up to 28 s beside idle workers, and jobs shown as failed of which no run failed (LOST).

StandingCheck samples an emulated system four times a second, all through a history: whenever a job could run, some worker has room for its task twice over and half of the pool is free, it must not be without a run for longer than the users' 3 s. No check of ours looked at that before the end of a history.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -107,6 +107,9 @@
 /** Time after which a delayed order to a VM takes effect, in milliseconds. */
 const lateVmOrderMs = 3000;
 
+/** Capacity of a worker, and what of it is free. */
+export type WorkerRoom = {readonly capacity: Resources; readonly free: Resources};
+
 export type EmulatedFleetOptions = {
 	readonly clock: SimulatedClock;
 	readonly random: RandomSource;
@@ -183,6 +186,33 @@
 		return this.#findVm(id).incarnation?.runs.size ?? 0;
 	}
 
+	/** Reports whether a run of a task is active. */
+	isRunning(task: string): boolean {
+		return this.#vms.some(vm => vm.incarnation?.runs.has(task));
+	}
+
+	/** Reports whether a run of a task has ended as done, even if that end was lost with its worker. */
+	hasBeenDone(task: string): boolean {
+		return this.#doneAt.has(task);
+	}
+
+	/** Reports whether the end of a task is acknowledged or can still be listed. */
+	isDone(task: string): boolean {
+		return this.#acknowledgedTasks.has(task) || this.#vms.some(vm => vm.incarnation?.ends.some(({key, ending}) => ending === 'done' && formatTask(key) === task));
+	}
+
+	/** Returns the time at which a task last stopped running; the submission of its job before its first run. */
+	getLastRunAt(task: string, job: JobId): number {
+		return this.#unavailableSince.get(task)?.at ?? this.jobs.get(job)!.job.submittedAt;
+	}
+
+	/** Lists the workers of a pool with their capacity and what of it is free. */
+	listPoolRoom(pool: string): WorkerRoom[] {
+		return this.#vms.flatMap(({incarnation, pool: name}) => incarnation === undefined || name !== pool
+			? []
+			: [{capacity: incarnation.record.capacity, free: addResources(incarnation.record.capacity, sumReservations(incarnation), -1)}]);
+	}
+
 	/** Ends the worker of a VM without notice and starts a new incarnation after `downtimeMs` milliseconds. */
 	crashVm(id: VmId, downtimeMs: number): void {
 		const vm = this.#findVm(id);
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -30,3 +30,4 @@
 export * from './emulated-systems.js';
 export * from './emulated-workers.js';
 export * from './system-histories.js';
+export * from './standing-checks.js';
