Weigh crashes as evidence, and test suspects in groups

Cause: each crash made suspects, whatever else explained it: the runs that were not known to have survived their start, or all batch runs of the worker. Two suspects never shared a worker until one was proven, which took a long poll, so a pool started as many suspects a second as it has workers, however many waited; a task stayed a suspect until its end, and its second or third crash gave it up. The class: a precaution whose rate does not grow with what waits. Ruled out for these plays by the reasons of `tasks wait`: a pool that stands as a whole, and tasks that the holder does not know or believes to run.

Change: each task has a probability of being one that crashes its workers. A crash raises it by how unlikely it was without the task: by the rate of crashes of the pool, the time since the start, and the other suspects. A run that outlasts its start lowers it and ends the row of crashes. A task is given up from 0.99, three crashes at the least, or after five crashes in a row at its start, within the budget of two starts after the third. Suspects share workers: 32 after one crash, 6 after two, one after three, or by probability; one of a single crash starts anywhere after 1 s. Workers are asked 0.3 s after the start of a suspect instead of at the end of a long poll. A worker that keeps crashing without a task that explains it gets work only when no other has room. A run that a takeover lost sight of counts for suspects.

--- a/packages/scheduling/src/models.ts
+++ b/packages/scheduling/src/models.ts
@@ -87,8 +87,8 @@
 	readonly servingTasks: number;
 	/** Number of filler tasks on the worker. */
 	readonly fillerTasks: number;
-	/** Whether the worker just started a task under which another worker has crashed. */
-	readonly hasSuspect: boolean;
+	/** Sum of the shares of the suspects that the worker just started, tasks under which another worker has crashed; at 1 it gets no further one. */
+	readonly suspectLoad: number;
 };
 
 export const noResources: Resources = {cpu: 0, memory: 0, gpu: 0};
--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -21,6 +21,9 @@
 /** Cost of a worker that just started a task under which another has crashed, in the same unit; below the cost of distance, as the risk lasts shortly. */
 const suspectCost = 1.5;
 
+/** Largest sum of the shares of suspects on one worker; the excess allows for rounding. */
+const maxSuspectLoad = 1 + 1e-6;
+
 /** Number of a step's tasks on each worker. */
 export type StepOccupancy = ReadonlyMap<string, number>;
 
@@ -36,19 +39,21 @@
  * @example
  * const worker = chooseWorker({step, candidates, occupancy: new Map([['vm-1', 2]])});
  */
-export function chooseWorker<T extends Candidate>({step, candidates, occupancy, isSuspect = false}: {
+export function chooseWorker<T extends Candidate>({step, candidates, occupancy, isSuspect = false, suspectShare = 0}: {
 	readonly step: StepSpec;
 	readonly candidates: readonly T[];
 	readonly occupancy: StepOccupancy;
-	/** Whether a worker has crashed under the task. It then goes to the emptiest worker, and two such tasks never start on one worker together. */
+	/** Whether a worker has crashed under the task. It then goes to the emptiest worker. */
 	readonly isSuspect?: boolean;
+	/** Share that the task takes of the suspects which may start on one worker together. */
+	readonly suspectShare?: number;
 }): T | undefined {
 	const required = getReservation(step);
 	let best: T | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
 		const isPossible = isWithin(required, candidate.free) && isEligible(candidate, step)
-			&& (occupancy.get(candidate.id) ?? 0) < (step.antiAffinity ?? Number.POSITIVE_INFINITY) && !(isSuspect && candidate.hasSuspect);
+			&& (occupancy.get(candidate.id) ?? 0) < (step.antiAffinity ?? Number.POSITIVE_INFINITY) && (suspectShare === 0 || candidate.suspectLoad + suspectShare <= maxSuspectLoad);
 		const spreadPenalty = step.isLongRunning ? (occupancy.get(candidate.id) ?? 0) * spreadCost : 0;
 		const cost = isPossible ? computeCost(candidate, step, required, isSuspect) + spreadPenalty : Number.POSITIVE_INFINITY;
 		if (cost < bestCost) {
@@ -95,7 +100,7 @@
 function computeCost(candidate: Candidate, step: StepSpec, required: Resources, isSuspect: boolean): number {
 	const freeShare = (candidate.free.cpu - required.cpu) / Math.max(1, candidate.capacity.cpu);
 	const load = isSuspect ? -freeShare : freeShare;
-	const risk = candidate.hasSuspect ? suspectCost : 0;
+	const risk = candidate.suspectLoad > 0 ? suspectCost : 0;
 	const distance = step.affinity !== undefined && !candidate.labels.includes(step.affinity) ? remoteCost : 0;
 	const interference = step.isFiller ? candidate.servingTasks * interferenceCost : 0;
 	const fillerLoad = step.targetMs === undefined ? 0 : candidate.fillerTasks * interferenceCost;
--- a/packages/scheduling/tests/placements.test.ts
+++ b/packages/scheduling/tests/placements.test.ts
@@ -14,7 +14,7 @@
 		suspicion: 0,
 		servingTasks: 0,
 		fillerTasks: 0,
-		hasSuspect: false,
+		suspectLoad: 0,
 		...fields,
 	};
 }
@@ -89,6 +89,28 @@
 	});
 }
 
+const third = 1 / 3;
+const suspectCases: ReadonlyArray<[string, number, readonly Candidate[], string | undefined]> = [
+	['goes to the emptiest worker', third, [createCandidate('half', {free: half}), createCandidate('empty')], 'empty'],
+	['starts beside others while their shares leave room', third, [createCandidate('one', {suspectLoad: 2 * third})], 'one'],
+	['does not start beside too many others', third, [createCandidate('one', {suspectLoad: 0.75})], undefined],
+	['that must be alone does not start beside another', 1, [createCandidate('one', {suspectLoad: third})], undefined],
+	['that has waited long enough starts beside any', 0, [createCandidate('one', {suspectLoad: 1})], 'one'],
+];
+
+for (const [name, suspectShare, candidates, expected] of suspectCases) {
+	test(`placement of a suspect ${name}`, t => {
+		t.is(chooseWorker({
+			step: createStep(), candidates, occupancy: new Map(), isSuspect: true, suspectShare,
+		})?.id, expected as VmId | undefined);
+	});
+}
+
+test('placement avoids a worker that tests suspects', t => {
+	const candidates = [createCandidate('testing', {free: half, suspectLoad: third}), createCandidate('other')];
+	t.is(chooseWorker({step: createStep(), candidates, occupancy: new Map()})?.id, 'other' as VmId);
+});
+
 const gangCases: ReadonlyArray<[string, number, readonly Candidate[], readonly string[] | undefined]> = [
 	['does not start partially', 3, [createCandidate('one', {free: half})], undefined],
 	['uses one rack when possible', 2, [createCandidate('x', {free: {...half, cpu: 2000}, labels: ['r1']}), createCandidate('y', {labels: ['r2']})], ['y', 'y']],
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -3,6 +3,7 @@
  */
 import {type RowKey, type TableLimits, type Write} from '@tamarackwind/clients';
 import {computeCriticalPathMs, type RankedJob, type StepSpec} from '@tamarackwind/scheduling';
+import {priorGuilt, type CrashEvidence} from './crash-budgets.js';
 import {
 	formatTask, isTerminal, type Job, type JobState, type RunKey, type TaskKey, type WorkerIncarnation,
 } from './jobs.js';
@@ -34,6 +35,7 @@
 	#run = 0;
 	#failures = 0;
 	#crashes = 0;
+	#guilt = priorGuilt;
 	#incarnation: WorkerIncarnation | undefined;
 	/** Progress reported by the worker, in percent. */
 	percent = 0;
@@ -47,8 +49,10 @@
 	speedPercent = 100;
 	/** Whether the worker has confirmed the current run, by its response or in a listing. */
 	isConfirmed = false;
-	/** Number of suspects of a crash that counts against the task unless its run turns out to have begun after it; 0 when there is none. */
-	pendingSuspects = 0;
+	/** Evidence of a crash that counts against the task unless its run turns out to have begun after it. */
+	pendingCrash: CrashEvidence | undefined;
+	/** Time at which the task last became free for a new start, on the monotonic clock. */
+	releasedAt = 0;
 	/** Whether the worker incarnation to which the task is assigned has listed the current run. */
 	isListed = false;
 	/** Earliest time of the next start, on the monotonic clock. */
@@ -85,7 +89,7 @@
 		this.job.markChanged(this);
 	}
 
-	/** Number of workers that crashed while a run of the task may have been the cause. */
+	/** Number of workers in a row that crashed at the start of a run of the task. */
 	get crashes(): number {
 		return this.#crashes;
 	}
@@ -95,6 +99,16 @@
 		this.job.markChanged(this);
 	}
 
+	/** Probability that the task crashes its workers. */
+	get guilt(): number {
+		return this.#guilt;
+	}
+
+	set guilt(guilt: number) {
+		this.#guilt = guilt;
+		this.job.markChanged(this);
+	}
+
 	/** Worker incarnation to which the last run was assigned; `undefined` once that run is known to have ended. */
 	get incarnation(): WorkerIncarnation | undefined {
 		return this.#incarnation;
@@ -382,6 +396,9 @@
 	}
 }
 
+/** Digits of a probability in a row. */
+const guiltDigits = 4;
+
 type OpenTask = Progress['steps'][number]['open'][number];
 
 /** Encodes the progress of tasks of one step; none while no run of them was ordered. */
@@ -400,7 +417,9 @@
 function encodeOpenTask(task: Task): ProgressPartRow['steps'][number]['open'][number] {
 	const {incarnation, checkpoint} = task;
 	const keptCheckpoint = Buffer.byteLength(JSON.stringify(checkpoint)) <= maxCheckpointBytes ? checkpoint : '';
-	return [task.index, task.run, task.failures, incarnation?.id ?? '', incarnation?.startedAt ?? 0, keptCheckpoint, task.crashes];
+	const guilt = task.guilt > priorGuilt ? Number(task.guilt.toFixed(guiltDigits)) : undefined;
+	const row = [task.index, task.run, task.failures, incarnation?.id ?? '', incarnation?.startedAt ?? 0, keptCheckpoint, task.crashes] as const;
+	return guilt === undefined ? [...row] : [...row, guilt];
 }
 
 function restoreDoneTask(task: Task | undefined): void {
@@ -416,6 +435,7 @@
 		task.run = open.run;
 		task.failures = open.failures;
 		task.crashes = open.crashes;
+		task.guilt = Math.max(priorGuilt, open.guilt);
 		task.checkpoint = open.checkpoint;
 		task.incarnation = open.incarnation;
 		task.phase = open.incarnation === undefined ? 'waiting' : 'starting';
--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -1,37 +1,114 @@
 /**
- * Decides which tasks a crash of their worker counts against, and when a task is given up because workers keep crashing under it.
+ * Weighs the crash of a worker as evidence against the tasks that ran on it, and decides when a task is given up because workers crash under it.
+ *
+ * Each task has a probability of being one that crashes its workers. A crash raises it by how unlikely the crash was without the task, which
+ * depends on the rate of crashes in the pool and on the other suspects. A run that outlasts its start lowers it.
  */
 import {type Task} from './active-jobs.js';
+import {type CrashHistory} from './crash-histories.js';
 
 /** Time that a worker must be known to have survived a start before the run counts as harmless, in milliseconds. */
-const provingMs = 300;
-/** Crashes after which a task is given up if it was the only one that can have caused the last of them. */
-const minCrashes = 2;
-/** Crashes after which a task is given up in any case. */
-const maxCrashes = 3;
+export const provingMs = 300;
+/** Probability that a task crashes its workers, before any evidence. */
+export const priorGuilt = 0.001;
+/** Probability from which a task is given up. */
+const guiltLimit = 0.99;
+/** Largest probability: from 1 no evidence could lower it. */
+const maxGuilt = 0.9999;
+/** Smallest probability of a crash without the task that is assumed: at least three crashes are needed to give a task up. */
+const minCoincidence = 0.01;
+/** Crashes in a row at the start of its runs after which a task is given up in any case; it may be started twice after the third. */
+const maxCrashes = 5;
+/** Factor of the probability when a worker survives the start of a run; most tasks that crash their workers do so at once. */
+const survivalFactor = 0.1;
+/** Number of suspects that are started on one worker together, by the crashes in a row under them: the culprit among 200 tasks is alone at its fourth start. */
+const suspectsPerWorker = [Number.POSITIVE_INFINITY, 32, 6, 1] as const;
+/** Probability above which suspects are kept apart by it, so that those on one worker add up to half a culprit. */
+const separatedGuilt = 0.1;
+/** Wait after which a suspect of one crash starts beside any number of others, in milliseconds. */
+const maxSuspectWaitMs = 1000;
+/** Probability above which it does not. */
+const maxOverdueGuilt = 0.5;
 
-/** Reports whether the worker of a run is not known to have survived its start; `listedAt` is when the worker last answered. */
-export function isUnproven(task: Task, listedAt: number): boolean {
-	return task.isInFlight && (task.orderedAt === 0 || listedAt - task.orderedAt < provingMs);
+/** Evidence of one crash against one task. */
+export type CrashEvidence = {
+	/** Probability that the worker would have crashed without the task. */
+	readonly coincidence: number;
+	/** Whether the worker was not known to have survived the start of the run. */
+	readonly isEarly: boolean;
+};
+
+/** A lost worker with what is known of its crash; times are on the monotonic clock. */
+export type LostWorker = {
+	readonly tasks: Iterable<Task>;
+	/** When the worker was last known to be up. */
+	readonly seenAt: number;
+	/** When it was found to be gone. */
+	readonly lostAt: number;
+};
+
+/** Reports whether the worker of a run is not known to have survived its start; `seenAt` is when the worker was last known to be up. */
+export function isUnproven(task: Task, seenAt: number): boolean {
+	return task.isInFlight && (task.orderedAt === 0 || seenAt - task.orderedAt < provingMs);
 }
 
 /**
  * Lists the tasks that may have caused the loss of their worker: its unproven runs, or all runs that end by themselves if there are none. A
  * start that the worker has not confirmed may never have reached it, as when the worker was down already.
  */
-export function listSuspects(tasks: Iterable<Task>, listedAt: number): Task[] {
+export function listSuspects({tasks, seenAt}: Pick<LostWorker, 'tasks' | 'seenAt'>): Task[] {
 	const inFlight = [...tasks].filter(task => task.isInFlight && task.isConfirmed);
-	const unproven = inFlight.filter(task => isUnproven(task, listedAt));
+	const unproven = inFlight.filter(task => isUnproven(task, seenAt));
 	return unproven.length > 0 ? unproven : inFlight.filter(task => !task.spec.isLongRunning);
 }
 
-/**
- * Counts the crash of a worker against tasks, which are `suspectCount` suspects together with others that are still in doubt. A task is given up after `minCrashes` only if it is the single suspect of the last one,
- * so that neither its neighbours nor crashes for another reason use up its budget, and after `maxCrashes` in any case.
- */
-export function recordCrash(suspects: readonly Task[], suspectCount = suspects.length): void {
-	for (const task of suspects) {
-		task.crashes++;
-		task.isGivenUp ||= task.crashes >= (suspectCount === 1 ? minCrashes : maxCrashes);
-	}
+/** Weighs a crash against each of its suspects; `workers` is the number of workers to which the history belongs. */
+export function computeEvidence(lost: LostWorker, history: CrashHistory, workers: number): Map<Task, CrashEvidence> {
+	const {seenAt, lostAt} = lost;
+	const suspects = listSuspects(lost);
+	const innocence = suspects.reduce((product, {guilt}) => product * (1 - guilt), 1);
+	return new Map(suspects.map(task => {
+		const exposureMs = task.orderedAt === 0 ? lostAt - seenAt : lostAt - task.orderedAt;
+		const withoutCrash = Math.exp(-history.estimateRate(task, lostAt, workers) * Math.max(0, exposureMs));
+		const coincidence = 1 - ((innocence / (1 - task.guilt)) * withoutCrash);
+		return [task, {coincidence: Math.max(minCoincidence, coincidence), isEarly: isUnproven(task, seenAt)}];
+	}));
+}
+
+/** Evidence of a worker that was lost before its holder has listed the run of a suspect, as in a takeover: it says little, but the start counts. */
+export const unobservedCrash: CrashEvidence = {coincidence: 0.5, isEarly: true};
+
+/** Reports whether the run of a suspect was ordered by an earlier holder and never listed to this one. */
+export function isUnobserved(task: Task): boolean {
+	return task.phase === 'starting' && task.orderedAt === 0 && !task.isConfirmed && isSuspect(task);
+}
+
+/** Counts a crash against a task. */
+export function recordCrash(task: Task, {coincidence, isEarly}: CrashEvidence): void {
+	const {guilt} = task;
+	task.guilt = Math.min(maxGuilt, guilt / (guilt + ((1 - guilt) * coincidence)));
+	task.crashes += isEarly ? 1 : 0;
+	task.isGivenUp ||= task.guilt >= guiltLimit || task.crashes >= maxCrashes;
+}
+
+/** Notes that the worker of a run has survived its start. */
+export function recordSurvival(task: Task): void {
+	task.crashes = 0;
+	task.guilt = task.spec.isLongRunning ? priorGuilt : Math.max(priorGuilt, task.guilt * survivalFactor);
+}
+
+/** Reports whether a task's start is tested, with a limited number of others on the same worker. */
+export function isSuspect({crashes, guilt}: Task): boolean {
+	return crashes > 0 || guilt >= separatedGuilt;
+}
+
+/** Computes the share that a suspect takes of the suspects which may start on one worker together. */
+export function computeSuspectShare({crashes, guilt}: Task): number {
+	const byCrashes = 1 / suspectsPerWorker[Math.min(crashes, suspectsPerWorker.length - 1)]!;
+	return Math.min(1, Math.max(byCrashes, guilt >= separatedGuilt ? guilt * 2 : 0));
+}
+
+/** Reports whether a suspect has waited so long for a worker to be tested on that it starts on any. */
+export function isSuspectOverdue({crashes, guilt, releasedAt}: Task, now: number): boolean {
+	return crashes <= 1 && guilt < maxOverdueGuilt && now - releasedAt > maxSuspectWaitMs;
 }
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -15,6 +15,8 @@
 export * from './advice-caches.js';
 export * from './cordons.js';
 export * from './crash-budgets.js';
+export * from './crash-histories.js';
+export * from './placement-passes.js';
 export * from './wait-monitors.js';
 export * from './worker-leases.js';
 export * from './worker-sessions.js';
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -6,14 +6,18 @@
 } from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
 import {
-	addResources, chooseWorker, compareRanks, getReservation, isEligible, planGang, rankJob, type Candidate, type Rank, type Resources, type StepSpec,
+	compareRanks, getReservation, rankJob, type Rank,
 } from '@tamarackwind/scheduling';
-import {ActiveJob, type StepState, type Task} from './active-jobs.js';
+import {ActiveJob, type Task} from './active-jobs.js';
 import {AdviceCache} from './advice-caches.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type JobChange, type JobFeed, type JobSubscriber} from './job-feeds.js';
 import {type LoadMeter} from './load-meters.js';
-import {listSuspects, recordCrash} from './crash-budgets.js';
+import {
+	computeEvidence, isSuspect, isUnobserved, recordCrash, unobservedCrash, type CrashEvidence,
+} from './crash-budgets.js';
+import {CrashHistory} from './crash-histories.js';
+import {PlacementPass, type PlanCandidate} from './placement-passes.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
 import {readProgress, restoreJobs, type SavedProgress} from './progress-readers.js';
 import {ProgressWriter} from './progress-writers.js';
@@ -25,7 +29,7 @@
 	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
 import {type Timings} from './timings.js';
-import {WaitMonitor, type WaitReason} from './wait-monitors.js';
+import {WaitMonitor} from './wait-monitors.js';
 import {SessionOwner, WorkerSession, type IncarnationEnd} from './worker-sessions.js';
 
 export type PoolSchedulerOptions = {
@@ -82,8 +86,10 @@
 	readonly antiAffinityVms: number;
 };
 
+/** Digits of probabilities in log lines. */
+const shareDigits = 4;
+
 type RankedActiveJob = {readonly job: ActiveJob; readonly rank: Rank};
-type PlanCandidate = Candidate & {readonly session: WorkerSession};
 
 /** Schedules the jobs of one pool while its entry holds the scheduler lease. */
 export class PoolScheduler extends SessionOwner {
@@ -101,6 +107,7 @@
 	readonly #jobs = new Map<JobId, ActiveJob>();
 	readonly #sessions = new Map<VmId, WorkerSession>();
 	readonly #doubtfulRuns: DoubtfulRuns;
+	readonly #crashes = CrashHistory.create();
 	/** Ended worker incarnations and the time at which each end was detected; the registry may still list them for some seconds. */
 	readonly #endedIncarnations = new Map<string, number>();
 	/** Observes the tasks that wait. */
@@ -329,11 +336,16 @@
 		this.#endedIncarnations.set(session.name, this.#options.clock.readMonotonic());
 		this.#advice.clearWorker(session.record.id);
 		const changed = new Set<ActiveJob>();
-		const suspects = (end.isOrdered ?? session.record.isDraining) ? [] : [...listSuspects(session.tasks, session.listedAt), ...session.suspectsAtExpiry];
-		this.#recordCrash(suspects.filter(task => !this.#doubtfulRuns.isDoubtful(task, end)), session.name, suspects.length);
+		const evidence = (end.isOrdered ?? session.record.isDraining) ? new Map<Task, CrashEvidence>() : this.#computeLossEvidence(session);
+		for (const [task, crash] of evidence) {
+			if (!this.#doubtfulRuns.isDoubtful(task, end)) {
+				this.#recordCrash(task, session.name, crash);
+			}
+		}
+
 		for (const task of session.tasks) {
 			if (this.#doubtfulRuns.isDoubtful(task, end)) {
-				task.pendingSuspects ||= suspects.includes(task) ? suspects.length : 0;
+				task.pendingCrash ??= evidence.get(task);
 				this.#holdTask(task, session);
 			} else {
 				this.#releaseTask(task, changed);
@@ -345,7 +357,7 @@
 			this.#addSuccessor(session, end.successorStartedAt);
 		}
 
-		this.#updateStates(new Set([...changed, ...suspects.map(task => task.job)]), changed);
+		this.#updateStates(new Set([...changed, ...[...evidence.keys()].map(task => task.job)]), changed);
 
 		this.#record(changed);
 	}
@@ -370,14 +382,25 @@
 		}
 	}
 
-	/** Counts the crash of a worker against the tasks that may have caused it. */
-	#recordCrash(suspects: readonly Task[], worker: string, suspectCount: number): void {
-		recordCrash(suspects, suspectCount);
-		for (const task of suspects) {
-			this.#options.log.info('run lost with its worker', {
-				job: task.job.job.id, task: task.name, run: task.run, worker, crashes: task.crashes, isGivenUp: task.isGivenUp,
-			});
-		}
+	/** Weighs the loss of a worker as a crash, and adds it to the history. */
+	#computeLossEvidence(session: WorkerSession): Map<Task, CrashEvidence> {
+		const lostAt = session.lostAt ?? this.#options.clock.readMonotonic();
+		const {record, tasks, seenAt} = session;
+		const unobserved = [...tasks].filter(task => isUnobserved(task)).map(task => [task, unobservedCrash] as const);
+		const evidence = new Map([...session.crashAtExpiry, ...unobserved, ...computeEvidence({tasks, seenAt, lostAt}, this.#crashes, this.#sessions.size)]);
+		this.#crashes.record({
+			worker: record.id, at: lostAt, tasks: new Set(tasks), isExplained: [...evidence.keys()].some(task => isSuspect(task)),
+		});
+		return evidence;
+	}
+
+	/** Counts the crash of a worker against a task that may have caused it. */
+	#recordCrash(task: Task, worker: string, evidence: CrashEvidence): void {
+		recordCrash(task, evidence);
+		const {crashes, guilt, isGivenUp} = task;
+		this.#options.log.info('run lost with its worker', {
+			job: task.job.job.id, task: task.name, run: task.run, worker, crashes, coincidence: formatShare(evidence.coincidence), guilt: formatShare(guilt), isGivenUp,
+		});
 	}
 
 	override handleFenced(session: WorkerSession): void {
@@ -432,6 +455,7 @@
 	#releaseDoubtful(runs: readonly DoubtfulRun[]): void {
 		const changed = new Set<ActiveJob>();
 		for (const {task} of runs) {
+			task.pendingCrash ??= isUnobserved(task) ? unobservedCrash : undefined;
 			this.#releaseTask(task, changed);
 			this.#wake.set();
 		}
@@ -534,7 +558,7 @@
 		}
 
 		task.job.hasBegun = true;
-		task.pendingSuspects = 0;
+		task.pendingCrash = undefined;
 		this.#releaseTask(task, changed);
 		if (ending === 'done' && !task.spec.isLongRunning) {
 			session.health.recordEnding(key.job, false, now);
@@ -612,14 +636,15 @@
 
 	/** Unassigns a task from its worker and makes it eligible for a new start. */
 	#releaseTask(task: Task, changed: Set<ActiveJob>): void {
-		if (task.pendingSuspects > 0) {
-			this.#recordCrash([task], task.incarnation?.id ?? '', task.pendingSuspects);
-			task.pendingSuspects = 0;
+		if (task.pendingCrash !== undefined) {
+			this.#recordCrash(task, task.incarnation?.id ?? '', task.pendingCrash);
+			task.pendingCrash = undefined;
 		}
 
 		this.#findSession(task)?.removeTask(task);
 		if (task.phase !== 'done') {
 			task.phase = 'waiting';
+			task.releasedAt = this.#options.clock.readMonotonic();
 			task.incarnation = undefined;
 			task.percent = 0;
 			task.speedPercent = 100;
@@ -708,7 +733,10 @@
 		if (expired.length > 0) {
 			this.#options.log.info('lease lapsed', {worker: session.name, tasks: expired.length, unlisted: session.tasks.size - expired.length});
 			// The worker may be cut off rather than crashed; that shows once it answers again or its VM is found down.
-			session.suspectsAtExpiry = [...session.suspectsAtExpiry, ...listSuspects(session.tasks, session.listedAt).filter(task => expired.includes(task))];
+			const evidence = computeEvidence({tasks: session.tasks, seenAt: session.seenAt, lostAt: session.lostAt ?? now}, this.#crashes, this.#sessions.size);
+			for (const [task, crash] of [...evidence].filter(([task]) => expired.includes(task))) {
+				session.crashAtExpiry.set(task, crash);
+			}
 		}
 
 		for (const task of expired) {
@@ -747,16 +775,17 @@
 		const {clock} = this.#options;
 		const now = clock.readMonotonic();
 		const ranked = this.#rankJobs(now, clock.readWall());
-		const candidates = [...this.#sessions.values()].filter(session => session.isSchedulable).map(session => session.describeCandidate(now));
+		const candidates = this.#listCandidates(now);
 		if (ranked.length === 0 || candidates.length === 0) {
 			return;
 		}
 
+		const pass = PlacementPass.create({candidates, advice: this.#advice, now});
 		const placed: Task[] = [];
 		let unplacedSteps = 0;
 		for (const {job} of ranked) {
 			for (const step of job.listReadySteps()) {
-				const tasks = this.#placeStep(step, candidates, now);
+				const tasks = pass.placeStep(step);
 				placed.push(...tasks);
 				unplacedSteps += tasks.length === 0 ? 1 : 0;
 			}
@@ -771,6 +800,13 @@
 		}
 	}
 
+	#listCandidates(now: number): PlanCandidate[] {
+		return [...this.#sessions.values()].filter(session => session.isSchedulable).map(session => {
+			const candidate = session.describeCandidate(now);
+			return {...candidate, suspicion: Math.max(candidate.suspicion, this.#crashes.computeSuspicion(candidate.id, now))};
+		});
+	}
+
 	#rankJobs(now: number, wall: number): RankedActiveJob[] {
 		const ranked: RankedActiveJob[] = [];
 		for (const job of this.#jobs.values()) {
@@ -783,69 +819,6 @@
 		return ranked.toSorted((a, b) => compareRanks(a.rank, b.rank));
 	}
 
-	#placeStep(step: StepState, candidates: PlanCandidate[], now: number): Task[] {
-		step.waitReason = undefined;
-		step.suspectWaitReason = undefined;
-		const waiting = step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= now);
-		const {advice} = waiting[0]?.job.job.policy ?? {};
-		const allowed = advice === undefined || waiting.length === 0 ? candidates : this.#advice.filterAllowed(waiting[0]!, candidates);
-		if (step.spec.isGang) {
-			return waiting.length === step.tasks.length ? this.#placeGang(step, waiting, allowed, candidates) : [];
-		}
-
-		const placed: Task[] = [];
-		const {occupancy} = step;
-		for (const task of waiting) {
-			const choice = chooseWorker({
-				step: step.spec, candidates: allowed, occupancy, isSuspect: task.crashes > 0,
-			});
-			if (choice === undefined) {
-				const reason = allowed.length < candidates.length ? 'no-ticket' : explainUnplaced(step.spec, candidates);
-				if (task.crashes > 0) {
-					step.suspectWaitReason = reason === 'no-room' && chooseWorker({step: step.spec, candidates, occupancy}) !== undefined ? 'suspect' : reason;
-					continue;
-				}
-
-				step.waitReason = reason;
-				break;
-			}
-
-			this.#assign(task, choice, candidates, task.run + 1);
-			occupancy.set(choice.id, (occupancy.get(choice.id) ?? 0) + 1);
-			placed.push(task);
-		}
-
-		return placed;
-	}
-
-	#placeGang(step: StepState, waiting: readonly Task[], allowed: readonly PlanCandidate[], candidates: PlanCandidate[]): Task[] {
-		const plan = planGang(step.spec, allowed);
-		if (plan === undefined) {
-			step.waitReason = 'gang-no-room';
-			return [];
-		}
-
-		const run = Math.max(...waiting.map(task => task.run)) + 1;
-		for (const [index, task] of waiting.entries()) {
-			this.#assign(task, candidates.find(candidate => candidate.id === plan[index]!.id)!, candidates, run);
-		}
-
-		return [...waiting];
-	}
-
-	#assign(task: Task, choice: PlanCandidate, candidates: PlanCandidate[], run: number): void {
-		const {session} = choice;
-		task.run = run;
-		task.phase = 'recorded';
-		task.isConfirmed = false;
-		task.isListed = false;
-		task.incarnation = {id: session.record.id, startedAt: session.record.startedAt};
-		session.addTask(task);
-		const index = candidates.findIndex(candidate => candidate.id === choice.id);
-		const free: Resources = addResources(candidates[index]!.free, getReservation(task.spec), -1);
-		candidates[index] = {...candidates[index]!, free, hasSuspect: candidates[index]!.hasSuspect || task.crashes > 0};
-	}
-
 	async #startRuns(tasks: readonly Task[]): Promise<void> {
 		const runs = tasks.map(task => ({task, run: task.run}));
 		const jobs = new Set(tasks.map(task => task.job));
@@ -866,11 +839,6 @@
 	}
 }
 
-/** Tells why no candidate has a place for a task of a step. */
-function explainUnplaced(step: StepSpec, candidates: readonly PlanCandidate[]): WaitReason {
-	return candidates.some(candidate => isEligible(candidate, step)) ? 'no-room' : 'no-matching-worker';
-}
-
 /** Finds the session with a worker of any pool. */
 export function findWorkerSession(pools: Iterable<PoolScheduler>, worker: VmId | undefined): WorkerSession | undefined {
 	if (worker === undefined) {
@@ -887,11 +855,16 @@
 	return undefined;
 }
 
+/** Rounds a probability for a log line. */
+function formatShare(share: number): string {
+	return share.toFixed(shareDigits);
+}
+
 function observeRun(task: Task, run: ListedRun, now: number): void {
 	task.job.hasBegun = true;
 	task.isConfirmed = true;
 	task.isListed = true;
-	task.pendingSuspects = 0;
+	task.pendingCrash = undefined;
 	if (task.phase === 'starting') {
 		task.phase = 'running';
 	}
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -80,9 +80,9 @@
 }
 
 /** A task that was started and is not done. */
-const openTaskSchema = z.tuple([z.int(), z.int(), z.int(), z.string(), z.number(), z.string(), z.int().optional()])
-	.transform(([index, run, failures, worker, startedAt, checkpoint, crashes = 0]) => ({
-		index, run, failures, crashes, checkpoint, incarnation: worker === '' ? undefined : {id: worker as VmId, startedAt},
+const openTaskSchema = z.tuple([z.int(), z.int(), z.int(), z.string(), z.number(), z.string(), z.int().optional(), z.number().optional()])
+	.transform(([index, run, failures, worker, startedAt, checkpoint, crashes = 0, guilt = 0]) => ({
+		index, run, failures, crashes, guilt, checkpoint, incarnation: worker === '' ? undefined : {id: worker as VmId, startedAt},
 	}));
 
 const stepProgressSchema = z.object({
--- a/packages/workflows/src/starters.ts
+++ b/packages/workflows/src/starters.ts
@@ -63,6 +63,7 @@
 				task.isConfirmed = true;
 				task.job.hasBegun = true;
 				task.orderedAt = clock.readMonotonic();
+				void session.checkSuspects();
 			} else {
 				this.#applyRefusal(task, session, outcome.reason, refusalBackoffMs);
 			}
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -3,6 +3,7 @@
  */
 import {type JobId, type ServiceName} from '@tamarackwind/core';
 import {type ActiveJob, type StepState, type Task} from './active-jobs.js';
+import {isSuspect} from './crash-budgets.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 
 /**
@@ -134,6 +135,6 @@
 	return notBefore > now ? 'restart-delay' : explainPlacement(stepState, task);
 }
 
-function explainPlacement({waitReason, suspectWaitReason}: StepState, {crashes}: Task): WaitReason {
-	return (crashes > 0 ? suspectWaitReason ?? waitReason : waitReason) ?? 'not-reached';
+function explainPlacement({waitReason, suspectWaitReason}: StepState, task: Task): WaitReason {
+	return (isSuspect(task) ? suspectWaitReason ?? waitReason : waitReason) ?? 'not-reached';
 }
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -7,7 +7,9 @@
 } from '@tamarackwind/scheduling';
 import {type Task} from './active-jobs.js';
 import {Cordons} from './cordons.js';
-import {isUnproven} from './crash-budgets.js';
+import {
+	computeSuspectShare, isSuspect, isUnproven, provingMs, recordSurvival, type CrashEvidence,
+} from './crash-budgets.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {formatIncarnation, type RunKey} from './jobs.js';
 import {Signal} from './signals.js';
@@ -89,8 +91,8 @@
 	#reserved: Resources = noResources;
 	/** Assigned tasks under which another worker has crashed. */
 	readonly #suspects = new Set<Task>();
-	/** Tasks that may have caused the loss of the worker if it turns out to have crashed before its lease expired. */
-	suspectsAtExpiry: readonly Task[] = [];
+	/** Evidence against tasks whose lease has expired, if the worker turns out to have crashed before. */
+	crashAtExpiry = new Map<Task, CrashEvidence>();
 	#servingTasks = 0;
 	#fillerTasks = 0;
 	/** Listed runs that belong to no assigned task; they are being stopped. */
@@ -111,6 +113,11 @@
 	#failures = 0;
 	/** Time of the last listing, on the monotonic clock. */
 	#listedAt: number;
+	/** Time at which the worker was last known to be up, on the monotonic clock. */
+	#seenAt: number;
+	/** Time of the first failed call since the last listing, on the monotonic clock. */
+	#lostAt: number | undefined;
+	#isProving = false;
 	#isListed = false;
 	#isClosed = false;
 
@@ -122,6 +129,7 @@
 		this.#lease = WorkerLease.create(options.earlierRunsEndBy);
 		this.#idleSince = options.clock.readMonotonic();
 		this.#listedAt = this.#idleSince;
+		this.#seenAt = this.#idleSince;
 		void this.#run();
 	}
 
@@ -134,6 +142,16 @@
 		return this.#listedAt;
 	}
 
+	/** Time at which the worker was last known to be up, on the monotonic clock. */
+	get seenAt(): number {
+		return this.#seenAt;
+	}
+
+	/** Time of the first failed call since the last listing, on the monotonic clock; `undefined` if there is none. */
+	get lostAt(): number | undefined {
+		return this.#lostAt;
+	}
+
 	/** Whether the worker has listed its runs under this holder's fencing token. */
 	get isListed(): boolean {
 		return this.#isListed;
@@ -195,7 +213,7 @@
 			suspicion: this.health.computeSuspicion(now),
 			servingTasks: this.#servingTasks,
 			fillerTasks: this.#fillerTasks,
-			hasSuspect: this.#hasUnprovenSuspect,
+			suspectLoad: this.#suspectLoad,
 		};
 	}
 
@@ -206,6 +224,29 @@
 		return this.#lease.renew(now, this.#options.timings.workerLeaseMs) ?? 0;
 	}
 
+	/** Asks whether the worker is up once it has run its suspects for long enough, since a long poll may end much later. */
+	async checkSuspects(): Promise<void> {
+		const {clock, control, owner, log} = this.#options;
+		if (this.#isProving || this.#suspects.size === 0) {
+			return;
+		}
+
+		this.#isProving = true;
+		try {
+			while (!this.#isClosed && this.isReachable && this.#suspects.size > 0) {
+				await clock.sleep(provingMs);
+				const outcome = await control.renewLease(this.record, {fencingToken: owner.fencingToken, acknowledgedEnds: 0, waitMs: 0});
+				if (outcome.status === 'listed' && (outcome.startedAt ?? this.record.startedAt) === this.record.startedAt) {
+					this.#recordSurvivals(clock.readMonotonic());
+				}
+			}
+		} catch (error) {
+			log.info('worker not known to survive its suspects', {worker: this.name, suspects: this.#suspects.size, error: readErrorMessage(error)});
+		} finally {
+			this.#isProving = false;
+		}
+	}
+
 	/** Makes the loop call the worker immediately. */
 	wake(): void {
 		this.#wake.set();
@@ -237,7 +278,7 @@
 	addTask(task: Task): void {
 		if (!this.#tasks.has(task)) {
 			this.#tasks.add(task);
-			if (task.crashes > 0) {
+			if (isSuspect(task)) {
 				this.#suspects.add(task);
 			}
 
@@ -276,14 +317,25 @@
 		this.#wake.set();
 	}
 
-	get #hasUnprovenSuspect(): boolean {
+	/** Shares of the suspects whose start the worker is not known to have survived, and of those that are kept apart for longer. */
+	get #suspectLoad(): number {
+		let load = 0;
 		for (const task of this.#suspects) {
-			if (task.phase === 'recorded' || isUnproven(task, this.#listedAt)) {
-				return true;
-			}
+			load += computeSuspectShare(task);
 		}
 
-		return false;
+		return load;
+	}
+
+	/** Notes that the worker was up at `now`, and has survived the starts long enough before. */
+	#recordSurvivals(now: number): void {
+		this.#seenAt = now;
+		for (const task of this.#suspects) {
+			if (task.isInFlight && task.isConfirmed && !isUnproven(task, now)) {
+				this.#suspects.delete(task);
+				recordSurvival(task);
+			}
+		}
 	}
 
 	#countTask({spec}: Task, sign: 1 | -1): void {
@@ -313,6 +365,7 @@
 					return;
 				}
 
+				this.#lostAt ??= clock.readMonotonic();
 				log.warn('worker not listed', {worker: this.name, failures: ++this.#failures, error: readErrorMessage(error)});
 				await clock.sleep(Math.min(maxWorkerRetryMs, this.#failures * workerRetryMs));
 			}
@@ -355,8 +408,10 @@
 		}
 
 		this.#failures = 0;
-		this.suspectsAtExpiry = [];
+		this.crashAtExpiry.clear();
+		this.#lostAt = undefined;
 		this.#listedAt = clock.readMonotonic();
+		this.#recordSurvivals(this.#listedAt);
 		this.#lease.observeClock(listing.clock, clock.readMonotonic());
 		if (!this.#isListed) {
 			this.#isListed = true;
