Come to every waiting step at least every 0.1 s

Cause: a planning pass ended after 24 steps without a place, whatever the reason, and each pass began with the same ones.

Change: a pass every 0.1 s comes to every step; those between still end after 24.

--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -69,8 +69,10 @@
 const restartDelayMs = 150;
 /** Time for which a worker gets no new work after it refused a start, in milliseconds. */
 const refusalBackoffMs = 1000;
-/** Number of unplaceable steps after which a planning pass stops. */
+/** Number of unplaceable steps after which a planning pass stops, except for whole passes. */
 const maxUnplacedSteps = 24;
+/** Interval between planning passes that come to every step, in milliseconds: bounds the wait of a task behind others that can't be placed. */
+const wholePassIntervalMs = 100;
 
 /** Demand of a pool's jobs and capacity of its workers; CPU is in thousandths of a core. */
 export type PoolLoad = {
@@ -117,6 +119,8 @@
 		this.#applyChanges(changes);
 	};
 
+	/** Time of the last planning pass that came to every step, on the monotonic clock. */
+	#wholePassAt = Number.NEGATIVE_INFINITY;
 	#timeoutsHandledAt = Number.NEGATIVE_INFINITY;
 	#isClosed = false;
 
@@ -780,6 +784,8 @@
 			return;
 		}
 
+		const isWhole = now - this.#wholePassAt >= wholePassIntervalMs;
+		this.#wholePassAt = isWhole ? now : this.#wholePassAt;
 		const pass = PlacementPass.create({candidates, advice: this.#advice, now});
 		const placed: Task[] = [];
 		let unplacedSteps = 0;
@@ -790,7 +796,7 @@
 				unplacedSteps += tasks.length === 0 ? 1 : 0;
 			}
 
-			if (unplacedSteps > maxUnplacedSteps) {
+			if (unplacedSteps > maxUnplacedSteps && !isWhole) {
 				break;
 			}
 		}
