Check all histories for jobs that stand, all through

Cause: random histories looked for unfinished jobs at their end alone, so a job that stood for half a minute and ran then broke nothing.

Change: each history runs a StandingCheck; calm times count, 4 s after the last fault and its effects. Steps with anti-affinity are judged by the workers that may still take one of their tasks.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -107,8 +107,8 @@
 /** Time after which a delayed order to a VM takes effect, in milliseconds. */
 const lateVmOrderMs = 3000;
 
-/** Capacity of a worker, and what of it is free. */
-export type WorkerRoom = {readonly capacity: Resources; readonly free: Resources};
+/** Capacity of a worker, what of it is free, and the tasks that it runs. */
+export type WorkerRoom = {readonly capacity: Resources; readonly free: Resources; readonly tasks: ReadonlySet<string>};
 
 export type EmulatedFleetOptions = {
 	readonly clock: SimulatedClock;
@@ -210,7 +210,9 @@
 	listPoolRoom(pool: string): WorkerRoom[] {
 		return this.#vms.flatMap(({incarnation, pool: name}) => incarnation === undefined || name !== pool
 			? []
-			: [{capacity: incarnation.record.capacity, free: addResources(incarnation.record.capacity, sumReservations(incarnation), -1)}]);
+			: [{
+				capacity: incarnation.record.capacity, free: addResources(incarnation.record.capacity, sumReservations(incarnation), -1), tasks: new Set(incarnation.runs.keys()),
+			}]);
 	}
 
 	/** Ends the worker of a VM without notice and starts a new incarnation after `downtimeMs` milliseconds. */
--- a/packages/testing/src/standing-checks.ts
+++ b/packages/testing/src/standing-checks.ts
@@ -129,9 +129,10 @@
 	const standing: string[] = [];
 	for (const [step, spec] of job.steps.entries()) {
 		const isReady = spec.after.every(earlier => listTasks(job, earlier).every(task => fleet.isDone(task)));
-		// Gangs and steps with anti-affinity need more than room, so they are not judged.
-		if (isReady && !spec.isGang && spec.antiAffinity === undefined && hasRoom(getReservation(spec), workers)) {
-			const open = listTasks(job, step).filter(task => !fleet.hasBeenDone(task) && !fleet.isRunning(task));
+		const tasks = listTasks(job, step);
+		// A gang needs room for all of its tasks at once, so gangs are not judged.
+		if (isReady && !spec.isGang && hasRoom(getReservation(spec), workers, {tasks, limit: spec.antiAffinity ?? Number.POSITIVE_INFINITY})) {
+			const open = tasks.filter(task => !fleet.hasBeenDone(task) && !fleet.isRunning(task));
 			const lasting = open.filter(task => now - fleet.getLastRunAt(task, job.id) > lastingGraceMs).map(task => `task ${task}`);
 			standing.push(...(spec.isLongRunning ? lasting : open.slice(0, 1).map(() => `job ${job.id}`)));
 		}
@@ -151,10 +152,10 @@
 	}));
 }
 
-/** Reports whether some worker has the required resources twice over, and under half of the pool's CPU is in use. */
-function hasRoom(required: Resources, workers: readonly WorkerRoom[]): boolean {
+/** Reports whether some worker that runs fewer of the given tasks than the limit has the required resources twice over, and under half of the pool's CPU is in use. */
+function hasRoom(required: Resources, workers: readonly WorkerRoom[], {tasks, limit}: {readonly tasks: readonly string[]; readonly limit: number}): boolean {
 	const cpu = workers.reduce((sum, {capacity}) => sum + capacity.cpu, 0);
 	const free = workers.reduce((sum, worker) => sum + worker.free.cpu, 0);
 	const twice = addResources(required, required);
-	return free > cpu * (1 - freePoolShare) && workers.some(worker => isWithin(twice, worker.free));
+	return free > cpu * (1 - freePoolShare) && workers.some(({free: room, tasks: running}) => isWithin(twice, room) && tasks.filter(task => running.has(task)).length < limit);
 }
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -6,6 +6,7 @@
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {type Bounds} from '@tamarackwind/workflows';
 import {EmulatedSystem} from './emulated-systems.js';
+import {StandingCheck} from './standing-checks.js';
 
 export type HistoryOutcome = {
 	readonly violations: readonly string[];
@@ -18,6 +19,8 @@
 export type HistoryOptions = {
 	readonly seed: number;
 	readonly jobs?: number;
+	/** Number of faults to inject; 4 by default. */
+	readonly faultCount?: number;
 	/** Kinds of faults to inject; all kinds by default. */
 	readonly kinds?: readonly FaultKind[];
 	/** Bounds of the deployment. */
@@ -59,6 +62,11 @@
 /** Faults of the VM control, by kind. */
 const vmOrderFaults = {'VM orders lost': 'lost', 'VM orders unanswered': 'unanswered', 'VM orders late': 'late'} as const;
 
+/** Time for which effects of a fault may last beyond the fault, in milliseconds; those of a wave, which is planned, are none. */
+const effectsMs: Partial<Record<FaultKind, number>> = {
+	'writes late': 6000, 'orders late': 9000, 'VM orders late': 3000, 'worker restart': 2 * (restartMs.min + restartMs.range),
+};
+
 const warmUpMs = 4000;
 const faultPhaseMs = 24_000;
 const recoveryPhaseMs = 45_000;
@@ -81,30 +89,32 @@
 }
 
 /** Runs one history and checks it. */
-export async function playHistory({seed, jobs = 24, kinds = faultKinds, bounds, write}: HistoryOptions): Promise<HistoryOutcome> {
+export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, bounds, write}: HistoryOptions): Promise<HistoryOutcome> {
 	const system = await EmulatedSystem.create({seed, bounds, write});
 	const {clock, random} = system;
 	const faults: Record<string, number> = {};
 	await clock.run(warmUpMs);
+	const check = StandingCheck.create({system});
 	for (let index = 0; index < jobs; index++) {
 		clock.schedule(random.readFraction() * faultPhaseMs, () => {
 			void submitRandomJob(system);
 		});
 	}
 
-	for (let index = 0; index < 4; index++) {
+	for (let index = 0; index < faultCount; index++) {
 		const kind = random.pickItem(kinds)!;
 		faults[kind] = (faults[kind] ?? 0) + 1;
 		clock.schedule(random.readFraction() * faultPhaseMs, () => {
-			applyFault(system, kind, index);
+			check.recordDisturbance(clock.readMonotonic() + applyFault(system, kind, index));
 		});
 	}
 
 	await clock.run(faultPhaseMs);
 	await clock.run(recoveryPhaseMs);
+	check.close();
 	const unfinished = await listUnfinished(system);
 	return {
-		violations: [...system.fleet.violations, ...unfinished], counts: system.fleet.counts, faults, accepted: system.accepted.size,
+		violations: [...system.fleet.violations, ...check.violations, ...unfinished], counts: system.fleet.counts, faults, accepted: system.accepted.size,
 	};
 }
 
@@ -127,7 +137,8 @@
 	}
 }
 
-function applyFault(system: EmulatedSystem, kind: FaultKind, index: number): void {
+/** Applies a fault; returns the time for which its effects last, in milliseconds. */
+function applyFault(system: EmulatedSystem, kind: FaultKind, index: number): number {
 	const {random, clock, fleet} = system;
 	const durationMs = 1000 + (random.readFraction() * 8000);
 	const holder = system.holder ?? system.entries[0]!;
@@ -251,6 +262,7 @@
 		},
 	};
 	actions[kind]();
+	return durationMs + (effectsMs[kind] ?? 0);
 }
 
 async function stopEntry(system: EmulatedSystem, entry: EmulatedSystem['entries'][number]): Promise<void> {
