Limit the open requests for tickets instead of the steps of a pass

Cause, of the same class as the standing jobs and found by reading: a pass asked for the tickets of 24 steps without a place at the most. Steps whose allowed workers were full came first each time, so that later ones got neither tickets nor a look at those that they held.

Change: the cache has at most 24 requests open, as the policy's service turns calls away while 32 wait; every step uses the tickets that it holds.

Measured: the new case of advice-caches.test.ts fails before (100 requests open at once in place of 24).

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -16,6 +16,8 @@
 
 /** Maximum number of workers in one request: the response time grows with each worker. */
 const maxRequestedWorkers = 30;
+/** Maximum number of open requests: the service turns calls away while 32 wait. */
+const maxOpenRequests = 24;
 /** Share of a ticket's validity for which it is used, since a start takes time to arrive. */
 const usableValidityShare = 0.7;
 /** Delay before a failed request may be repeated, in milliseconds. */
@@ -31,6 +33,7 @@
 
 	readonly #options: AdviceCacheOptions;
 	readonly #entries = new Map<string, StepTickets>();
+	#openRequests = 0;
 
 	private constructor(options: AdviceCacheOptions) {
 		this.#options = options;
@@ -50,7 +53,7 @@
 
 		const {tickets, requested} = entry;
 		const unrequested = candidates.filter(({id}) => !requested.has(id)).slice(0, maxRequestedWorkers);
-		if (!entry.isRequesting && unrequested.length > 0) {
+		if (!entry.isRequesting && unrequested.length > 0 && this.#openRequests < maxOpenRequests) {
 			void this.#requestTickets(task, entry, unrequested.map(({id}) => id));
 		}
 
@@ -81,6 +84,7 @@
 		const {clock, advisor, log, onResponse} = this.#options;
 		const {job, occurrence, step} = task.key;
 		entry.isRequesting = true;
+		this.#openRequests++;
 		const requestedAt = clock.readMonotonic();
 		try {
 			const {tickets, validMs} = await advisor.requestTickets({job, occurrence, step}, workers);
@@ -103,6 +107,7 @@
 			await clock.sleep(retryDelayMs);
 		} finally {
 			entry.isRequesting = false;
+			this.#openRequests--;
 			onResponse();
 		}
 	}
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -20,9 +20,6 @@
 	readonly now: number;
 };
 
-/** Steps without a ticket in one pass after which no further tickets are requested: the policy answers one request at a time. */
-const maxUnadvisedSteps = 24;
-
 /** A demand for which no worker had a place; the free resources only shrink during a pass. */
 type FailedDemand = {
 	readonly requirement: string | undefined;
@@ -45,7 +42,6 @@
 	readonly #options: PlacementPassOptions;
 	readonly #candidates: PlanCandidate[];
 	readonly #failedDemands: FailedDemand[] = [];
-	#unadvisedSteps = 0;
 
 	private constructor(options: PlacementPassOptions) {
 		this.#options = options;
@@ -121,11 +117,7 @@
 
 	/** Returns the candidates that the placement policy allows for a task's step; all of them without a policy. */
 	#listAllowed(task: Task): PlanCandidate[] {
-		if (task.job.job.policy.advice === undefined) {
-			return this.#candidates;
-		}
-
-		return this.#unadvisedSteps < maxUnadvisedSteps ? this.#options.advice.filterAllowed(task, this.#candidates) : [];
+		return task.job.job.policy.advice === undefined ? this.#candidates : this.#options.advice.filterAllowed(task, this.#candidates);
 	}
 
 	#computeShare(task: Task): number {
@@ -134,7 +126,6 @@
 
 	#explainFailure(step: StepState, allowed: readonly PlanCandidate[], demand: Demand): WaitReason {
 		const reason = this.#findReason(step, allowed, demand);
-		this.#unadvisedSteps += reason === 'no-ticket' ? 1 : 0;
 		this.#recordFailure(step, allowed, {...demand, reason});
 		return reason;
 	}
--- a/packages/workflows/tests/advice-caches.test.ts
+++ b/packages/workflows/tests/advice-caches.test.ts
@@ -55,3 +55,34 @@
 		t.deepEqual(advisor.requests, [candidates.map(({id}) => id), [restarted!.id]]);
 	});
 }
+
+// Guards against steps that never get their tickets because others, whose allowed workers are full, come before them in each pass.
+test('many steps get their tickets, a limited number of requests at a time', async t => {
+	const clock = ManualClock.create();
+	let open = 0;
+	let mostOpen = 0;
+	class SlowAdvisor extends PlacementAdvisor {
+		override async requestTickets(_step: unknown, workers: readonly VmId[]): Promise<PlacementAdvice> {
+			open++;
+			mostOpen = Math.max(mostOpen, open);
+			await clock.sleep(100);
+			open--;
+			return {tickets: new Map(workers.map(id => [id, 'ticket'])), validMs: 60_000};
+		}
+	}
+
+	const cache = AdviceCache.create({
+		clock, advisor: new SlowAdvisor(), log: RateLimitedLog.create(Log.createSilent(), clock), onResponse() {},
+	});
+	const tasks = Array.from({length: 100}, (_, step) => ({key: {job: '5c0e7a21d94b36f8' as JobId, occurrence: 0, step}}) as unknown as Task);
+	for (let pass = 0; pass < 5; pass++) {
+		for (const waiting of tasks) {
+			cache.filterAllowed(waiting, candidates);
+		}
+
+		await clock.advance(100);
+	}
+
+	t.deepEqual(tasks.filter(waiting => cache.filterAllowed(waiting, candidates).length < candidates.length), []);
+	t.is(mostOpen, 24);
+});
