Bound the cost of suspects that start alone in a planning pass

Cause: each suspect that starts alone looked through the runs of all workers, in each pass, and was left out of the demands that a pass remembers; and each start without an answer made a suspect once its worker was lost, however old it was.

Change: a pass asks each worker once for its unproven runs, and remembers the demands of suspects that start alone like others.

--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -77,12 +77,16 @@
 	}));
 }
 
-/** Evidence of a lost worker that never confirmed a start, or the run of a suspect that an earlier holder ordered: it says little, but the start counts. */
+/** Evidence of a lost worker against a run that it did not confirm: it says little, but the start counts. */
 export const unobservedCrash: CrashEvidence = {coincidence: 0.5, isEarly: true, isAlone: false};
 
-/** Reports whether a start was sent that its worker has not confirmed to this holder. */
-export function isUnobserved(task: Task): boolean {
-	return task.isInFlight && !task.isConfirmed && (task.orderedAt > 0 || isSuspect(task));
+/** Reports whether a start was on its way to a worker that was lost at `lostAt`, or an earlier holder had ordered the run of a suspect there that it never listed. */
+export function isUnobserved(task: Task, lostAt: number): boolean {
+	if (!task.isInFlight || task.isConfirmed) {
+		return false;
+	}
+
+	return task.orderedAt === 0 ? isSuspect(task) : lostAt - task.orderedAt < provingMs;
 }
 
 /** Counts a crash against a task. */
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -2,7 +2,7 @@
  * One pass over the steps of a pool that are ready, which places their waiting tasks on workers.
  */
 import {
-	addResources, chooseWorker, getReservation, isEligible, isWithin, planGang, type Candidate, type Resources, type StepSpec,
+	addResources, chooseWorker, getReservation, isEligible, isWithin, planGang, type Candidate, type Resources, type StepOccupancy, type StepSpec,
 } from '@tamarackwind/scheduling';
 import {type StepState, type Task} from './active-jobs.js';
 import {type AdviceCache} from './advice-caches.js';
@@ -28,6 +28,9 @@
 /** Wait after which a suspect that starts alone shares its worker with runs that are not proven, in milliseconds. */
 const maxSoleWaitMs = 1000;
 
+/** Share in the demand of a suspect that shares its worker with no unproven run: more than one that starts alone asks for. */
+const soleShare = 2;
+
 /** A demand for which no worker had a place; the free resources only shrink during a pass. */
 type FailedDemand = {
 	readonly requirement: string | undefined;
@@ -50,6 +53,7 @@
 	readonly #options: PlacementPassOptions;
 	readonly #candidates: PlanCandidate[];
 	readonly #failedDemands: FailedDemand[] = [];
+	readonly #unprovenSessions = new Map<WorkerSession, boolean>();
 	/** Number of workers that may still be reserved for suspects that start alone. */
 	#reservableWorkers: number;
 
@@ -82,27 +86,19 @@
 	}
 
 	#placeTasks(step: StepState, waiting: readonly Task[], allowed: PlanCandidate[]): Task[] {
-		const {spec, occupancy} = step;
+		const {occupancy} = step;
 		const placed: Task[] = [];
 		for (const task of waiting) {
-			const suspectShare = this.#computeShare(task);
-			const demand = describeDemand(spec, {suspectShare});
 			const isTested = isSuspect(task);
-			const failure = isTested ? this.#findFailure(demand) : undefined;
-			const isHeldBack = failure !== undefined || (isTestedAlone(task) && this.#reservableWorkers <= 0);
-			const choice = isHeldBack
-				? undefined
-				: chooseWorker({
-					step: spec, candidates: this.#listTestable(task, allowed), occupancy, isSuspect: isTested, suspectShare,
-				});
-			if (choice !== undefined) {
+			const choice = isTested ? this.#placeSuspect(task, allowed, occupancy) : this.#placeOrdinary(task, allowed, occupancy);
+			if (typeof choice !== 'string') {
 				this.#assign(task, choice, task.run + 1, allowed);
 				occupancy.set(choice.id, (occupancy.get(choice.id) ?? 0) + 1);
 				placed.push(task);
 			} else if (isTested) {
-				step.suspectWaitReason = failure?.reason ?? this.#explainFailure(step, allowed, demand);
+				step.suspectWaitReason = choice;
 			} else {
-				step.waitReason = this.#explainFailure(step, allowed, demand);
+				step.waitReason = choice;
 				break;
 			}
 		}
@@ -110,6 +106,39 @@
 		return placed;
 	}
 
+	/** Chooses the worker for a task that is no suspect, or tells why there is none. */
+	#placeOrdinary({stepState}: Task, allowed: PlanCandidate[], occupancy: StepOccupancy): PlanCandidate | WaitReason {
+		const choice = chooseWorker({step: stepState.spec, candidates: allowed, occupancy});
+		return choice ?? this.#explainFailure(stepState, allowed, describeDemand(stepState.spec));
+	}
+
+	/** Chooses the worker on which a suspect is tested, or tells why there is none. */
+	#placeSuspect(task: Task, allowed: PlanCandidate[], occupancy: StepOccupancy): PlanCandidate | WaitReason {
+		const {now} = this.#options;
+		const {spec} = task.stepState;
+		const isAlone = isTestedAlone(task);
+		const isSole = isAlone && now - task.releasedAt < maxSoleWaitMs;
+		const suspectShare = isSuspectOverdue(task, now) ? 0 : computeSuspectShare(task);
+		const demand = describeDemand(spec, {suspectShare: isSole ? soleShare : suspectShare});
+		const failure = this.#findFailure(demand);
+		if (failure !== undefined || (isAlone && this.#reservableWorkers <= 0)) {
+			return failure?.reason ?? 'suspect';
+		}
+
+		const candidates = isSole ? allowed.filter(({session}) => !this.#hasUnprovenRuns(session)) : allowed;
+		const choice = chooseWorker({
+			step: spec, candidates, occupancy, isSuspect: true, suspectShare,
+		});
+		return choice ?? this.#explainFailure(task.stepState, allowed, demand);
+	}
+
+	/** Reports whether a worker has unproven runs, from the start of the pass on or by its assignments. */
+	#hasUnprovenRuns(session: WorkerSession): boolean {
+		const known = this.#unprovenSessions.get(session) ?? session.hasUnprovenRuns;
+		this.#unprovenSessions.set(session, known);
+		return known;
+	}
+
 	#placeGang(step: StepState, waiting: readonly Task[], allowed: PlanCandidate[]): Task[] {
 		const {spec} = step;
 		const demand = describeDemand(spec, {count: spec.count});
@@ -134,16 +163,6 @@
 		return task.job.job.policy.advice === undefined ? this.#candidates : this.#options.advice.filterAllowed(task, this.#candidates);
 	}
 
-	/** Lists the candidates on which a task can be tested: for one that starts alone, those without unproven runs, until it has waited for too long. */
-	#listTestable(task: Task, allowed: PlanCandidate[]): PlanCandidate[] {
-		const isSole = isTestedAlone(task) && this.#options.now - task.releasedAt < maxSoleWaitMs;
-		return isSole ? allowed.filter(({session}) => !session.hasUnprovenRuns) : allowed;
-	}
-
-	#computeShare(task: Task): number {
-		return isSuspect(task) && !isSuspectOverdue(task, this.#options.now) ? computeSuspectShare(task) : 0;
-	}
-
 	#explainFailure(step: StepState, allowed: readonly PlanCandidate[], demand: Demand): WaitReason {
 		const reason = this.#findReason(step, allowed, demand);
 		this.#recordFailure(step, allowed, {...demand, reason});
@@ -170,7 +189,7 @@
 
 	/** Remembers a failure that holds for other steps too: one that depends on neither the step's other tasks nor its tickets. */
 	#recordFailure({spec}: StepState, allowed: readonly PlanCandidate[], failed: FailedDemand): void {
-		if (spec.antiAffinity === undefined && allowed === this.#candidates && failed.suspectShare < 1) {
+		if (spec.antiAffinity === undefined && allowed === this.#candidates) {
 			this.#failedDemands.push(failed);
 		}
 	}
@@ -182,6 +201,7 @@
 		task.isListed = false;
 		task.incarnation = {id, startedAt: session.record.startedAt};
 		session.addTask(task);
+		this.#unprovenSessions.set(session, true);
 		for (const candidates of new Set([this.#candidates, allowed])) {
 			const index = candidates.findIndex(candidate => candidate.id === id);
 			const candidate = candidates[index]!;
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -390,7 +390,7 @@
 	#computeLossEvidence(session: WorkerSession): Map<Task, CrashEvidence> {
 		const lostAt = session.lostAt ?? this.#options.clock.readMonotonic();
 		const {record, tasks, seenAt} = session;
-		const unobserved = [...tasks].filter(task => isUnobserved(task)).map(task => [task, unobservedCrash] as const);
+		const unobserved = [...tasks].filter(task => isUnobserved(task, lostAt)).map(task => [task, unobservedCrash] as const);
 		const evidence = new Map([...session.crashAtExpiry, ...unobserved, ...computeEvidence({tasks, seenAt, lostAt}, this.#crashes, this.#sessions.size)]);
 		this.#crashes.record({
 			worker: record.id, at: lostAt, tasks: new Set(tasks), isExplained: [...evidence.keys()].some(task => isSuspect(task)),
@@ -458,8 +458,9 @@
 	/** Makes tasks eligible for a new start whose last run is known to have ended. */
 	#releaseDoubtful(runs: readonly DoubtfulRun[]): void {
 		const changed = new Set<ActiveJob>();
+		const now = this.#options.clock.readMonotonic();
 		for (const {task} of runs) {
-			task.pendingCrash ??= isUnobserved(task) ? unobservedCrash : undefined;
+			task.pendingCrash ??= isUnobserved(task, now) ? unobservedCrash : undefined;
 			this.#releaseTask(task, changed);
 			this.#wake.set();
 		}
