--- a/packages/workflows/src/crash-histories.ts
+++ b/packages/workflows/src/crash-histories.ts
@@ -21,7 +21,7 @@
 	readonly at: number;
 	/** Tasks that ran on the worker. */
 	readonly tasks: ReadonlySet<Task>;
-	/** Whether a task is its likely cause. */
+	/** Whether a suspect ran on the worker, so that the crash does not count against the worker. */
 	readonly isExplained: boolean;
 };
 
@@ -49,7 +49,7 @@
 		return Math.max(...rates);
 	}
 
-	/** Computes the suspicion of a worker that keeps crashing without a task that explains it, as in `WorkerHealth`. */
+	/** Computes the suspicion of a worker that keeps crashing without a suspect, as in `WorkerHealth`. */
 	computeSuspicion(worker: VmId, now: number): number {
 		const count = this.#crashes.filter(crash => crash.worker === worker && !crash.isExplained && now - crash.at < workerWindowMs).length;
 		return count < minWorkerCrashes ? 0 : count / minWorkerCrashes;
