Let no observation of waiting tasks end a planning pass

What callers saw: with more than some 110,000 tasks that wait for one reason, "planning failed" once a second for as long as they wait; the pass that the observation was part of placed nothing.

Cause: `Math.max(...list)` over all waiting tasks of a reason. The arguments of a call live on the stack, so that it throws a RangeError from some 110,000 elements on (Node.js 20). The observation ran inside the planning pass and its error ended the pass.

The observation runs outside of the pass as an activity of its own in the load line; its failure is a warning. Ruled out as too short to matter: lists by partition, VM of a sizing plan, step.

--- a/packages/clients/src/tables.ts
+++ b/packages/clients/src/tables.ts
@@ -1,6 +1,7 @@
 /**
  * Client interface of the transactional table service: versioned rows, and transactions that check versions before they write.
  */
+import {appendAll} from '@tamarackwind/core';
 
 /** Code of the error of a call that was rejected only because too many calls were queued. */
 export const platformBusyCode = 'platform_busy';
@@ -107,7 +108,7 @@
 		let after: string | undefined;
 		for (;;) {
 			const page = await this.scanRows(table, {prefix, after, limit: defaultScanLimit});
-			rows.push(...page);
+			appendAll(rows, page);
 			if (page.length < defaultScanLimit) {
 				return rows;
 			}
@@ -174,7 +175,7 @@
 		let {from} = options;
 		for (;;) {
 			const page = await this.readRange(table, {...options, from});
-			rows.push(...page.rows);
+			appendAll(rows, page.rows);
 			version ??= page.version;
 			const last = page.rows.at(-1);
 			if (!page.hasMore || last === undefined) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,5 +5,6 @@
 export * from './logs.js';
 export * from './loops.js';
 export * from './random-sources.js';
+export * from './sequences.js';
 export * from './verdicts.js';
 export * from './waits.js';
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -1,6 +1,7 @@
 /**
  * One pass over the steps of a pool that are ready, which places their waiting tasks on workers.
  */
+import {findMaximum} from '@tamarackwind/core';
 import {
 	addResources, chooseWorker, getReservation, isEligible, isWithin, planGang, type Candidate, type Resources, type StepOccupancy, type StepSpec,
 } from '@tamarackwind/scheduling';
@@ -150,7 +151,7 @@
 			return [];
 		}
 
-		const run = Math.max(...waiting.map(task => task.run)) + 1;
+		const run = findMaximum(waiting.map(task => task.run), 0) + 1;
 		for (const [index, task] of waiting.entries()) {
 			this.#assign(task, plan[index]!, run, allowed);
 		}
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -2,7 +2,7 @@
  * Schedules the jobs of one pool onto its workers, on the entry that holds the scheduler lease.
  */
 import {
-	readErrorMessage, waitAtMost, type Clock, type JobId, type ServiceName, type VmId,
+	appendAll, findMaximum, readErrorMessage, waitAtMost, type Clock, type JobId, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
 import {
@@ -427,7 +427,7 @@
 		const {clock, control, log, earlierRunsEndBy, timings} = this.#options;
 		const doubtful = this.#doubtfulRuns.takeWorker(record.id);
 		const session = WorkerSession.create({
-			clock, control, log, owner: this, record, earlierRunsEndBy: Math.max(earlierRunsEndBy, ...doubtful.map(({endBy}) => endBy)), timings,
+			clock, control, log, owner: this, record, earlierRunsEndBy: findMaximum(doubtful.map(({endBy}) => endBy), earlierRunsEndBy), timings,
 		});
 		this.#sessions.set(record.id, session);
 		for (const {task} of doubtful) {
@@ -688,12 +688,25 @@
 						this.#plan();
 					}
 				});
+				this.#observeWaits();
 			} catch (error) {
 				log.warn('planning failed', {service: this.service, error: readErrorMessage(error), stack: error instanceof Error ? error.stack : undefined});
 			}
 		}
 	}
 
+	/** Observes the tasks that wait; a failure is logged, since nothing depends on the observation. */
+	#observeWaits(): void {
+		const {clock, log, meter} = this.#options;
+		try {
+			meter.track('observe waits', () => {
+				this.waits.observe(this.#jobs.values(), clock.readMonotonic(), () => this.computeLoad());
+			});
+		} catch (error) {
+			log.warn('waiting tasks not observed', {service: this.service, error: readErrorMessage(error)});
+		}
+	}
+
 	#handleTimeoutsIfDue(): void {
 		const now = this.#options.clock.readMonotonic();
 		if (now - this.#timeoutsHandledAt >= timeoutIntervalMs) {
@@ -715,7 +728,6 @@
 		}
 
 		this.#releaseDoubtful(this.#doubtfulRuns.takeExpired(now));
-		this.waits.observe(this.#jobs.values(), now, () => this.computeLoad());
 
 		for (const [incarnation, endedAt] of this.#endedIncarnations) {
 			if (now - endedAt > this.#options.timings.endedIncarnationRetentionMs) {
@@ -793,7 +805,7 @@
 		for (const {job} of ranked) {
 			for (const step of job.listReadySteps()) {
 				const tasks = pass.placeStep(step);
-				placed.push(...tasks);
+				appendAll(placed, tasks);
 				unplacedSteps += tasks.length === 0 ? 1 : 0;
 			}
 
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -1,7 +1,7 @@
 /**
  * Observes the tasks of a pool whose preceding steps are done and that no worker runs, and reports for each reason how many wait and for how long.
  */
-import {type JobId, type ServiceName} from '@tamarackwind/core';
+import {findMaximum, type JobId, type ServiceName} from '@tamarackwind/core';
 import {type ActiveJob, type StepState, type Task} from './active-jobs.js';
 import {isSuspect} from './crash-budgets.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
@@ -72,7 +72,7 @@
 		}));
 		this.#waitingSince = new Map(waiting.map(({task, waitMs}) => [task, now - waitMs]));
 		const groups = groupByReason(waiting);
-		this.#summaries = new Map([...groups].map(([reason, tasks]) => [reason, {tasks: tasks.length, longestMs: Math.max(...tasks.map(({waitMs}) => waitMs))}]));
+		this.#summaries = new Map([...groups].map(([reason, tasks]) => [reason, {tasks: tasks.length, longestMs: findMaximum(tasks.map(({waitMs}) => waitMs), 0)}]));
 		const use = readUse();
 		for (const [reason, tasks] of groups) {
 			this.#logWaits(reason, tasks, use);
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -1,7 +1,9 @@
 /**
  * Maintains the session with one worker incarnation: a loop renews the worker's lease, lists its runs and passes each listing to the pool's scheduler.
  */
-import {readErrorMessage, waitAtMost, type Clock} from '@tamarackwind/core';
+import {
+	findMaximum, readErrorMessage, waitAtMost, type Clock,
+} from '@tamarackwind/core';
 import {
 	addResources, getReservation, isWithin, noResources, type Candidate, type Resources,
 } from '@tamarackwind/scheduling';
@@ -447,7 +449,7 @@
 
 		const durable = owner.applyListing(this, listing, sentAt);
 		this.#hasListedEnds = listing.ends.length > 0;
-		const lastSequence = Math.max(this.#durableEnds, ...listing.ends.map(end => end.sequence));
+		const lastSequence = findMaximum(listing.ends.map(end => end.sequence), this.#durableEnds);
 		if (lastSequence > this.#durableEnds) {
 			await waitAtMost(clock, this.#markAcknowledged(durable, lastSequence), durableWaitMs);
 		}
--- a/packages/workflows/tests/wait-monitors.test.ts
+++ b/packages/workflows/tests/wait-monitors.test.ts
@@ -75,3 +75,19 @@
 		t.deepEqual(lines.at(-1)?.fields.jobs, level === undefined ? undefined : ['job-1']);
 	});
 }
+
+// Guards against an observation that throws because of the number of waiting tasks, and so ends the planning pass that it is part of.
+for (const count of [1000, 150_000]) {
+	test(`wait: ${count} tasks of one reason`, t => {
+		const log = {info() {}, warn() {}} as unknown as RateLimitedLog;
+		const step = {waitReason: 'no-matching-worker'} as unknown as StepState;
+		const tasks = Array.from({length: count}, () => ({
+			phase: 'waiting', crashes: 0, notBefore: 0, isConfirmed: false, job: {job: {id: 'job-1'}}, stepState: step,
+		})) as unknown as Task[];
+		const job = {isTerminal: false, listOpenSteps: () => [{tasks}]} as unknown as ActiveJob;
+		const monitor = WaitMonitor.create({log, service: 'north' as ServiceName});
+		monitor.observe([job], 0, () => ({usedCpu: 0, cpu: 1000}));
+		monitor.observe([job], 4000, () => ({usedCpu: 0, cpu: 1000}));
+		t.deepEqual([...monitor.summaries], [['no-matching-worker', {tasks: count, longestMs: 4000}]]);
+	});
+}
