--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -24,6 +24,9 @@
 /** Largest sum of the shares of suspects on one worker; the excess allows for rounding. */
 const maxSuspectLoad = 1 + 1e-6;
 
+/** Excess that allows for rounding when resources are divided. */
+const roundingSlack = 1e-6;
+
 /** Number of a step's tasks on each worker. */
 export type StepOccupancy = ReadonlyMap<string, number>;
 
@@ -33,6 +36,11 @@
 		&& isWithin(getReservation(step), candidate.capacity);
 }
 
+/** Reports whether a worker has room for a further task of a step, whatever is reserved for suspects. */
+export function hasRoom(candidate: Candidate, step: StepSpec, occupancy: StepOccupancy): boolean {
+	return isWithin(getReservation(step), candidate.free) && isEligible(candidate, step) && (occupancy.get(candidate.id) ?? 0) < (step.antiAffinity ?? Number.POSITIVE_INFINITY);
+}
+
 /**
  * Chooses the worker for one task; returns `undefined` when none has capacity.
  *
@@ -52,8 +60,7 @@
 	let best: T | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		const isPossible = !candidate.isReserved && isWithin(required, candidate.free) && isEligible(candidate, step)
-			&& (occupancy.get(candidate.id) ?? 0) < (step.antiAffinity ?? Number.POSITIVE_INFINITY) && (suspectShare === 0 || candidate.suspectLoad + suspectShare <= maxSuspectLoad);
+		const isPossible = !candidate.isReserved && (suspectShare === 0 || candidate.suspectLoad + suspectShare <= maxSuspectLoad) && hasRoom(candidate, step, occupancy);
 		const spreadPenalty = step.isLongRunning ? (occupancy.get(candidate.id) ?? 0) * spreadCost : 0;
 		const cost = isPossible ? computeCost(candidate, step, required, isSuspect) + spreadPenalty : Number.POSITIVE_INFINITY;
 		if (cost < bestCost) {
@@ -67,31 +74,60 @@
 
 /** Chooses the workers of all tasks of a gang, in one rack where that is requested and possible; returns `undefined` when the gang does not fit. */
 export function planGang<T extends Candidate>(step: StepSpec, candidates: readonly T[]): T[] | undefined {
-	const racks = step.isSameRack ? [...new Set(candidates.flatMap(candidate => candidate.labels))] : [];
+	const usable = candidates.filter(candidate => !candidate.isReserved && isEligible(candidate, step));
+	if (countPlaces(step, usable) < step.count) {
+		return undefined;
+	}
+
+	const racks = step.isSameRack ? [...new Set(usable.flatMap(candidate => candidate.labels))] : [];
 	for (const rack of racks) {
-		const plan = planAllTasks(step, candidates.filter(candidate => candidate.labels.includes(rack)));
+		const plan = planAllTasks(step, usable.filter(candidate => candidate.labels.includes(rack)));
 		if (plan !== undefined) {
 			return plan;
 		}
 	}
 
-	return planAllTasks(step, candidates);
+	return planAllTasks(step, usable);
 }
 
+/** Counts the tasks of a step for which eligible workers have room together. */
+function countPlaces(step: StepSpec, candidates: readonly Candidate[]): number {
+	const required = getReservation(step);
+	const limit = Math.min(step.count, step.antiAffinity ?? Number.POSITIVE_INFINITY);
+	let places = 0;
+	for (const {free} of candidates) {
+		places += isWithin(required, free) ? Math.min(limit, countFits(required, free)) : 0;
+	}
+
+	return places;
+}
+
+/** Counts how often `required` fits into `free`, which has room for it at least once. */
+function countFits(required: Resources, free: Resources): number {
+	return Math.min(...(['cpu', 'memory', 'gpu'] as const).map(resource => required[resource] > 0 ? Math.floor((free[resource] / required[resource]) + roundingSlack) : Number.POSITIVE_INFINITY));
+}
+
+/** Copy of a candidate whose free resources shrink with the tasks planned for it. */
+type PlannedCandidate<T extends Candidate> = Omit<Candidate, 'free'> & {free: Resources; readonly original: T};
+
 function planAllTasks<T extends Candidate>(step: StepSpec, candidates: readonly T[]): T[] | undefined {
+	if (countPlaces(step, candidates) < step.count) {
+		return undefined;
+	}
+
 	const required = getReservation(step);
-	const free = new Map(candidates.map(candidate => [candidate.id as string, candidate.free]));
+	const planned: Array<PlannedCandidate<T>> = candidates.map(candidate => ({...candidate, original: candidate}));
 	const occupancy = new Map<string, number>();
 	const plan: T[] = [];
 	for (let index = 0; index < step.count; index++) {
-		const choice = chooseWorker({step, candidates: candidates.map(candidate => ({...candidate, free: free.get(candidate.id)!})), occupancy});
+		const choice = chooseWorker({step, candidates: planned, occupancy});
 		if (choice === undefined) {
 			return undefined;
 		}
 
-		free.set(choice.id, addResources(choice.free, required, -1));
+		choice.free = addResources(choice.free, required, -1);
 		occupancy.set(choice.id, (occupancy.get(choice.id) ?? 0) + 1);
-		plan.push(candidates.find(candidate => candidate.id === choice.id)!);
+		plan.push(choice.original);
 	}
 
 	return plan;
--- a/packages/scheduling/src/rankings.ts
+++ b/packages/scheduling/src/rankings.ts
@@ -22,6 +22,9 @@
 /** Rank of a job, compared element by element; lower values come first. */
 export type Rank = readonly [tier: number, deadline: number];
 
+/** A rank and the time until which it holds, on the scheduler's clock. */
+export type RankPeriod = {readonly rank: Rank; readonly until: number};
+
 const tiers = {
 	longRunning: 0, inTime: 1, late: 2, expired: 3,
 } as const;
@@ -36,20 +39,26 @@
 
 /** Computes the rank of a job at the time `now`. */
 export function rankJob(job: RankedJob, now: number): Rank {
+	return rankForPeriod(job, now).rank;
+}
+
+/** Computes the rank of a job at the time `now` and how long it holds unless the job's remaining work changes. */
+export function rankForPeriod(job: RankedJob, now: number): RankPeriod {
 	if (job.isLongRunning) {
-		return [tiers.longRunning, job.submittedAt];
+		return {rank: [tiers.longRunning, job.submittedAt], until: Number.POSITIVE_INFINITY};
 	}
 
 	const objectiveMs = computeObjectiveMs(job);
-	const endsAt = now + job.remainingMs;
-	const {priority} = job.policy;
+	const {remainingMs, policy: {priority}} = job;
 	const deadline = job.submittedAt + objectiveMs;
-	if (endsAt <= deadline) {
-		return [(tiers.inTime * tierWeight) + priority, deadline];
+	if (now <= deadline - remainingMs) {
+		return {rank: [(tiers.inTime * tierWeight) + priority, deadline], until: deadline - remainingMs};
 	}
 
 	const lateDeadline = job.submittedAt + (lateFactor * objectiveMs);
-	return [((endsAt <= lateDeadline ? tiers.late : tiers.expired) * tierWeight) + priority, lateDeadline];
+	return now <= lateDeadline - remainingMs
+		? {rank: [(tiers.late * tierWeight) + priority, lateDeadline], until: lateDeadline - remainingMs}
+		: {rank: [(tiers.expired * tierWeight) + priority, lateDeadline], until: Number.POSITIVE_INFINITY};
 }
 
 /** Compares two ranks for sorting. */
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -156,6 +156,8 @@
 	readonly bounds?: Bounds;
 	/** Whether workers refuse starts for which they have no capacity; `true` by default. */
 	readonly enforcesCapacity?: boolean;
+	/** Measures the activities of all entries; by default in simulated time, in which they take none. */
+	readonly meter?: LoadMeter;
 	/** Receives the log lines; they are discarded by default. */
 	readonly write?: (line: string) => void;
 };
@@ -240,7 +242,7 @@
 				advisor: new EmptyAdvisor(),
 				fleet: EmulatedFleetControl.create(fleet),
 				log,
-				meter: LoadMeter.create(clock),
+				meter: this.#options.meter ?? LoadMeter.create(clock),
 				holder: name,
 				cores: 1,
 				retentionMs,
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -2,24 +2,18 @@
  * In-memory state of the jobs that the scheduler's holder runs: the phases of their tasks, and the encoding of progress rows.
  */
 import {type RowKey, type TableLimits, type Write} from '@tamarackwind/clients';
-import {computeCriticalPathMs, type RankedJob, type StepSpec} from '@tamarackwind/scheduling';
-import {priorGuilt, type CrashEvidence} from './crash-budgets.js';
+import {
+	computeCriticalPathMs, rankForPeriod, type RankedJob, type RankPeriod, type StepSpec,
+} from '@tamarackwind/scheduling';
+import {priorGuilt, type CrashEvidence} from './crash-evidence.js';
 import {
 	formatTask, isTerminal, type Job, type JobState, type RunKey, type TaskKey, type WorkerIncarnation,
 } from './jobs.js';
 import {headRow, maxCheckpointBytes, ProgressLayout} from './progress-layouts.js';
 import {type Progress, type ProgressPartRow, type ProgressRow} from './records.js';
-import {type WaitReason} from './wait-monitors.js';
-
-/**
- * - `waiting`: not assigned to a worker.
- * - `recorded`: assigned to a worker; the assignment is being written.
- * - `starting`: the start was sent; its outcome is not known yet.
- * - `running`: the worker has confirmed the run.
- * - `stopping`: a stop was requested, or the start's outcome is unknown and the run is being stopped.
- * - `done`: the task has succeeded; final.
- */
-export type TaskPhase = 'waiting' | 'recorded' | 'starting' | 'running' | 'stopping' | 'done';
+import {Demand} from './demands.js';
+import {PhaseCounts, type TaskPhase} from './task-phases.js';
+import {type WaitQueue, type WaitReason} from './wait-reasons.js';
 
 /** One task of an active job. */
 export class Task {
@@ -27,11 +21,10 @@
 		return new Task(job, step, index);
 	}
 
-	/** Whether the task gets no further start because workers crash under it. */
-	isGivenUp = false;
 	/** Latest checkpoint; it becomes durable with the next change of the task's other progress. */
 	checkpoint = '';
 	#phase: TaskPhase = 'waiting';
+	#isGivenUp = false;
 	#run = 0;
 	#failures = 0;
 	#crashes = 0;
@@ -57,6 +50,8 @@
 	isListed = false;
 	/** Earliest time of the next start, on the monotonic clock. */
 	notBefore = 0;
+	/** Time since which the task has been seen to wait, on the monotonic clock; `undefined` while it runs. */
+	waitingSince: number | undefined;
 
 	private constructor(readonly job: ActiveJob, readonly stepState: StepState, readonly index: number) {}
 
@@ -65,8 +60,25 @@
 	}
 
 	set phase(phase: TaskPhase) {
+		this.stepState.counts.replace(this.#phase, phase);
+		this.job.counts.replace(this.#phase, phase);
 		this.#phase = phase;
 		this.job.markChanged(this);
+		if (phase === 'done' && this.stepState.isDone) {
+			this.job.markStepsChanged();
+		} else if (phase === 'waiting') {
+			this.job.onWaiting?.();
+		}
+	}
+
+	/** Whether the task gets no further start because workers crash under it. */
+	get isGivenUp(): boolean {
+		return this.#isGivenUp;
+	}
+
+	set isGivenUp(isGivenUp: boolean) {
+		this.#isGivenUp = isGivenUp;
+		this.job.markChanged(this);
 	}
 
 	/** Number of the last ordered run; 0 before the first. */
@@ -151,18 +163,33 @@
 
 	readonly spec: StepSpec;
 	readonly tasks: readonly Task[];
+	/** Demand of one task under which no worker has crashed, or of the whole gang. */
+	readonly demand: Demand;
+	/** Number of tasks in each phase. */
+	readonly counts: PhaseCounts;
+	/** Number of changes of the step's tasks so far. */
+	changes = 0;
 	/** Why the last planning pass did not place a task of the step, for tasks under which no worker has crashed. */
 	waitReason: WaitReason | undefined;
 	/** The same for tasks under which a worker has crashed. */
 	suspectWaitReason: WaitReason | undefined;
+	/** Queue in which the step waits, which gives the reason where no pass has tried the step itself. */
+	queue: WaitQueue | undefined;
 
-	private constructor(job: ActiveJob, readonly occurrence: number, readonly step: number) {
+	private constructor(readonly job: ActiveJob, readonly occurrence: number, readonly step: number) {
 		this.spec = job.job.steps[step]!;
+		this.demand = Demand.create(this.spec, {count: this.spec.isGang ? this.spec.count : 1});
+		this.counts = PhaseCounts.create(this.spec.count);
 		this.tasks = Array.from({length: this.spec.count}, (_, index) => Task.create(job, this, index));
 	}
 
 	get isDone(): boolean {
-		return this.tasks.every(task => task.phase === 'done');
+		return this.counts.get('done') === this.tasks.length;
+	}
+
+	/** Whether some task is assigned to no worker. */
+	get hasWaitingTasks(): boolean {
+		return this.counts.get('waiting') > 0;
 	}
 
 	/** Number of the step's tasks on each worker. */
@@ -188,6 +215,8 @@
 	state: JobState = 'queued';
 	endedAt: number | undefined;
 	readonly isLongRunning: boolean;
+	/** Called when a task waits again, and when a step is done or was opened. */
+	onWaiting: (() => void) | undefined;
 	/** Whether a cancellation of the job has been read. */
 	isCancelled = false;
 	/** Whether the table service rejects the progress of the job, so that only its state is kept. */
@@ -198,11 +227,23 @@
 	readonly submittedAt: number;
 	/** Progress rows that have changed since they were taken for writing. */
 	readonly #changedRows = new Set<number>([headRow]);
+	/** Number of tasks of all opened occurrences in each phase. */
+	readonly counts = PhaseCounts.create(0);
+	/** Tasks that were given up or have used up their attempts. */
+	readonly #exhaustedTasks = new Set<Task>();
+	/** Whether a run of some task was ordered. */
+	#hasOrderedRuns = false;
 	/** State in the head row that was taken last. */
 	#takenState: JobState | undefined;
 	#layout: ProgressLayout;
-	#cachedRank: {readonly doneSteps: number; readonly rankedJob: RankedJob} | undefined;
+	/** Steps of all opened occurrences that are not done; `undefined` while it has to be listed anew. */
+	#unfinishedSteps: readonly StepState[] | undefined;
+	/** Those whose preceding steps are all done. */
+	#openSteps: readonly StepState[] | undefined;
+	#rankPeriod: RankPeriod | undefined;
 	readonly #occurrences = new Map<number, readonly StepState[]>();
+	/** Occurrences of which some step may not be done. */
+	readonly #openOccurrences = new Map<number, readonly StepState[]>();
 
 	private constructor(readonly job: Job, now: {readonly monotonic: number; readonly wall: number}, limits: TableLimits) {
 		this.#layout = ProgressLayout.create(job, limits);
@@ -225,9 +266,23 @@
 		return this.steps.flatMap(step => step.tasks);
 	}
 
+	/** Whether some task of an opened occurrence is assigned to no worker. */
+	get hasWaitingTasks(): boolean {
+		return this.counts.get('waiting') > 0;
+	}
+
+	/** Whether a run of some task may be active on a worker. */
+	get hasRunsInFlight(): boolean {
+		return this.counts.get('starting') + this.counts.get('running') + this.counts.get('stopping') > 0;
+	}
+
 	/** Creates the steps of the occurrences that are due at `wall`. */
 	openOccurrences(wall: number): void {
 		const {schedule} = this.job;
+		if (schedule === undefined && this.#occurrences.size > 0) {
+			return;
+		}
+
 		const dueCount = schedule === undefined
 			? 1
 			: Math.min(schedule.repetitions, Math.floor((wall - schedule.firstAt) / Math.max(1, schedule.intervalMs)) + 1);
@@ -238,12 +293,19 @@
 
 	/** Lists the steps with waiting tasks whose preceding steps are all done. */
 	listReadySteps(): StepState[] {
-		return this.#listSteps(task => task.phase === 'waiting');
+		return this.listOpenSteps().filter(step => step.hasWaitingTasks);
 	}
 
 	/** Lists the steps that are not done and whose preceding steps all are. */
-	listOpenSteps(): StepState[] {
-		return this.#listSteps(task => task.phase !== 'done');
+	listOpenSteps(): readonly StepState[] {
+		this.#openSteps ??= this.listUnfinishedSteps().filter(step => this.#isOpen(step));
+		return this.#openSteps;
+	}
+
+	/** Lists the steps of all opened occurrences that are not done. */
+	listUnfinishedSteps(): readonly StepState[] {
+		this.#unfinishedSteps ??= this.#findUnfinishedSteps();
+		return this.#unfinishedSteps;
 	}
 
 	/** Finds a task; returns `undefined` when the job has no such task. */
@@ -251,26 +313,26 @@
 		return this.#occurrences.get(occurrence)?.[step]?.tasks[index];
 	}
 
-	/** Describes the job for ranking; the description is cached until another step is done. */
-	describeRank(): RankedJob {
-		const newest = this.#occurrences.get(this.#occurrences.size - 1) ?? [];
-		const doneSteps = newest.filter(step => step.isDone).length;
-		if (this.#cachedRank?.doneSteps !== doneSteps) {
-			const {policy, steps, schedule, submittedAt} = this.job;
-			const dueAt = schedule === undefined ? 0 : schedule.firstAt - submittedAt;
-			this.#cachedRank = {
-				doneSteps,
-				rankedJob: {
-					policy,
-					isLongRunning: this.isLongRunning,
-					submittedAt: this.submittedAt + Math.max(0, dueAt),
-					criticalPathMs: computeCriticalPathMs(steps, step => step.estimatedMs),
-					remainingMs: computeCriticalPathMs(steps, (step, index) => newest[index]?.isDone ? 0 : step.estimatedMs),
-				},
-			};
+	/** Ranks the job at the time `now` on the monotonic clock; the rank is kept while it holds. */
+	rank(now: number): RankPeriod {
+		if (this.#rankPeriod === undefined || now > this.#rankPeriod.until) {
+			this.#rankPeriod = rankForPeriod(this.#describeRank(), now);
 		}
 
-		return this.#cachedRank.rankedJob;
+		return this.#rankPeriod;
+	}
+
+	#describeRank(): RankedJob {
+		const newest = this.#occurrences.get(this.#occurrences.size - 1) ?? [];
+		const {policy, steps, schedule, submittedAt} = this.job;
+		const dueAt = schedule === undefined ? 0 : schedule.firstAt - submittedAt;
+		return {
+			policy,
+			isLongRunning: this.isLongRunning,
+			submittedAt: this.submittedAt + Math.max(0, dueAt),
+			criticalPathMs: computeCriticalPathMs(steps, step => step.estimatedMs),
+			remainingMs: computeCriticalPathMs(steps, (step, index) => newest[index]?.isDone ? 0 : step.estimatedMs),
+		};
 	}
 
 	/** Recomputes the state from the tasks; a terminal state is final. */
@@ -279,17 +341,16 @@
 			return;
 		}
 
-		const {tasks, job} = this;
-		const {maxAttempts} = job.policy;
+		const {job, counts} = this;
 		if (this.isCancelled) {
 			this.state = 'cancelled';
 		} else if (this.isUnrecordable) {
 			this.state = 'failed';
-		} else if (tasks.some(task => task.isGivenUp || (!task.spec.isLongRunning && task.phase !== 'done' && task.failures >= maxAttempts))) {
+		} else if ([...this.#exhaustedTasks].some(task => task.isGivenUp || task.phase !== 'done')) {
 			this.state = 'failed';
-		} else if (this.#occurrences.size === (job.schedule?.repetitions ?? 1) && tasks.every(task => task.phase === 'done')) {
+		} else if (this.#occurrences.size === (job.schedule?.repetitions ?? 1) && counts.get('done') === counts.total) {
 			this.state = 'succeeded';
-		} else if (tasks.some(task => task.run > 0)) {
+		} else if (this.#hasOrderedRuns) {
 			this.state = 'running';
 		}
 	}
@@ -300,10 +361,26 @@
 	}
 
 	/** Notes a change of a task's progress. */
-	markChanged({stepState: {occurrence, step}, index}: Task): void {
+	markChanged(task: Task): void {
+		const {stepState, index, run, failures, isGivenUp, spec} = task;
+		const {occurrence, step} = stepState;
+		stepState.changes++;
+		this.#hasOrderedRuns ||= run > 0;
+		if (isGivenUp || (!spec.isLongRunning && failures >= this.job.policy.maxAttempts)) {
+			this.#exhaustedTasks.add(task);
+		}
+
 		this.#changedRows.add(this.#layout.findRow({occurrence, step, index}));
 	}
 
+	/** Notes that a step is done or was opened, on which the open steps and the rank depend. */
+	markStepsChanged(): void {
+		this.#unfinishedSteps = undefined;
+		this.#openSteps = undefined;
+		this.#rankPeriod = undefined;
+		this.onWaiting?.();
+	}
+
 	/** Takes the indices of the progress rows to write, the head row first; the rows are unchanged from then on until a task changes again. */
 	takeChangedRows(): number[] {
 		const isWhole = this.#layout.tasksPerRow === undefined;
@@ -333,7 +410,7 @@
 
 	/** Whether the job has ended and no run of it may be active, so that its state is all that is left to keep. */
 	get #isOver(): boolean {
-		return this.isUnrecordable || (this.isTerminal && !this.tasks.some(task => task.isInFlight));
+		return this.isUnrecordable || (this.isTerminal && !this.hasRunsInFlight);
 	}
 
 	#encodePart(row: number): ProgressPartRow['steps'] {
@@ -377,22 +454,29 @@
 		}
 	}
 
-	/** Lists the steps whose preceding steps are all done, and of which some task fulfils the condition. */
-	#listSteps(isIncluded: (task: Task) => boolean): StepState[] {
-		const listed: StepState[] = [];
-		for (const steps of this.#occurrences.values()) {
-			for (const step of steps) {
-				if (step.tasks.some(task => isIncluded(task)) && step.spec.after.every(earlier => steps[earlier]?.isDone ?? false)) {
-					listed.push(step);
-				}
+	#findUnfinishedSteps(): StepState[] {
+		for (const [occurrence, steps] of this.#openOccurrences) {
+			if (steps.every(step => step.isDone)) {
+				this.#openOccurrences.delete(occurrence);
 			}
 		}
 
-		return listed;
+		return [...this.#openOccurrences.values()].flatMap(steps => steps.filter(step => !step.isDone));
+	}
+
+	#isOpen({spec, occurrence}: StepState): boolean {
+		const steps = this.#openOccurrences.get(occurrence);
+		return spec.after.every(earlier => steps?.[earlier]?.isDone ?? false);
 	}
 
 	#openOccurrence(occurrence: number): void {
-		this.#occurrences.set(occurrence, this.job.steps.map((_, step) => StepState.create(this, occurrence, step)));
+		const steps = this.job.steps.map((_, step) => StepState.create(this, occurrence, step));
+		this.#occurrences.set(occurrence, steps);
+		this.#openOccurrences.set(occurrence, steps);
+		this.markStepsChanged();
+		for (const {tasks} of steps) {
+			this.counts.add('waiting', tasks.length);
+		}
 	}
 }
 
--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -5,12 +5,11 @@
  * depends on the rate of crashes in the pool and on the other suspects. A run that outlasts its start lowers it.
  */
 import {type Task} from './active-jobs.js';
+import {priorGuilt, type CrashEvidence} from './crash-evidence.js';
 import {type CrashHistory} from './crash-histories.js';
 
 /** Time that a worker must be known to have survived a start before the run counts as harmless, in milliseconds. */
 export const provingMs = 300;
-/** Probability that a task crashes its workers, before any evidence. */
-export const priorGuilt = 0.001;
 /** Probability from which a task is given up. */
 const guiltLimit = 0.99;
 /** Largest probability: from 1 no evidence could lower it. */
@@ -30,16 +29,6 @@
 /** Probability above which it does not. */
 const maxOverdueGuilt = 0.5;
 
-/** Evidence of one crash against one task. */
-export type CrashEvidence = {
-	/** Probability that the worker would have crashed without the task. */
-	readonly coincidence: number;
-	/** Whether the worker was not known to have survived the start of the run. */
-	readonly isEarly: boolean;
-	/** Whether no other run can have been the cause. */
-	readonly isAlone: boolean;
-};
-
 /** A lost worker with what is known of its crash; times are on the monotonic clock. */
 export type LostWorker = {
 	readonly tasks: Iterable<Task>;
--- a/packages/workflows/src/crash-histories.ts
+++ b/packages/workflows/src/crash-histories.ts
@@ -51,6 +51,10 @@
 
 	/** Computes the suspicion of a worker that keeps crashing without a suspect, as in `WorkerHealth`. */
 	computeSuspicion(worker: VmId, now: number): number {
+		if (this.#crashes.length === 0) {
+			return 0;
+		}
+
 		const count = this.#crashes.filter(crash => crash.worker === worker && !crash.isExplained && now - crash.at < workerWindowMs).length;
 		return count < minWorkerCrashes ? 0 : count / minWorkerCrashes;
 	}
--- a/packages/workflows/src/load-meters.ts
+++ b/packages/workflows/src/load-meters.ts
@@ -19,13 +19,14 @@
  * meter.takeInterval(); // Map {'plan' => {count: 1, totalMs: 3.2, maxMs: 3.2}}
  */
 export class LoadMeter {
-	static create(clock: Clock): LoadMeter {
-		return new LoadMeter(clock);
+	/** `onRecord` is called with each run of an activity and its duration in milliseconds. */
+	static create(clock: Clock, onRecord?: (activity: string, elapsedMs: number) => void): LoadMeter {
+		return new LoadMeter(clock, onRecord);
 	}
 
 	#activities = new Map<string, ActivityLoad>();
 
-	private constructor(private readonly clock: Clock) {}
+	private constructor(private readonly clock: Clock, private readonly onRecord?: (activity: string, elapsedMs: number) => void) {}
 
 	/** Runs synchronous work and records its duration. */
 	track<T>(activity: string, run: () => T): T {
@@ -39,6 +40,7 @@
 
 	/** Records the duration of a run that was measured elsewhere, such as the time until a response. */
 	record(activity: string, elapsedMs: number): void {
+		this.onRecord?.(activity, elapsedMs);
 		const {count, totalMs, maxMs} = this.#activities.get(activity) ?? {count: 0, totalMs: 0, maxMs: 0};
 		this.#activities.set(activity, {count: count + 1, totalMs: totalMs + elapsedMs, maxMs: Math.max(maxMs, elapsedMs)});
 	}
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -3,14 +3,17 @@
  */
 import {findMaximum} from '@tamarackwind/core';
 import {
-	addResources, chooseWorker, getReservation, isEligible, isWithin, planGang, type Candidate, type Resources, type StepOccupancy, type StepSpec,
+	addResources, chooseWorker, getReservation, hasRoom, planGang, type Candidate, type StepOccupancy, type StepSpec,
 } from '@tamarackwind/scheduling';
 import {type StepState, type Task} from './active-jobs.js';
 import {type AdviceCache} from './advice-caches.js';
+import {CandidateGroups, type CandidateGroup} from './candidate-groups.js';
 import {
 	computeSuspectShare, isSuspect, isSuspectOverdue, isTestedAlone,
 } from './crash-budgets.js';
-import {type WaitReason} from './wait-monitors.js';
+import {Demand} from './demands.js';
+import {FailedDemands} from './failed-demands.js';
+import {type WaitReason} from './wait-reasons.js';
 import {type WorkerSession} from './worker-sessions.js';
 
 /** A worker that is considered, with its session. */
@@ -21,8 +24,13 @@
 	readonly advice: AdviceCache;
 	/** Time of the pass, on the monotonic clock. */
 	readonly now: number;
+	/** Reports whether the pass has used up its time, so that the rest of the work is left to the next one. */
+	readonly isOverBudget: () => boolean;
 };
 
+/** A candidate whose properties change with the assignments of the pass. */
+type PassCandidate = {-readonly [Key in keyof PlanCandidate]: PlanCandidate[Key]};
+
 /** Largest share of the workers that are reserved for suspects which start alone, so that other tasks have the rest. */
 const reservableShare = 0.5;
 
@@ -32,19 +40,6 @@
 /** Share in the demand of a suspect that shares its worker with no unproven run: more than one that starts alone asks for. */
 const soleShare = 2;
 
-/** A demand for which no worker had a place; the free resources only shrink during a pass. */
-type FailedDemand = {
-	readonly requirement: string | undefined;
-	readonly resources: Resources;
-	/** Share of a worker's suspects; 0 for tasks that are none. */
-	readonly suspectShare: number;
-	/** Number of tasks that must be placed together. */
-	readonly count: number;
-	readonly reason: WaitReason;
-};
-
-type Demand = Omit<FailedDemand, 'reason'>;
-
 /** Places the waiting tasks of steps; steps that ask for at least as much as one that found no place cost constant work. */
 export class PlacementPass {
 	static create(options: PlacementPassOptions): PlacementPass {
@@ -52,28 +47,34 @@
 	}
 
 	readonly #options: PlacementPassOptions;
-	readonly #candidates: PlanCandidate[];
-	readonly #failedDemands: FailedDemand[] = [];
+	readonly #candidates: readonly PassCandidate[];
+	readonly #groups: CandidateGroups<PassCandidate>;
+	readonly #failedDemands = FailedDemands.create();
 	readonly #unprovenSessions = new Map<WorkerSession, boolean>();
 	/** Number of workers that may still be reserved for suspects that start alone. */
 	#reservableWorkers: number;
+	#isCut = false;
 
 	private constructor(options: PlacementPassOptions) {
 		this.#options = options;
 		// The only worker of a pool takes other tasks beside a suspect.
 		const isOnly = options.candidates.length === 1;
 		this.#candidates = options.candidates.map(candidate => ({...candidate, isReserved: candidate.isReserved && !isOnly}));
+		this.#groups = CandidateGroups.create(this.#candidates);
 		this.#reservableWorkers = Math.max(1, Math.floor(options.candidates.length * reservableShare)) - this.#candidates.filter(({isReserved}) => isReserved).length;
 	}
 
+	/** Whether the pass ran out of time before all tasks of its last step were tried. */
+	get isCut(): boolean {
+		return this.#isCut;
+	}
+
 	/** Assigns the waiting tasks of a step for which there is a place; returns them. */
 	placeStep(step: StepState): Task[] {
 		const {now} = this.#options;
-		const single = describeDemand(step.spec);
-		const failure = this.#findFailure(single);
-		step.waitReason = failure?.reason;
+		step.waitReason = this.explainDemand(step.demand);
 		step.suspectWaitReason = undefined;
-		if (failure !== undefined) {
+		if (step.waitReason !== undefined) {
 			return [];
 		}
 
@@ -86,14 +87,34 @@
 		return this.#placeTasks(step, waiting, allowed);
 	}
 
-	#placeTasks(step: StepState, waiting: readonly Task[], allowed: PlanCandidate[]): Task[] {
-		const {occupancy} = step;
+	/** Tells why a demand can have no place now, if that is known without looking at each worker. */
+	explainDemand(demand: Demand): WaitReason | undefined {
+		const {requirement, resources, count} = demand;
+		const group = this.#groups.get(requirement);
+		if (!group.isEligible(resources)) {
+			return 'no-matching-worker';
+		}
+
+		if (!group.hasPossibleRoom(resources)) {
+			return count > 1 ? 'gang-no-room' : 'no-room';
+		}
+
+		return this.#failedDemands.getReason(demand);
+	}
+
+	#placeTasks(step: StepState, waiting: readonly Task[], allowed: readonly PassCandidate[]): Task[] {
+		const occupancy = isSpread(step.spec) ? step.occupancy : new Map<string, number>();
 		const placed: Task[] = [];
 		for (const task of waiting) {
+			if (this.#options.isOverBudget()) {
+				this.#isCut = true;
+				break;
+			}
+
 			const isTested = isSuspect(task);
 			const choice = isTested ? this.#placeSuspect(task, allowed, occupancy) : this.#placeOrdinary(task, allowed, occupancy);
 			if (typeof choice !== 'string') {
-				this.#assign(task, choice, task.run + 1, allowed);
+				this.#assign(task, choice, task.run + 1);
 				occupancy.set(choice.id, (occupancy.get(choice.id) ?? 0) + 1);
 				placed.push(task);
 			} else if (isTested) {
@@ -108,29 +129,29 @@
 	}
 
 	/** Chooses the worker for a task that is no suspect, or tells why there is none. */
-	#placeOrdinary({stepState}: Task, allowed: PlanCandidate[], occupancy: StepOccupancy): PlanCandidate | WaitReason {
+	#placeOrdinary({stepState}: Task, allowed: readonly PassCandidate[], occupancy: StepOccupancy): PassCandidate | WaitReason {
 		const choice = chooseWorker({step: stepState.spec, candidates: allowed, occupancy});
-		return choice ?? this.#explainFailure(stepState, allowed, describeDemand(stepState.spec));
+		return choice ?? this.#explainFailure(stepState.spec, allowed, stepState.demand, occupancy);
 	}
 
 	/** Chooses the worker on which a suspect is tested, or tells why there is none. */
-	#placeSuspect(task: Task, allowed: PlanCandidate[], occupancy: StepOccupancy): PlanCandidate | WaitReason {
+	#placeSuspect(task: Task, allowed: readonly PassCandidate[], occupancy: StepOccupancy): PassCandidate | WaitReason {
 		const {now} = this.#options;
 		const {spec} = task.stepState;
 		const isAlone = isTestedAlone(task);
 		const isSole = isAlone && now - task.releasedAt < maxSoleWaitMs;
 		const suspectShare = isSuspectOverdue(task, now) ? 0 : computeSuspectShare(task);
-		const demand = describeDemand(spec, {suspectShare: isSole ? soleShare : suspectShare});
-		const failure = this.#findFailure(demand);
+		const demand = Demand.create(spec, {suspectShare: isSole ? soleShare : suspectShare});
+		const failure = this.#failedDemands.getReason(demand);
 		if (failure !== undefined || (isAlone && this.#reservableWorkers <= 0)) {
-			return failure?.reason ?? 'suspect';
+			return failure ?? 'suspect';
 		}
 
 		const candidates = isSole ? allowed.filter(({session}) => !this.#hasUnprovenRuns(session)) : allowed;
 		const choice = chooseWorker({
 			step: spec, candidates, occupancy, isSuspect: true, suspectShare,
 		});
-		return choice ?? this.#explainFailure(task.stepState, allowed, demand);
+		return choice ?? this.#explainFailure(spec, allowed, demand, occupancy);
 	}
 
 	/** Reports whether a worker has unproven runs, from the start of the pass on or by its assignments. */
@@ -140,62 +161,57 @@
 		return known;
 	}
 
-	#placeGang(step: StepState, waiting: readonly Task[], allowed: PlanCandidate[]): Task[] {
-		const {spec} = step;
-		const demand = describeDemand(spec, {count: spec.count});
-		const failure = this.#findFailure(demand);
-		const plan = failure === undefined ? planGang(spec, allowed) : undefined;
+	#placeGang(step: StepState, waiting: readonly Task[], allowed: readonly PassCandidate[]): Task[] {
+		const plan = planGang(step.spec, allowed);
 		if (plan === undefined) {
-			step.waitReason = failure?.reason ?? 'gang-no-room';
-			this.#recordFailure(step, allowed, {...demand, reason: step.waitReason});
+			step.waitReason = 'gang-no-room';
+			this.#recordFailure(step.spec, allowed, step.demand, step.waitReason);
 			return [];
 		}
 
 		const run = findMaximum(waiting.map(task => task.run), 0) + 1;
 		for (const [index, task] of waiting.entries()) {
-			this.#assign(task, plan[index]!, run, allowed);
+			this.#assign(task, plan[index]!, run);
 		}
 
 		return [...waiting];
 	}
 
 	/** Returns the candidates that the placement policy allows for a task's step; all of them without a policy. */
-	#listAllowed(task: Task): PlanCandidate[] {
-		return task.job.job.policy.advice === undefined ? this.#candidates : this.#options.advice.filterAllowed(task, this.#candidates);
+	#listAllowed(task: Task): readonly PassCandidate[] {
+		return task.job.job.policy.advice === undefined ? this.#groups.get(task.spec.requirement).candidates : this.#options.advice.filterAllowed(task, this.#candidates);
 	}
 
-	#explainFailure(step: StepState, allowed: readonly PlanCandidate[], demand: Demand): WaitReason {
-		const reason = this.#findReason(step, allowed, demand);
-		this.#recordFailure(step, allowed, {...demand, reason});
+	#explainFailure(spec: StepSpec, allowed: readonly PassCandidate[], demand: Demand, occupancy: StepOccupancy): WaitReason {
+		const group = this.#groups.get(spec.requirement);
+		group.updateMaxFree();
+		const reason = this.#findReason(spec, group, {allowed, demand, occupancy});
+		this.#recordFailure(spec, allowed, demand, reason);
 		return reason;
 	}
 
-	#findReason({spec, occupancy}: StepState, allowed: readonly PlanCandidate[], {suspectShare}: Demand): WaitReason {
-		if (allowed !== this.#candidates) {
+	#findReason(spec: StepSpec, group: CandidateGroup<PassCandidate>, {allowed, demand, occupancy}: {
+		readonly allowed: readonly PassCandidate[];
+		readonly demand: Demand;
+		readonly occupancy: StepOccupancy;
+	}): WaitReason {
+		if (allowed !== group.candidates) {
 			return 'no-ticket';
 		}
 
 		const areReserved = allowed.some(({isReserved}) => isReserved);
-		if ((suspectShare > 0 || areReserved) && chooseWorker({step: spec, candidates: allowed.map(candidate => ({...candidate, isReserved: false})), occupancy}) !== undefined) {
-			return 'suspect';
-		}
-
-		return allowed.some(candidate => isEligible(candidate, spec)) ? 'no-room' : 'no-matching-worker';
-	}
-
-	#findFailure({requirement, resources, suspectShare, count}: Demand): FailedDemand | undefined {
-		return this.#failedDemands.find(failed => failed.requirement === requirement && isWithin(failed.resources, resources)
-			&& failed.suspectShare <= suspectShare && failed.count <= count);
+		return (demand.suspectShare > 0 || areReserved) && allowed.some(candidate => hasRoom(candidate, spec, occupancy)) ? 'suspect' : 'no-room';
 	}
 
 	/** Remembers a failure that holds for other steps too: one that depends on neither the step's other tasks nor its tickets. */
-	#recordFailure({spec}: StepState, allowed: readonly PlanCandidate[], failed: FailedDemand): void {
-		if (spec.antiAffinity === undefined && allowed === this.#candidates) {
-			this.#failedDemands.push(failed);
+	#recordFailure(spec: StepSpec, allowed: readonly PassCandidate[], demand: Demand, reason: WaitReason): void {
+		if (spec.antiAffinity === undefined && allowed === this.#groups.get(spec.requirement).candidates) {
+			this.#failedDemands.add(demand, reason);
 		}
 	}
 
-	#assign(task: Task, {id, session}: PlanCandidate, run: number, allowed: PlanCandidate[]): void {
+	#assign(task: Task, candidate: PassCandidate, run: number): void {
+		const {id, session} = candidate;
 		task.run = run;
 		task.phase = 'recorded';
 		task.isConfirmed = false;
@@ -203,24 +219,16 @@
 		task.incarnation = {id, startedAt: session.record.startedAt};
 		session.addTask(task);
 		this.#unprovenSessions.set(session, true);
-		for (const candidates of new Set([this.#candidates, allowed])) {
-			const index = candidates.findIndex(candidate => candidate.id === id);
-			const candidate = candidates[index]!;
-			const free = addResources(candidate.free, getReservation(task.spec), -1);
-			const suspectLoad = candidate.suspectLoad + (isSuspect(task) ? computeSuspectShare(task) : 0);
-			candidates[index] = {
-				...candidate, free, suspectLoad, isReserved: candidate.isReserved || (isTestedAlone(task) && this.#candidates.length > 1),
-			};
-		}
-
+		candidate.free = addResources(candidate.free, getReservation(task.spec), -1);
+		candidate.suspectLoad += isSuspect(task) ? computeSuspectShare(task) : 0;
+		candidate.isReserved ||= isTestedAlone(task) && this.#candidates.length > 1;
 		if (isTestedAlone(task)) {
 			this.#reservableWorkers--;
 		}
 	}
 }
 
-function describeDemand(spec: StepSpec, {suspectShare = 0, count = 1}: Partial<Pick<Demand, 'suspectShare' | 'count'>> = {}): Demand {
-	return {
-		requirement: spec.requirement, resources: getReservation(spec), suspectShare, count,
-	};
+/** Reports whether the places of a step's other tasks matter for the choice of a worker. */
+function isSpread({isLongRunning, antiAffinity}: StepSpec): boolean {
+	return isLongRunning || antiAffinity !== undefined;
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -5,17 +5,15 @@
 	appendAll, findMaximum, readErrorMessage, waitAtMost, type Clock, type JobId, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
-import {
-	compareRanks, getReservation, rankJob, type Rank,
-} from '@tamarackwind/scheduling';
 import {ActiveJob, type Task} from './active-jobs.js';
 import {AdviceCache} from './advice-caches.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type JobChange, type JobFeed, type JobSubscriber} from './job-feeds.js';
 import {type LoadMeter} from './load-meters.js';
 import {
-	computeEvidence, isSuspect, isUnobserved, recordCrash, unobservedCrash, type CrashEvidence,
+	computeEvidence, isSuspect, isUnobserved, recordCrash, unobservedCrash,
 } from './crash-budgets.js';
+import {type CrashEvidence} from './crash-evidence.js';
 import {CrashHistory} from './crash-histories.js';
 import {PlacementPass, type PlanCandidate} from './placement-passes.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
@@ -30,6 +28,7 @@
 } from './workers.js';
 import {type Timings} from './timings.js';
 import {WaitMonitor} from './wait-monitors.js';
+import {WaitingSteps} from './waiting-steps.js';
 import {SessionOwner, WorkerSession, type IncarnationEnd} from './worker-sessions.js';
 
 export type PoolSchedulerOptions = {
@@ -69,10 +68,14 @@
 const restartDelayMs = 150;
 /** Time for which a worker gets no new work after it refused a start, in milliseconds. */
 const refusalBackoffMs = 1000;
-/** Number of unplaceable steps after which a planning pass stops, except for whole passes. */
-const maxUnplacedSteps = 24;
-/** Interval between planning passes that come to every step, in milliseconds: bounds the wait of a task behind others that can't be placed. */
-const wholePassIntervalMs = 100;
+/** Time after which a planning pass stops, in milliseconds; the next one continues with the jobs that are left. */
+const maxPassMs = 4;
+/** Minimum time in which a pass places tasks, in milliseconds, so that it makes progress however long its preparation took. */
+const minPlacementMs = 1;
+/** Time after which the observation of waiting tasks stops, in milliseconds; it continues after the next pass. */
+const maxObservationMs = 2;
+/** Pause before a pass that continues the last one, in milliseconds: leaves the event loop to other work. */
+const continuationDelayMs = 2;
 
 /** Demand of a pool's jobs and capacity of its workers; CPU is in thousandths of a core. */
 export type PoolLoad = {
@@ -91,8 +94,6 @@
 /** Digits of probabilities in log lines. */
 const shareDigits = 4;
 
-type RankedActiveJob = {readonly job: ActiveJob; readonly rank: Rank};
-
 /** Schedules the jobs of one pool while its entry holds the scheduler lease. */
 export class PoolScheduler extends SessionOwner {
 	static create(options: PoolSchedulerOptions): PoolScheduler {
@@ -115,13 +116,14 @@
 	/** Observes the tasks that wait. */
 	readonly waits: WaitMonitor;
 	readonly #wake = Signal.create();
+	readonly #waitingSteps = WaitingSteps.create();
 	readonly #subscriber: JobSubscriber = changes => {
 		this.#applyChanges(changes);
 	};
 
-	/** Time of the last planning pass that came to every step, on the monotonic clock. */
-	#wholePassAt = Number.NEGATIVE_INFINITY;
 	#timeoutsHandledAt = Number.NEGATIVE_INFINITY;
+	/** Whether the last planning pass ran out of time. */
+	#isPassCut = false;
 	#isClosed = false;
 
 	private constructor(options: PoolSchedulerOptions) {
@@ -200,17 +202,16 @@
 				continue;
 			}
 
-			for (const {spec, tasks} of active.steps) {
-				const unfinished = tasks.filter(task => task.phase !== 'done');
-				const assigned = unfinished.filter(task => task.phase !== 'waiting').length;
-				const {cpu} = getReservation(spec);
-				usedCpu += assigned * cpu;
+			for (const {spec, counts, demand} of active.listUnfinishedSteps()) {
+				const unfinished = counts.total - counts.get('done');
+				const {cpu} = demand.resources;
+				usedCpu += (unfinished - counts.get('waiting')) * cpu;
 				antiAffinityVms = Math.max(antiAffinityVms, spec.isLongRunning && spec.antiAffinity !== undefined ? Math.ceil(spec.count / spec.antiAffinity) : 0);
-				work += spec.isLongRunning ? 0 : unfinished.length * cpu * spec.estimatedMs;
+				work += spec.isLongRunning ? 0 : unfinished * cpu * spec.estimatedMs;
 			}
 
-			for (const {spec, tasks} of active.listReadySteps()) {
-				waitingCpu += tasks.filter(task => task.phase === 'waiting').length * getReservation(spec).cpu;
+			for (const {counts, demand} of active.listOpenSteps()) {
+				waitingCpu += counts.get('waiting') * demand.resources.cpu;
 			}
 		}
 
@@ -230,6 +231,7 @@
 		const jobs = restoreJobs(submissions, saved, {monotonic: clock.readMonotonic(), wall: clock.readWall()}, this.#options.tables.limits);
 		for (const active of jobs) {
 			this.#jobs.set(active.job.id, active);
+			this.#waitingSteps.add(active);
 			for (const task of active.tasks.filter(({incarnation}) => incarnation !== undefined)) {
 				this.#doubtfulRuns.add({task, endBy: earlierRunsEndBy});
 			}
@@ -476,7 +478,9 @@
 			if (change.kind === 'cancelled') {
 				this.#cancelJob(active);
 			} else if (active === undefined) {
-				this.#jobs.set(change.id, ActiveJob.create(change.job, {monotonic: clock.readMonotonic(), wall: clock.readWall()}, tables.limits));
+				const created = ActiveJob.create(change.job, {monotonic: clock.readMonotonic(), wall: clock.readWall()}, tables.limits);
+				this.#jobs.set(change.id, created);
+				this.#waitingSteps.add(created);
 				log.info('job taken up', {job: change.id, queue: change.job.queue, version: change.version});
 			}
 		}
@@ -516,6 +520,7 @@
 		if (active.isTerminal && active.state !== before) {
 			const {clock, log} = this.#options;
 			active.endedAt = clock.readWall();
+			this.#waitingSteps.remove(active);
 			log.info('job ended', {
 				job: active.job.id, queue: active.job.queue, state: active.state, ageMs: Math.round(clock.readMonotonic() - active.submittedAt),
 			});
@@ -679,8 +684,13 @@
 	async #run(): Promise<void> {
 		const {clock, log} = this.#options;
 		while (!this.#isClosed) {
-			await waitAtMost(clock, this.#wake.wait(), maxPlanIntervalMs);
-			await clock.sleep(minPlanIntervalMs);
+			if (this.#isPassCut) {
+				await clock.sleep(continuationDelayMs);
+			} else {
+				await waitAtMost(clock, this.#wake.wait(), maxPlanIntervalMs);
+				await clock.sleep(minPlanIntervalMs);
+			}
+
 			try {
 				this.#options.meter.track('plan', () => {
 					this.#handleTimeoutsIfDue();
@@ -700,7 +710,10 @@
 		const {clock, log, meter} = this.#options;
 		try {
 			meter.track('observe waits', () => {
-				this.waits.observe(this.#jobs.values(), clock.readMonotonic(), () => this.computeLoad());
+				const now = clock.readMonotonic();
+				this.waits.observe({
+					jobs: this.#jobs.values(), now, readUse: () => this.computeLoad(), isOverBudget: () => clock.readMonotonic() - now >= maxObservationMs,
+				});
 			});
 		} catch (error) {
 			log.warn('waiting tasks not observed', {service: this.service, error: readErrorMessage(error)});
@@ -736,7 +749,7 @@
 		}
 
 		for (const [id, active] of this.#jobs) {
-			if (active.isTerminal && !active.tasks.some(task => task.isInFlight)) {
+			if (active.isTerminal && !active.hasRunsInFlight) {
 				this.#options.feed.scheduleRemoval(active);
 				this.#jobs.delete(id);
 			}
@@ -790,30 +803,33 @@
 
 	#plan(): void {
 		const {clock} = this.#options;
+		this.#isPassCut = false;
 		const now = clock.readMonotonic();
-		const ranked = this.#rankJobs(now, clock.readWall());
+		if (!this.#waitingSteps.update(clock.readWall())) {
+			return;
+		}
+
 		const candidates = this.#listCandidates(now);
-		if (ranked.length === 0 || candidates.length === 0) {
+		if (candidates.length === 0) {
 			return;
 		}
 
-		const isWhole = now - this.#wholePassAt >= wholePassIntervalMs;
-		this.#wholePassAt = isWhole ? now : this.#wholePassAt;
-		const pass = PlacementPass.create({candidates, advice: this.#advice, now});
+		const endsAt = Math.max(now + maxPassMs, clock.readMonotonic() + minPlacementMs);
+		const isOverBudget = () => clock.readMonotonic() >= endsAt;
+		const pass = PlacementPass.create({
+			candidates, advice: this.#advice, now, isOverBudget,
+		});
 		const placed: Task[] = [];
-		let unplacedSteps = 0;
-		for (const {job} of ranked) {
-			for (const step of job.listReadySteps()) {
+		this.#isPassCut = !this.#waitingSteps.visit({
+			now,
+			isOverBudget,
+			explain: demand => pass.explainDemand(demand),
+			place(step) {
 				const tasks = pass.placeStep(step);
 				appendAll(placed, tasks);
-				unplacedSteps += tasks.length === 0 ? 1 : 0;
-			}
-
-			if (unplacedSteps > maxUnplacedSteps && !isWhole) {
-				break;
-			}
-		}
-
+				return pass.isCut && tasks.length > 0;
+			},
+		});
 		if (placed.length > 0) {
 			void this.#startRuns(placed);
 		}
@@ -826,18 +842,6 @@
 		});
 	}
 
-	#rankJobs(now: number, wall: number): RankedActiveJob[] {
-		const ranked: RankedActiveJob[] = [];
-		for (const job of this.#jobs.values()) {
-			if (!job.isTerminal) {
-				job.openOccurrences(wall);
-				ranked.push({job, rank: rankJob(job.describeRank(), now)});
-			}
-		}
-
-		return ranked.toSorted((a, b) => compareRanks(a.rank, b.rank));
-	}
-
 	async #startRuns(tasks: readonly Task[]): Promise<void> {
 		const runs = tasks.map(task => ({task, run: task.run}));
 		const jobs = new Set(tasks.map(task => task.job));
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -1,25 +1,11 @@
 /**
  * Observes the tasks of a pool whose preceding steps are done and that no worker runs, and reports for each reason how many wait and for how long.
  */
-import {findMaximum, type JobId, type ServiceName} from '@tamarackwind/core';
-import {type ActiveJob, type StepState, type Task} from './active-jobs.js';
-import {isSuspect} from './crash-budgets.js';
+import {type ServiceName} from '@tamarackwind/core';
+import {type ActiveJob, type StepState} from './active-jobs.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
-
-/**
- * Why a task that could run has no run:
- * - `no-matching-worker`: no worker that accepts work has the label and the size that it needs.
- * - `no-room`: the workers that could run it are full.
- * - `suspect`: a worker has crashed under it, and those with room are testing other suspects.
- * - `gang-no-room`: its gang does not fit.
- * - `no-ticket`: the placement policy has allowed no worker with room yet.
- * - `not-reached`: no planning pass has come to it.
- * - `restart-delay`: its last run failed a moment ago.
- * - `recording`: its assignment is being written.
- * - `unconfirmed`: its worker has not confirmed the start.
- * - `stopping`: its last run is not known to have ended.
- */
-export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'not-reached' | 'restart-delay' | 'recording' | 'unconfirmed' | 'stopping';
+import {StepWaits, WaitSums, type ReasonSum} from './wait-counts.js';
+import {type WaitReason} from './wait-reasons.js';
 
 /** Waiting tasks with one reason. */
 export type WaitSummary = {readonly tasks: number; readonly longestMs: number};
@@ -29,6 +15,15 @@
 /** Capacity of a pool and what is in use of it, in thousandths of a core. */
 export type PoolUse = {readonly usedCpu: number; readonly cpu: number};
 
+export type ObservationOptions = {
+	readonly jobs: Iterable<ActiveJob>;
+	/** Time on the monotonic clock. */
+	readonly now: number;
+	readonly readUse: () => PoolUse;
+	/** Reports whether the rest of the observation is left to the next call. */
+	readonly isOverBudget: () => boolean;
+};
+
 /** Interval between two observations, in milliseconds. */
 const observationIntervalMs = 1000;
 /** Wait from which a task is logged, in milliseconds. */
@@ -37,20 +32,20 @@
 const standingLimitMs = 3000;
 /** Share of a pool's CPU below which no task should wait. */
 const freePoolShare = 0.5;
-/** Maximum number of jobs in one log line. */
-const maxLoggedJobs = 100;
 
-type WaitingTask = {readonly task: Task; readonly reason: WaitReason; readonly waitMs: number};
+/** An observation that may take several calls. */
+type Round = {readonly startedAt: number; readonly sums: WaitSums; readonly steps: Iterator<void>};
 
-/** Observes the waiting tasks of one pool. */
+/** Observes the waiting tasks of one pool. The counts of a step are kept until a task of it changes. */
 export class WaitMonitor {
 	static create(options: WaitMonitorOptions): WaitMonitor {
 		return new WaitMonitor(options);
 	}
 
-	/** Time since which each task has been seen waiting, on the monotonic clock. */
-	#waitingSince = new Map<Task, number>();
-	#observedAt = Number.NEGATIVE_INFINITY;
+	/** Counts of the steps at the last observation. */
+	#stepWaits = new Map<StepState, StepWaits>();
+	#startedAt = Number.NEGATIVE_INFINITY;
+	#round: Round | undefined;
 	#summaries: ReadonlyMap<WaitReason, WaitSummary> = new Map();
 
 	private constructor(private readonly options: WaitMonitorOptions) {}
@@ -60,36 +55,60 @@
 		return this.#summaries;
 	}
 
-	/** Observes the pool's jobs if that is due. */
-	observe(jobs: Iterable<ActiveJob>, now: number, readUse: () => PoolUse): void {
-		if (now - this.#observedAt < observationIntervalMs) {
-			return;
+	/** Observes the pool's jobs if that is due, or continues an observation that was over its budget. */
+	observe({jobs, now, readUse, isOverBudget}: ObservationOptions): void {
+		if (this.#round === undefined && now - this.#startedAt >= observationIntervalMs) {
+			this.#startedAt = now;
+			const sums = WaitSums.create(now - loggedWaitMs);
+			this.#round = {startedAt: now, sums, steps: this.#observeJobs(jobs, sums, now)};
 		}
 
-		this.#observedAt = now;
-		const waiting = [...jobs].filter(job => !job.isTerminal).flatMap(job => listWaitingTasks(job)).map(task => ({
-			task, reason: explainWait(task, now), waitMs: now - (this.#waitingSince.get(task) ?? now),
-		}));
-		this.#waitingSince = new Map(waiting.map(({task, waitMs}) => [task, now - waitMs]));
-		const groups = groupByReason(waiting);
-		this.#summaries = new Map([...groups].map(([reason, tasks]) => [reason, {tasks: tasks.length, longestMs: findMaximum(tasks.map(({waitMs}) => waitMs), 0)}]));
-		const use = readUse();
-		for (const [reason, tasks] of groups) {
-			this.#logWaits(reason, tasks, use);
+		while (this.#round !== undefined) {
+			const {startedAt, sums, steps} = this.#round;
+			if (steps.next().done ?? false) {
+				this.#round = undefined;
+				this.#finishRound(sums, startedAt, readUse);
+			} else if (isOverBudget()) {
+				return;
+			}
 		}
 	}
 
-	#logWaits(reason: WaitReason, waiting: readonly WaitingTask[], {usedCpu, cpu}: PoolUse): void {
-		const {log, service} = this.options;
-		const oldest = waiting.filter(({waitMs}) => waitMs >= loggedWaitMs).toSorted((a, b) => b.waitMs - a.waitMs);
-		if (oldest.length === 0) {
-			return;
+	* #observeJobs(jobs: Iterable<ActiveJob>, sums: WaitSums, now: number): Generator<void> {
+		const stepWaits = new Map<StepState, StepWaits>();
+		for (const job of jobs) {
+			if (!job.isTerminal) {
+				for (const step of job.listOpenSteps()) {
+					const known = this.#stepWaits.get(step);
+					const waits = known?.isCurrent ? known : StepWaits.create(step, now);
+					stepWaits.set(step, waits);
+					waits.addTo(sums);
+				}
+
+				sums.finishJob(job.job.id);
+			}
+
+			yield;
+		}
+
+		this.#stepWaits = stepWaits;
+	}
+
+	#finishRound({reasons}: WaitSums, now: number, readUse: () => PoolUse): void {
+		this.#summaries = new Map([...reasons].map(([reason, {tasks, since}]) => [reason, {tasks, longestMs: now - since}]));
+		const use = readUse();
+		for (const [reason, sum] of reasons) {
+			if (sum.loggedTasks > 0) {
+				this.#logWaits(reason, sum, now, use);
+			}
 		}
+	}
 
-		const longestMs = Math.round(oldest[0]!.waitMs);
-		const jobs = [...new Set(oldest.map(({task}) => task.job.job.id))];
+	#logWaits(reason: WaitReason, {since, loggedTasks, loggedJobs, longest}: ReasonSum, now: number, {usedCpu, cpu}: PoolUse): void {
+		const {log, service} = this.options;
+		const longestMs = Math.round(now - since);
 		const fields = {
-			service, reason, tasks: oldest.length, longestMs, usedCpu: Math.round(usedCpu), cpu: Math.round(cpu), jobs: jobs.slice(0, maxLoggedJobs) satisfies JobId[], jobCount: jobs.length,
+			service, reason, tasks: loggedTasks, longestMs, usedCpu: Math.round(usedCpu), cpu: Math.round(cpu), jobs: longest.map(({id}) => id), jobCount: loggedJobs,
 		};
 		if (longestMs > standingLimitMs && usedCpu < cpu * freePoolShare) {
 			log.warn('tasks wait although the pool has room', fields);
@@ -98,43 +117,3 @@
 		}
 	}
 }
-
-function groupByReason(waiting: readonly WaitingTask[]): Map<WaitReason, WaitingTask[]> {
-	const groups = new Map<WaitReason, WaitingTask[]>();
-	for (const entry of waiting) {
-		const group = groups.get(entry.reason);
-		if (group === undefined) {
-			groups.set(entry.reason, [entry]);
-		} else {
-			group.push(entry);
-		}
-	}
-
-	return groups;
-}
-
-/** Lists the tasks of a job that could run and that no worker is known to run. */
-function listWaitingTasks(job: ActiveJob): Task[] {
-	return job.listOpenSteps().flatMap(step => step.tasks.filter(task => isWaiting(task)));
-}
-
-function isWaiting({phase, isConfirmed}: Task): boolean {
-	return phase !== 'done' && phase !== 'running' && !(phase === 'starting' && isConfirmed);
-}
-
-function explainWait(task: Task, now: number): WaitReason {
-	const {phase, notBefore, stepState} = task;
-	if (phase === 'recorded') {
-		return 'recording';
-	}
-
-	if (phase !== 'waiting') {
-		return phase === 'stopping' ? 'stopping' : 'unconfirmed';
-	}
-
-	return notBefore > now ? 'restart-delay' : explainPlacement(stepState, task);
-}
-
-function explainPlacement({waitReason, suspectWaitReason}: StepState, task: Task): WaitReason {
-	return (isSuspect(task) ? suspectWaitReason ?? waitReason : waitReason) ?? 'not-reached';
-}
--- /dev/null
+++ b/packages/workflows/src/wait-reasons.ts
@@ -0,0 +1,20 @@
+/**
+ * Why a task that could run has no run:
+ * - `no-matching-worker`: no worker that accepts work has the label and the size that it needs.
+ * - `no-room`: the workers that could run it are full.
+ * - `suspect`: a worker has crashed under it, and those with room are testing other suspects.
+ * - `gang-no-room`: its gang does not fit.
+ * - `no-ticket`: the placement policy has allowed no worker with room yet.
+ * - `not-reached`: no planning pass has come to it.
+ * - `restart-delay`: its last run failed a moment ago.
+ * - `recording`: its assignment is being written.
+ * - `unconfirmed`: its worker has not confirmed the start.
+ * - `stopping`: its last run is not known to have ended.
+ */
+export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'not-reached' | 'restart-delay' | 'recording' | 'unconfirmed' | 'stopping';
+
+/** Waiting steps that are placed one after the other. */
+export type WaitQueue = {
+	/** Why the last planning pass left the rest of the queue alone. */
+	readonly reason: WaitReason | undefined;
+};
--- a/packages/workflows/src/worker-health.ts
+++ b/packages/workflows/src/worker-health.ts
@@ -35,7 +35,14 @@
 			return minFailedJobs;
 		}
 
-		this.#evidence = this.#evidence.filter(({at}) => now - at < evidenceWindowMs);
+		if (now - (this.#evidence[0]?.at ?? now) >= evidenceWindowMs) {
+			this.#evidence = this.#evidence.filter(({at}) => now - at < evidenceWindowMs);
+		}
+
+		if (!this.#evidence.some(({isFailure}) => isFailure)) {
+			return 0;
+		}
+
 		const failures = this.#evidence.filter(({isFailure}) => isFailure);
 		const jobs = new Set(failures.map(({job}) => job)).size;
 		return jobs >= minFailedJobs && failures.length * 2 > this.#evidence.length ? jobs / minFailedJobs : 0;
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -10,8 +10,9 @@
 import {type Task} from './active-jobs.js';
 import {Cordons} from './cordons.js';
 import {
-	computeSuspectShare, isSuspect, isTestedAlone, isUnproven, provingMs, recordSurvival, type CrashEvidence,
+	computeSuspectShare, isSuspect, isTestedAlone, isUnproven, provingMs, recordSurvival,
 } from './crash-budgets.js';
+import {type CrashEvidence} from './crash-evidence.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {formatIncarnation, type RunKey} from './jobs.js';
 import {Signal} from './signals.js';
@@ -230,7 +231,7 @@
 			servingTasks: this.#servingTasks,
 			fillerTasks: this.#fillerTasks,
 			suspectLoad: this.#suspectLoad,
-			isReserved: [...this.#suspects].some(task => isTestedAlone(task)),
+			isReserved: this.#suspects.size > 0 && [...this.#suspects].some(task => isTestedAlone(task)),
 		};
 	}
 
--- a/packages/workflows/tests/placement-passes.test.ts
+++ b/packages/workflows/tests/placement-passes.test.ts
@@ -17,9 +17,9 @@
 /** Queues without a placement policy ask for no tickets. */
 const advice: AdviceCache = Object.create(AdviceCache.prototype) as AdviceCache;
 
-function createJob(index: number, crashes: number): ActiveJob {
+function createJob(index: number, crashes: number, spec = step): ActiveJob {
 	const job = ActiveJob.create({
-		id: `job-${index}` as JobId, service: 'north' as ServiceName, queue: 'north', payload: '', steps: [step], submittedAt: 0, policy: {
+		id: `job-${index}` as JobId, service: 'north' as ServiceName, queue: 'north', payload: '', steps: [spec], submittedAt: 0, policy: {
 			priority: 0, maxAttempts: 3, slackFactor: 2, targetLatencyMs: 600,
 		},
 	}, {monotonic: 0, wall: 0}, limits);
@@ -46,7 +46,9 @@
 			},
 		} as unknown as WorkerSession,
 	}));
-	const pass = PlacementPass.create({candidates, advice, now});
+	const pass = PlacementPass.create({
+		candidates, advice, now, isOverBudget: () => false,
+	});
 	const jobs = crashes.map((count, index) => createJob(index, count));
 	const placed = jobs.map(job => job.listReadySteps().flatMap(ready => pass.placeStep(ready)));
 	const reserved = new Set(placed.flat().filter(task => task.crashes > 2).map(({incarnation}) => incarnation!.id));
@@ -76,3 +78,35 @@
 	t.is(reserved, workers / 2);
 	t.true(looks <= workers, `${looks} looks`);
 });
+
+// Guards against passes whose cost grows with the steps that no worker can run: 3,000 of them filled the holder's event loop.
+for (const [name, createSpec] of [
+	['need labels which no worker has', (index: number) => ({...step, requirement: `kind-${index}`})],
+	['are larger than a worker', (index: number) => ({...step, resources: {cpu: 100_000 - index, memory: 10 + index, gpu: 0}})],
+] as const) {
+	test(`pass: steps that ${name} are left after one look at the workers of a size`, t => {
+		let looks = 0;
+		const candidates: PlanCandidate[] = Array.from({length: workers}, (_, index) => ({
+			id: `worker-${index}` as VmId, zone: 'zone-a' as ZoneName, labels: Object.assign(['a'], {
+				includes(label: string) {
+					looks++;
+					return label === 'a';
+				},
+			}), capacity: {
+				get cpu() {
+					looks++;
+					return 64_000;
+				}, memory: 64_000, gpu: 0,
+			}, free: {cpu: 64_000, memory: 64_000, gpu: 0}, suspicion: 0, servingTasks: 0, fillerTasks: 0, suspectLoad: 0, isReserved: false,
+			session: {} as unknown as WorkerSession,
+		}));
+		const pass = PlacementPass.create({
+			candidates, advice, now, isOverBudget: () => false,
+		});
+		const steps = Array.from({length: 1000}, (_, index) => createJob(index, 0, createSpec(index)).listReadySteps()[0]!);
+		looks = 0;
+		t.deepEqual(steps.flatMap(ready => pass.placeStep(ready)), []);
+		t.deepEqual(new Set(steps.map(({waitReason}) => waitReason)), new Set(['no-matching-worker'] as const));
+		t.true(looks <= steps.length, `${looks} looks`);
+	});
+}
--- a/packages/workflows/tests/wait-monitors.test.ts
+++ b/packages/workflows/tests/wait-monitors.test.ts
@@ -18,6 +18,10 @@
 	readonly level?: 'info' | 'warn';
 };
 
+function createJob(step: Partial<StepState>): ActiveJob {
+	return {isTerminal: false, job: {id: 'job-1'}, listOpenSteps: () => [{changes: 0, ...step}]} as unknown as ActiveJob;
+}
+
 const cases: readonly Case[] = [
 	{
 		name: 'a task that no pass has reached', task: {}, reason: 'not-reached', level: 'info',
@@ -62,12 +66,14 @@
 
 		const log = {info: write('info'), warn: write('warn')} as unknown as RateLimitedLog;
 		const task = {
-			phase: 'waiting', crashes: 0, notBefore: 0, isConfirmed: false, job: {job: {id: 'job-1'}}, stepState: step, ...fields,
+			phase: 'waiting', crashes: 0, notBefore: 0, isConfirmed: false, ...fields,
 		} as unknown as Task;
-		const job = {isTerminal: false, listOpenSteps: () => [{tasks: [task]}]} as unknown as ActiveJob;
+		const job = createJob({...step, tasks: [task]});
 		const monitor = WaitMonitor.create({log, service: 'north' as ServiceName});
 		for (let second = 0; second <= seconds; second++) {
-			monitor.observe([job], second * 1000, () => ({usedCpu, cpu: 1000}));
+			monitor.observe({
+				jobs: [job], now: second * 1000, readUse: () => ({usedCpu, cpu: 1000}), isOverBudget: () => false,
+			});
 		}
 
 		t.deepEqual([...monitor.summaries], reason === undefined ? [] : [[reason, {tasks: 1, longestMs: seconds * 1000}]] as never);
@@ -80,14 +86,17 @@
 for (const count of [1000, 150_000]) {
 	test(`wait: ${count} tasks of one reason`, t => {
 		const log = {info() {}, warn() {}} as unknown as RateLimitedLog;
-		const step = {waitReason: 'no-matching-worker'} as unknown as StepState;
 		const tasks = Array.from({length: count}, () => ({
-			phase: 'waiting', crashes: 0, notBefore: 0, isConfirmed: false, job: {job: {id: 'job-1'}}, stepState: step,
+			phase: 'waiting', crashes: 0, notBefore: 0, isConfirmed: false,
 		})) as unknown as Task[];
-		const job = {isTerminal: false, listOpenSteps: () => [{tasks}]} as unknown as ActiveJob;
+		const job = createJob({waitReason: 'no-matching-worker', tasks});
 		const monitor = WaitMonitor.create({log, service: 'north' as ServiceName});
-		monitor.observe([job], 0, () => ({usedCpu: 0, cpu: 1000}));
-		monitor.observe([job], 4000, () => ({usedCpu: 0, cpu: 1000}));
+		for (const now of [0, 4000]) {
+			monitor.observe({
+				jobs: [job], now, readUse: () => ({usedCpu: 0, cpu: 1000}), isOverBudget: () => false,
+			});
+		}
+
 		t.deepEqual([...monitor.summaries], [['no-matching-worker', {tasks: count, longestMs: 4000}]]);
 	});
 }
