Limit the open orders to each worker

Cause: all starts of a pass were sent at once, 250 to a worker that takes two at a time beside its listing. The others waited for a connection while their time limit of 1.2 s was running, counted as perhaps executed, and were stopped, awaited and started again, as were the stops. Evidence: a play of one job of 2,000 tasks and 60 small ones beside 14 busy processes on: 3,614 starts for 2,120 tasks, 826 not answered, loop over 0.5 in use in 5 s, 0.55 s late, 4.2 s of processor; the profile of the holder shows connections, aborted requests and the stack traces of their errors, planning passes take 52 ms a second at most. Ruled out: the planning pass.

A start that waits is checked again before it is sent: a task that was released is skipped, and one whose worker has become unreachable is given back unsent. Its lease is that of the time of sending. An unknown run is stopped once at a time, not once a listing. `tasks wait` tells such starts by `start-queued`.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -756,6 +756,9 @@
 	return Math.min(percentScale, Math.floor(((now - startedAt) / total) * percentScale));
 }
 
+/** Number of orders to one worker that are open at a time. */
+const maxOpenOrders = 2;
+
 /** Sends the orders of one entry to the emulated workers. */
 export class EmulatedWorkerControl extends WorkerControl {
 	static create(fleet: EmulatedFleet, clock: SimulatedClock): EmulatedWorkerControl {
@@ -766,6 +769,10 @@
 		super();
 	}
 
+	override getOrderLimit(): number {
+		return maxOpenOrders;
+	}
+
 	override async startRun(worker: WorkerRecord, order: StartOrder): Promise<StartOutcome> {
 		return await this.fleet.runOrder(worker, false, incarnation => this.fleet.startRun(incarnation, order)) ?? {status: 'refused', reason: 'other-life'};
 	}
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -30,6 +30,7 @@
 	#crashes = 0;
 	#guilt = priorGuilt;
 	#incarnation: WorkerIncarnation | undefined;
+	#isStartQueued = false;
 	/** Progress reported by the worker, in percent. */
 	percent = 0;
 	/** Time at which the start was sent, or its response received, on the monotonic clock; 0 for a start that an earlier holder sent until the run is listed. */
@@ -131,6 +132,16 @@
 		this.job.markChanged(this);
 	}
 
+	/** Whether the assignment is durable and the start waits for earlier orders to the worker. */
+	get isStartQueued(): boolean {
+		return this.#isStartQueued;
+	}
+
+	set isStartQueued(isStartQueued: boolean) {
+		this.#isStartQueued = isStartQueued;
+		this.stepState.changes++;
+	}
+
 	get spec(): StepSpec {
 		return this.stepState.spec;
 	}
--- a/packages/workflows/src/filler-throttlers.ts
+++ b/packages/workflows/src/filler-throttlers.ts
@@ -1,7 +1,7 @@
 /**
  * Throttles the filler tasks of a worker while a serving task on it approaches or misses its latency target.
  */
-import {readErrorMessage, type Clock} from '@tamarackwind/core';
+import {findMaximum, readErrorMessage, type Clock} from '@tamarackwind/core';
 import {chooseSpeed} from '@tamarackwind/scheduling';
 import {type Task} from './active-jobs.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
@@ -41,7 +41,7 @@
 		}
 
 		const serving = tasks.filter(task => task.spec.targetMs !== undefined);
-		const latencyRatio = Math.max(0, ...serving.map(task => task.load / task.spec.targetMs!));
+		const latencyRatio = findMaximum(serving.map(task => task.load / task.spec.targetMs!), 0);
 		for (const task of fillers) {
 			const speedPercent = chooseSpeed(task.speedPercent, latencyRatio);
 			const isIncrease = speedPercent > task.speedPercent;
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -25,6 +25,8 @@
 export * from './placement-passes.js';
 export * from './waiting-steps.js';
 export * from './wait-monitors.js';
+export * from './order-queues.js';
+export * from './starters.js';
 export * from './worker-leases.js';
 export * from './worker-sessions.js';
 export * from './doubtful-runs.js';
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -216,6 +216,7 @@
 		task.phase = 'recorded';
 		task.isConfirmed = false;
 		task.isListed = false;
+		task.isStartQueued = false;
 		task.incarnation = {id, startedAt: session.record.startedAt};
 		session.addTask(task);
 		this.#unprovenSessions.set(session, true);
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -66,8 +66,6 @@
 const stallTimeoutShare = 0.15;
 /** Delay before a failed long-running task is restarted, in milliseconds. */
 const restartDelayMs = 150;
-/** Time for which a worker gets no new work after it refused a start, in milliseconds. */
-const refusalBackoffMs = 1000;
 /** Time after which a planning pass stops, in milliseconds; the next one continues with the jobs that are left. */
 const maxPassMs = 4;
 /** Minimum time in which a pass places tasks, in milliseconds, so that it makes progress however long its preparation took. */
@@ -608,9 +606,10 @@
 					session.stopTask(task);
 				}
 			} else {
-				listedUnknownRuns.add(formatRun(run.key));
-				session.unknownRuns.set(formatRun(run.key), run.key);
-				void session.stopUnknownRun(run.key);
+				const name = formatRun(run.key);
+				listedUnknownRuns.add(name);
+				session.unknownRuns.set(name, run.key);
+				void session.stopUnknownRun(name, run.key);
 			}
 		}
 
@@ -856,7 +855,7 @@
 		for (const {task, run} of runs) {
 			const session = this.#findSession(task);
 			if (task.phase === 'recorded' && task.run === run && session !== undefined) {
-				void this.#starter.start(task, session, this.#advice.getTicket(task, session.record.id), refusalBackoffMs);
+				void this.#starter.start(task, session, () => this.#advice.getTicket(task, session.record.id));
 			}
 		}
 	}
--- a/packages/workflows/src/starters.ts
+++ b/packages/workflows/src/starters.ts
@@ -22,6 +22,9 @@
 	readonly onSettled: (task: Task) => void;
 };
 
+/** Time for which a worker gets no new work after it refused a start, in milliseconds. */
+const refusalBackoffMs = 1000;
+
 /** Sends the start orders of runs whose assignment is durable. */
 export class RunStarter {
 	static create(options: RunStarterOptions): RunStarter {
@@ -34,10 +37,21 @@
 		this.#options = options;
 	}
 
-	/** Starts the recorded run of a task on the worker of a session. */
-	async start(task: Task, session: WorkerSession, ticket: string | undefined, refusalBackoffMs: number): Promise<void> {
+	/** Starts the recorded run of a task on the worker of a session, after the orders that were made to the worker before. */
+	async start(task: Task, session: WorkerSession, getTicket: () => string | undefined): Promise<void> {
+		const {run} = task;
+		task.isStartQueued = true;
+		await session.orders.send('start', async () => {
+			task.isStartQueued = false;
+			if (task.phase === 'recorded' && task.run === run && session.tasks.has(task)) {
+				await this.#send(task, session, getTicket());
+			}
+		});
+	}
+
+	async #send(task: Task, session: WorkerSession, ticket: string | undefined): Promise<void> {
 		const {clock, control, log, epoch, canOrder} = this.#options;
-		if (!canOrder() || session.isOverCapacity) {
+		if (!canOrder() || !session.isReachable || session.isOverCapacity) {
 			this.#release(task, session);
 			return;
 		}
@@ -65,14 +79,14 @@
 				task.orderedAt = clock.readMonotonic();
 				void session.checkSuspects();
 			} else {
-				this.#applyRefusal(task, session, outcome.reason, refusalBackoffMs);
+				this.#applyRefusal(task, session, outcome.reason);
 			}
 		} catch (error) {
 			this.#applyFailure(task, session, key.run, error);
 		}
 	}
 
-	#applyRefusal(task: Task, session: WorkerSession, reason: StartRefusal, refusalBackoffMs: number): void {
+	#applyRefusal(task: Task, session: WorkerSession, reason: StartRefusal): void {
 		const {clock, log} = this.#options;
 		log.warn('start refused', {
 			job: task.job.job.id, task: task.name, run: task.run, worker: session.name, reason,
--- a/packages/workflows/src/wait-counts.ts
+++ b/packages/workflows/src/wait-counts.ts
@@ -7,7 +7,7 @@
 import {type WaitReason} from './wait-reasons.js';
 
 /** Why a task has no run, as far as its own state tells; the step tells why a task has no place. */
-type WaitCategory = 'recording' | 'unconfirmed' | 'stopping' | 'restart-delay' | 'place' | 'suspect-place';
+type WaitCategory = 'recording' | 'start-queued' | 'unconfirmed' | 'stopping' | 'restart-delay' | 'place' | 'suspect-place';
 
 /** Number of tasks by the time since which they have been seen waiting, on the monotonic clock. */
 type TasksBySince = Map<number, number>;
@@ -128,7 +128,7 @@
 
 /** Classifies a task that could run; `undefined` if its worker is known to run it or it is done. */
 function findCategory(task: Task, now: number): WaitCategory | undefined {
-	const {phase, isConfirmed, notBefore} = task;
+	const {phase, isConfirmed, isStartQueued, notBefore} = task;
 	switch (phase) {
 		case 'done':
 		case 'running': {
@@ -140,7 +140,7 @@
 		}
 
 		case 'recorded': {
-			return 'recording';
+			return isStartQueued ? 'start-queued' : 'recording';
 		}
 
 		case 'stopping': {
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -8,10 +8,11 @@
  * - `not-reached`: no planning pass has come to it.
  * - `restart-delay`: its last run failed a moment ago.
  * - `recording`: its assignment is being written.
+ * - `start-queued`: its start waits for earlier orders to its worker.
  * - `unconfirmed`: its worker has not confirmed the start.
  * - `stopping`: its last run is not known to have ended.
  */
-export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'not-reached' | 'restart-delay' | 'recording' | 'unconfirmed' | 'stopping';
+export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'not-reached' | 'restart-delay' | 'recording' | 'start-queued' | 'unconfirmed' | 'stopping';
 
 /** Waiting steps that are placed one after the other. */
 export type WaitQueue = {
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -15,11 +15,14 @@
 import {type CrashEvidence} from './crash-evidence.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {formatIncarnation, type RunKey} from './jobs.js';
+import {OrderQueue} from './order-queues.js';
 import {Signal} from './signals.js';
 import {WorkerHealth} from './worker-health.js';
 import {workerRetryMs, type Timings} from './timings.js';
 import {WorkerLease} from './worker-leases.js';
-import {type WorkerControl, type WorkerListing, type WorkerRecord} from './workers.js';
+import {
+	type OrderOutcome, type WorkerControl, type WorkerListing, type WorkerRecord,
+} from './workers.js';
 
 /** Maximum delay after consecutive failed calls, in milliseconds: bounds the time until a recovered worker is detected. */
 const maxWorkerRetryMs = 600;
@@ -91,6 +94,8 @@
 	/** Reasons for which the worker gets no new work although it is sound. */
 	readonly cordons: Cordons;
 	readonly health: WorkerHealth;
+	/** Orders that are sent to the worker. */
+	readonly orders: OrderQueue;
 	readonly #tasks = new Set<Task>();
 	/** Resources that the assigned tasks reserve. */
 	#reserved: Resources = noResources;
@@ -105,6 +110,8 @@
 	readonly #options: WorkerSessionOptions;
 	readonly #wake = Signal.create();
 	readonly #pendingStops = new Map<Task, PendingStop>();
+	/** Unknown runs whose stop has no response yet. */
+	readonly #pendingUnknownStops = new Set<string>();
 	#lease: WorkerLease;
 	#idleSince: number;
 	/** Sequence number up to which ends are durable. */
@@ -132,6 +139,7 @@
 		this.record = options.record;
 		this.cordons = Cordons.create(options.clock);
 		this.health = WorkerHealth.create();
+		this.orders = OrderQueue.create({maxOpen: options.control.getOrderLimit()});
 		this.#lease = WorkerLease.create(options.earlierRunsEndBy);
 		this.#idleSince = options.clock.readMonotonic();
 		this.#listedAt = this.#idleSince;
@@ -316,11 +324,18 @@
 	}
 
 	/** Stops a listed run that belongs to no assigned task. */
-	async stopUnknownRun(key: RunKey): Promise<void> {
+	async stopUnknownRun(name: string, key: RunKey): Promise<void> {
+		if (this.#pendingUnknownStops.has(name)) {
+			return;
+		}
+
+		this.#pendingUnknownStops.add(name);
 		try {
-			await this.#options.control.stopRun(this.record, {key, fencingToken: this.#options.owner.fencingToken});
+			await this.#sendStopOrder(key);
 		} catch (error) {
 			this.#options.log.warn('stopping an unknown run failed', {worker: this.name, job: key.job, error: readErrorMessage(error)});
+		} finally {
+			this.#pendingUnknownStops.delete(name);
 		}
 	}
 
@@ -489,10 +504,15 @@
 		}
 	}
 
+	async #sendStopOrder(key: RunKey): Promise<OrderOutcome> {
+		const {control, owner} = this.#options;
+		return this.orders.send('stop', async () => control.stopRun(this.record, {key, fencingToken: owner.fencingToken}));
+	}
+
 	async #requestStop(task: Task, stop: PendingStop): Promise<void> {
-		const {control, owner, clock, log} = this.#options;
+		const {clock, log} = this.#options;
 		try {
-			const outcome = await control.stopRun(this.record, {key: {...task.key, run: stop.run}, fencingToken: owner.fencingToken});
+			const outcome = await this.#sendStopOrder({...task.key, run: stop.run});
 			if (outcome === 'done') {
 				stop.acknowledgedAt = clock.readMonotonic();
 			}
--- a/packages/workflows/src/workers.ts
+++ b/packages/workflows/src/workers.ts
@@ -91,6 +91,9 @@
  * the worker, otherwise `may-have-run`, in which case it may take effect even seconds later.
  */
 export abstract class WorkerControl {
+	/** Number of orders to one worker that can be open at a time beside a listing; further ones would wait for a connection. */
+	abstract getOrderLimit(): number;
+
 	/** Starts a run. */
 	abstract startRun(worker: WorkerRecord, order: StartOrder): Promise<StartOutcome>;
 
