Keep the demand of each job until it changes

Taking up such jobs opened all of their tasks in one turn: 120 ms for 200,000 tasks.

Change: what a job adds to the demand of its pool is kept until a task of it changes (`pool-loads.ts`, out of `pool-schedulers.ts`), and new jobs are opened for half of a pass at a time; the next pass, 2 ms later, goes on. Sums are formed anew from what the jobs add, so that rounding errors don't stay.

--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -226,6 +226,8 @@
 	state: JobState = 'queued';
 	endedAt: number | undefined;
 	readonly isLongRunning: boolean;
+	/** Called when a task changes, and when a step is done or was opened. */
+	onChanged: (() => void) | undefined;
 	/** Called when a task waits again, and when a step is done or was opened. */
 	onWaiting: (() => void) | undefined;
 	/** Whether a cancellation of the job has been read. */
@@ -376,6 +378,7 @@
 		const {stepState, index, run, failures, isGivenUp, spec} = task;
 		const {occurrence, step} = stepState;
 		stepState.changes++;
+		this.onChanged?.();
 		this.#hasOrderedRuns ||= run > 0;
 		if (isGivenUp || (!spec.isLongRunning && failures >= this.job.policy.maxAttempts)) {
 			this.#exhaustedTasks.add(task);
@@ -389,6 +392,7 @@
 		this.#unfinishedSteps = undefined;
 		this.#openSteps = undefined;
 		this.#rankPeriod = undefined;
+		this.onChanged?.();
 		this.onWaiting?.();
 	}
 
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -23,6 +23,7 @@
 export * from './failed-demands.js';
 export * from './candidate-groups.js';
 export * from './placement-passes.js';
+export * from './pool-loads.js';
 export * from './waiting-steps.js';
 export * from './wait-monitors.js';
 export * from './order-queues.js';
--- /dev/null
+++ b/packages/workflows/src/pool-loads.ts
@@ -0,0 +1,110 @@
+/**
+ * Sums up the demand of a pool's jobs. What a job adds to the sums is kept until it changes.
+ */
+import {type ActiveJob} from './active-jobs.js';
+
+/** Demand of jobs; CPU is in thousandths of a core. */
+export type JobLoad = {
+	/** Outstanding work, in thousandths of a core times milliseconds. */
+	readonly work: number;
+	/** CPU in use or assigned. */
+	readonly usedCpu: number;
+	/** CPU requested by waiting tasks whose preceding steps are done. */
+	readonly waitingCpu: number;
+	/** Workers needed by the widest long-running step with anti-affinity. */
+	readonly antiAffinityVms: number;
+};
+
+type Contribution = JobLoad & {
+	/** Whether no task of the job is known to have started. */
+	readonly isWaiting: boolean;
+};
+
+/** The demand of one pool's jobs. */
+export class JobLoads {
+	static create(): JobLoads {
+		return new JobLoads();
+	}
+
+	readonly #contributions = new Map<ActiveJob, Contribution>();
+	readonly #changedJobs = new Set<ActiveJob>();
+
+	private constructor() {}
+
+	/** Takes up a job that has not ended. */
+	add(job: ActiveJob): void {
+		job.onChanged = () => {
+			this.#changedJobs.add(job);
+		};
+
+		this.#changedJobs.add(job);
+	}
+
+	/** Drops a job that has ended. */
+	remove(job: ActiveJob): void {
+		job.onChanged = undefined;
+		this.#changedJobs.delete(job);
+		this.#contributions.delete(job);
+	}
+
+	/** Computes the demand of all jobs. */
+	compute(): JobLoad {
+		this.#update();
+		let work = 0;
+		let usedCpu = 0;
+		let waitingCpu = 0;
+		let antiAffinityVms = 0;
+		for (const contribution of this.#contributions.values()) {
+			work += contribution.work;
+			usedCpu += contribution.usedCpu;
+			waitingCpu += contribution.waitingCpu;
+			antiAffinityVms = Math.max(antiAffinityVms, contribution.antiAffinityVms);
+		}
+
+		return {
+			work, usedCpu, waitingCpu, antiAffinityVms,
+		};
+	}
+
+	/** Counts, by queue, the jobs of which no task is known to have started. */
+	countWaiting(): Map<string, number> {
+		this.#update();
+		const counts = new Map<string, number>();
+		for (const [{job: {queue}}, {isWaiting}] of this.#contributions) {
+			if (isWaiting) {
+				counts.set(queue, (counts.get(queue) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	}
+
+	#update(): void {
+		for (const job of this.#changedJobs) {
+			this.#contributions.set(job, describeJob(job));
+		}
+
+		this.#changedJobs.clear();
+	}
+}
+
+function describeJob(job: ActiveJob): Contribution {
+	let work = 0;
+	let usedCpu = 0;
+	let waitingCpu = 0;
+	let antiAffinityVms = 0;
+	for (const {spec, counts, demand: {resources: {cpu}}} of job.listUnfinishedSteps()) {
+		const unfinished = counts.total - counts.get('done');
+		usedCpu += (unfinished - counts.get('waiting')) * cpu;
+		antiAffinityVms = Math.max(antiAffinityVms, spec.isLongRunning && spec.antiAffinity !== undefined ? Math.ceil(spec.count / spec.antiAffinity) : 0);
+		work += spec.isLongRunning ? 0 : unfinished * cpu * spec.estimatedMs;
+	}
+
+	for (const {counts, demand: {resources: {cpu}}} of job.listOpenSteps()) {
+		waitingCpu += counts.get('waiting') * cpu;
+	}
+
+	return {
+		work, usedCpu, waitingCpu, antiAffinityVms, isWaiting: !job.hasBegun,
+	};
+}
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -16,6 +16,7 @@
 import {type CrashEvidence} from './crash-evidence.js';
 import {CrashHistory} from './crash-histories.js';
 import {PlacementPass, type PlanCandidate} from './placement-passes.js';
+import {JobLoads, type JobLoad} from './pool-loads.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
 import {readProgress, restoreJobs, type SavedProgress} from './progress-readers.js';
 import {ProgressWriter} from './progress-writers.js';
@@ -76,17 +77,9 @@
 const continuationDelayMs = 2;
 
 /** Demand of a pool's jobs and capacity of its workers; CPU is in thousandths of a core. */
-export type PoolLoad = {
-	/** Outstanding work, in thousandths of a core times milliseconds. */
-	readonly work: number;
-	/** CPU in use or assigned. */
-	readonly usedCpu: number;
-	/** CPU requested by waiting tasks whose preceding steps are done. */
-	readonly waitingCpu: number;
+export type PoolLoad = JobLoad & {
 	/** CPU of the workers that accept new work. */
 	readonly cpu: number;
-	/** Workers needed by the widest long-running step with anti-affinity. */
-	readonly antiAffinityVms: number;
 };
 
 /** Digits of probabilities in log lines. */
@@ -115,6 +108,7 @@
 	readonly waits: WaitMonitor;
 	readonly #wake = Signal.create();
 	readonly #waitingSteps = WaitingSteps.create();
+	readonly #loads = JobLoads.create();
 	readonly #subscriber: JobSubscriber = changes => {
 		this.#applyChanges(changes);
 	};
@@ -179,44 +173,17 @@
 
 	/** Counts, by queue, the submitted jobs of which no task is known to have started. */
 	countWaitingJobs(): Map<string, number> {
-		const counts = new Map<string, number>();
-		for (const active of this.#jobs.values()) {
-			if (!active.isTerminal && !active.hasBegun) {
-				counts.set(active.job.queue, (counts.get(active.job.queue) ?? 0) + 1);
-			}
-		}
-
-		return counts;
+		return this.#loads.countWaiting();
 	}
 
 	/** Computes the demand of the pool's jobs and the available CPU. */
 	computeLoad(): PoolLoad {
-		let work = 0;
-		let usedCpu = 0;
-		let waitingCpu = 0;
-		let antiAffinityVms = 0;
-		for (const active of this.#jobs.values()) {
-			if (active.isTerminal) {
-				continue;
-			}
-
-			for (const {spec, counts, demand} of active.listUnfinishedSteps()) {
-				const unfinished = counts.total - counts.get('done');
-				const {cpu} = demand.resources;
-				usedCpu += (unfinished - counts.get('waiting')) * cpu;
-				antiAffinityVms = Math.max(antiAffinityVms, spec.isLongRunning && spec.antiAffinity !== undefined ? Math.ceil(spec.count / spec.antiAffinity) : 0);
-				work += spec.isLongRunning ? 0 : unfinished * cpu * spec.estimatedMs;
-			}
-
-			for (const {counts, demand} of active.listOpenSteps()) {
-				waitingCpu += counts.get('waiting') * demand.resources.cpu;
-			}
+		let cpu = 0;
+		for (const session of this.#sessions.values()) {
+			cpu += session.isSchedulable ? session.record.capacity.cpu : 0;
 		}
 
-		const schedulable = [...this.#sessions.values()].filter(session => session.isSchedulable);
-		return {
-			work, usedCpu, waitingCpu, antiAffinityVms, cpu: schedulable.reduce((sum, session) => sum + session.record.capacity.cpu, 0),
-		};
+		return {...this.#loads.compute(), cpu};
 	}
 
 	/** Takes over the service: fences off earlier holders, loads the stored jobs and starts scheduling. */
@@ -228,8 +195,7 @@
 		const submissions = feed.subscribe(service, this.#subscriber);
 		const jobs = restoreJobs(submissions, saved, {monotonic: clock.readMonotonic(), wall: clock.readWall()}, this.#options.tables.limits);
 		for (const active of jobs) {
-			this.#jobs.set(active.job.id, active);
-			this.#waitingSteps.add(active);
+			this.#addJob(active);
 			for (const task of active.tasks.filter(({incarnation}) => incarnation !== undefined)) {
 				this.#doubtfulRuns.add({task, endBy: earlierRunsEndBy});
 			}
@@ -477,8 +443,7 @@
 				this.#cancelJob(active);
 			} else if (active === undefined) {
 				const created = ActiveJob.create(change.job, {monotonic: clock.readMonotonic(), wall: clock.readWall()}, tables.limits);
-				this.#jobs.set(change.id, created);
-				this.#waitingSteps.add(created);
+				this.#addJob(created);
 				log.info('job taken up', {job: change.id, queue: change.job.queue, version: change.version});
 			}
 		}
@@ -486,6 +451,14 @@
 		this.#wake.set();
 	}
 
+	#addJob(active: ActiveJob): void {
+		this.#jobs.set(active.job.id, active);
+		if (!active.isTerminal) {
+			this.#waitingSteps.add(active);
+			this.#loads.add(active);
+		}
+	}
+
 	#cancelJob(active: ActiveJob | undefined): void {
 		if (active !== undefined && !active.isTerminal) {
 			active.isCancelled = true;
@@ -519,6 +492,7 @@
 			const {clock, log} = this.#options;
 			active.endedAt = clock.readWall();
 			this.#waitingSteps.remove(active);
+			this.#loads.remove(active);
 			log.info('job ended', {
 				job: active.job.id, queue: active.job.queue, state: active.state, ageMs: Math.round(clock.readMonotonic() - active.submittedAt),
 			});
@@ -804,7 +778,9 @@
 		const {clock} = this.#options;
 		this.#isPassCut = false;
 		const now = clock.readMonotonic();
-		if (!this.#waitingSteps.update(clock.readWall())) {
+		const isUpdateOver = () => clock.readMonotonic() - now >= maxPassMs / 2;
+		if (!this.#waitingSteps.update(clock.readWall(), isUpdateOver)) {
+			this.#isPassCut = this.#waitingSteps.hasChanges;
 			return;
 		}
 
@@ -819,7 +795,7 @@
 			candidates, advice: this.#advice, now, isOverBudget,
 		});
 		const placed: Task[] = [];
-		this.#isPassCut = !this.#waitingSteps.visit({
+		const isComplete = this.#waitingSteps.visit({
 			now,
 			isOverBudget,
 			explain: demand => pass.explainDemand(demand),
@@ -829,6 +805,7 @@
 				return pass.isCut && tasks.length > 0;
 			},
 		});
+		this.#isPassCut = !isComplete || this.#waitingSteps.hasChanges;
 		if (placed.length > 0) {
 			void this.#startRuns(placed);
 		}
--- a/packages/workflows/src/waiting-steps.ts
+++ b/packages/workflows/src/waiting-steps.ts
@@ -149,12 +149,8 @@
 
 	private constructor() {}
 
-	/** Takes up a job, and from then on its steps whenever they have waiting tasks. */
+	/** Takes up a job that has not ended, and from then on its steps whenever they have waiting tasks. */
 	add(job: ActiveJob): void {
-		if (job.isTerminal) {
-			return;
-		}
-
 		job.onWaiting = () => {
 			this.#changedJobs.add(job);
 		};
@@ -175,22 +171,31 @@
 		}
 	}
 
-	/** Opens what is due at the time `wall` and takes up what has changed; returns whether any step waits. */
-	update(wall: number): boolean {
+	/** Whether an update has left changes to the next one. */
+	get hasChanges(): boolean {
+		return this.#changedJobs.size > 0;
+	}
+
+	/** Opens what is due at the time `wall` and takes up what has changed, until the time is over; returns whether any step waits. */
+	update(wall: number, isOverBudget: () => boolean): boolean {
 		for (const job of this.#scheduledJobs) {
 			job.openOccurrences(wall);
 		}
 
 		for (const job of this.#changedJobs) {
 			job.openOccurrences(wall);
+			this.#changedJobs.delete(job);
 			for (const step of job.listOpenSteps()) {
 				if (step.hasWaitingTasks) {
 					this.#findQueue(step).add(step);
 				}
 			}
+
+			if (isOverBudget()) {
+				break;
+			}
 		}
 
-		this.#changedJobs.clear();
 		return this.#queueByStep.size > 0;
 	}
 
--- a/packages/workflows/tests/waiting-steps.test.ts
+++ b/packages/workflows/tests/waiting-steps.test.ts
@@ -28,7 +28,7 @@
 /** Visits the waiting steps; `place` is called with each, and `maxVisits` bounds their number. */
 function visit(steps: WaitingSteps, place: (step: StepState) => void, maxVisits = Number.POSITIVE_INFINITY): Visit {
 	const visited: string[] = [];
-	steps.update(now);
+	steps.update(now, () => false);
 	const isComplete = steps.visit({
 		now, isOverBudget: () => visited.length >= maxVisits, explain: () => undefined, place(waiting) {
 			visited.push(waiting.job.job.id);
@@ -129,7 +129,7 @@
 	visit(steps, fail('no-room'));
 	steps.remove(jobs[0]!);
 	t.deepEqual(visit(steps, start).visited, names(1, 2));
-	t.false(steps.update(now));
+	t.false(steps.update(now, () => false));
 });
 
 test('a job whose time is over goes behind one that can still be in time', t => {
