Create the tasks of a step once they are needed

Change: a step counts its tasks and creates them when one is placed, restored or listed. The observation counts such a step as a whole.

Tests: those of active jobs, progress, waits and histories hold unchanged; no new behaviour.

--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -173,7 +173,6 @@
 	}
 
 	readonly spec: StepSpec;
-	readonly tasks: readonly Task[];
 	/** Demand of one task under which no worker has crashed, or of the whole gang. */
 	readonly demand: Demand;
 	/** Number of tasks in each phase. */
@@ -186,16 +185,29 @@
 	suspectWaitReason: WaitReason | undefined;
 	/** Queue in which the step waits, which gives the reason where no pass has tried the step itself. */
 	queue: WaitQueue | undefined;
+	/** Time since which the step is known to wait while none of its tasks has been touched, on the monotonic clock. */
+	waitingSince: number | undefined;
+	#tasks: readonly Task[] | undefined;
 
 	private constructor(readonly job: ActiveJob, readonly occurrence: number, readonly step: number) {
 		this.spec = job.job.steps[step]!;
 		this.demand = Demand.create(this.spec, {count: this.spec.isGang ? this.spec.count : 1});
 		this.counts = PhaseCounts.create(this.spec.count);
-		this.tasks = Array.from({length: this.spec.count}, (_, index) => Task.create(job, this, index));
+	}
+
+	/** The step's tasks, which are created once they are needed: a job may wait for long with thousands of them. */
+	get tasks(): readonly Task[] {
+		this.#tasks ??= Array.from({length: this.spec.count}, (_, index) => this.#createTask(index));
+		return this.#tasks;
+	}
+
+	/** Whether no task of the step has been needed yet, so that all of them wait. */
+	get isUntouched(): boolean {
+		return this.#tasks === undefined;
 	}
 
 	get isDone(): boolean {
-		return this.counts.get('done') === this.tasks.length;
+		return this.counts.get('done') === this.counts.total;
 	}
 
 	/** Whether some task is assigned to no worker. */
@@ -214,6 +226,12 @@
 
 		return counts;
 	}
+
+	#createTask(index: number): Task {
+		const task = Task.create(this.job, this, index);
+		task.waitingSince = this.waitingSince;
+		return task;
+	}
 }
 
 /** A job that the holder schedules. */
@@ -289,6 +307,11 @@
 		return this.counts.get('starting') + this.counts.get('running') + this.counts.get('stopping') > 0;
 	}
 
+	/** Tasks that may have been assigned to a worker. */
+	get touchedTasks(): Task[] {
+		return this.steps.filter(step => !step.isUntouched).flatMap(step => step.tasks);
+	}
+
 	/** Creates the steps of the occurrences that are due at `wall`. */
 	openOccurrences(wall: number): void {
 		const {schedule} = this.job;
@@ -415,7 +438,7 @@
 			return {...key, value: {steps: this.#encodePart(row)} satisfies ProgressPartRow};
 		}
 
-		const steps = this.#isOver || tasksPerRow !== undefined ? [] : this.steps.flatMap(step => encodeStep(step, step.tasks));
+		const steps = this.#isOver || tasksPerRow !== undefined ? [] : this.steps.filter(step => !step.isUntouched).flatMap(step => encodeStep(step, step.tasks));
 		return {
 			...key, value: {
 				state, endedAt, ...(tasksPerRow === undefined ? {} : {tasksPerRow}), steps,
@@ -489,8 +512,8 @@
 		this.#occurrences.set(occurrence, steps);
 		this.#openOccurrences.set(occurrence, steps);
 		this.markStepsChanged();
-		for (const {tasks} of steps) {
-			this.counts.add('waiting', tasks.length);
+		for (const {counts} of steps) {
+			this.counts.add('waiting', counts.total);
 		}
 	}
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -196,7 +196,7 @@
 		const jobs = restoreJobs(submissions, saved, {monotonic: clock.readMonotonic(), wall: clock.readWall()}, this.#options.tables.limits);
 		for (const active of jobs) {
 			this.#addJob(active);
-			for (const task of active.tasks.filter(({incarnation}) => incarnation !== undefined)) {
+			for (const task of active.touchedTasks.filter(({incarnation}) => incarnation !== undefined)) {
 				this.#doubtfulRuns.add({task, endBy: earlierRunsEndBy});
 			}
 		}
@@ -496,7 +496,7 @@
 			log.info('job ended', {
 				job: active.job.id, queue: active.job.queue, state: active.state, ageMs: Math.round(clock.readMonotonic() - active.submittedAt),
 			});
-			for (const task of active.tasks) {
+			for (const task of active.touchedTasks) {
 				this.#endTask(task);
 			}
 		}
--- a/packages/workflows/src/wait-counts.ts
+++ b/packages/workflows/src/wait-counts.ts
@@ -17,6 +17,12 @@
 	/** Counts the tasks of a step and notes since when each of them waits. */
 	static create(step: StepState, now: number): StepWaits {
 		const waits = new StepWaits(step);
+		if (step.isUntouched) {
+			step.waitingSince ??= now;
+			waits.#counts.set('place', new Map([[step.waitingSince, step.counts.total]]));
+			return waits;
+		}
+
 		for (const task of step.tasks) {
 			waits.#count(task, now);
 		}
