Take only a complete listing as proof that a run is not on a worker

After a takeover, 148 tasks whose runs had ended done were started again.

Cause: a worker lists the ends that are not acknowledged 500 at a time. A run that was neither active nor among the listed ends was taken for one that never began. Without a takeover the same happens while the store is silent and more than 500 ends wait.

Change: the listing tells whether its ends are complete, and only then a missing run is released. The emulated workers now list 500 ends at a time, as the protocol says.

Ruled out: lost progress, a restart of the worker.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -27,6 +27,8 @@
 
 type EmulatedRun = {readonly key: RunKey; readonly startedAt: number; readonly task: EmulatedTask; isStopping: boolean};
 
+/** Maximum number of ends in a listing; the others follow once these are acknowledged. */
+const maxListedEnds = 500;
 const fullCapacity: Resources = {cpu: 8000, memory: 32_000, gpu: 0};
 const stopDelayMs = 300;
 /** Time from the start of a crashing task to the crash of its worker, and from there to its restart, in milliseconds. */
@@ -505,7 +507,8 @@
 			running: [...incarnation.runs.values()].map(run => ({
 				key: run.key, checkpoint: run.task.step.isCheckpointing ? createCheckpoint(run, now) : '', load: 0, percent: computePercent(run, now),
 			})),
-			ends: [...incarnation.ends],
+			ends: incarnation.ends.slice(0, maxListedEnds),
+			areEndsComplete: incarnation.ends.length <= maxListedEnds,
 		};
 	}
 
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -292,7 +292,7 @@
 				this.#applyRunEnd(session, end, changed);
 			}
 
-			this.#applyRuns(session, listing.running, sentAt, changed);
+			this.#applyRuns(session, listing, sentAt, changed);
 			this.#updateStates(changed);
 			this.#fillerThrottler.update(session);
 		});
@@ -567,7 +567,7 @@
 		}
 	}
 
-	#applyRuns(session: WorkerSession, running: readonly ListedRun[], sentAt: number, changed: Set<ActiveJob>): void {
+	#applyRuns(session: WorkerSession, {running, areEndsComplete}: WorkerListing, sentAt: number, changed: Set<ActiveJob>): void {
 		const now = this.#options.clock.readMonotonic();
 		const listedTasks = new Set<Task>();
 		const listedUnknownRuns = new Set<string>();
@@ -593,7 +593,8 @@
 			}
 		}
 
-		for (const task of session.tasks) {
+		// A run that is not listed may have ended as one of the ends that are not listed yet.
+		for (const task of areEndsComplete ? session.tasks : []) {
 			if (!listedTasks.has(task) && this.#isKnownEnded(session, task, sentAt)) {
 				this.#options.log.info('run not found on worker', {
 					job: task.job.job.id, task: task.name, run: task.run, worker: session.name, phase: task.phase,
--- a/packages/workflows/src/workers.ts
+++ b/packages/workflows/src/workers.ts
@@ -72,6 +72,8 @@
 	readonly clock: number;
 	readonly running: readonly ListedRun[];
 	readonly ends: readonly ListedEnd[];
+	/** Whether all ends that are not acknowledged are listed; a worker lists a limited number, the oldest first. */
+	readonly areEndsComplete: boolean;
 };
 
 export type LeaseRenewal = {
