Assign a worker no more starts than it takes within half a second

Cause: placement packs, so that some 200 starts were assigned to one worker which takes two at a time. The reason `start-queued` of `tasks wait`, new with the limit of orders, named 1,523 of 1,830 waits. Ruled out: planning (a pass took 12 ms at most), the store.

Change: the queue of orders measures how fast its worker takes them; a worker is assigned as many starts as it takes in 0.5 s, and the rest goes to others with room. Gangs are assigned together as before.

Tests: placement-passes.test.ts, four new cases of start slots (new behaviour; without slots three of them fail).

--- a/packages/scheduling/src/models.ts
+++ b/packages/scheduling/src/models.ts
@@ -91,6 +91,8 @@
 	readonly suspectLoad: number;
 	/** Whether the worker tests a suspect that must start alone, so that it gets no other task until that is proven. */
 	readonly isReserved: boolean;
+	/** Number of starts that may still be assigned to the worker before it has answered earlier ones; unlimited when omitted. Gangs don't count. */
+	readonly startSlots?: number;
 };
 
 export const noResources: Resources = {cpu: 0, memory: 0, gpu: 0};
--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -36,7 +36,7 @@
 		&& isWithin(getReservation(step), candidate.capacity);
 }
 
-/** Reports whether a worker has room for a further task of a step, whatever is reserved for suspects. */
+/** Reports whether a worker has room for a further task of a step, whatever is reserved for suspects and however many starts it has to answer. */
 export function hasRoom(candidate: Candidate, step: StepSpec, occupancy: StepOccupancy): boolean {
 	return isWithin(getReservation(step), candidate.free) && isEligible(candidate, step) && (occupancy.get(candidate.id) ?? 0) < (step.antiAffinity ?? Number.POSITIVE_INFINITY);
 }
@@ -60,7 +60,7 @@
 	let best: T | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		const isPossible = !candidate.isReserved && (suspectShare === 0 || candidate.suspectLoad + suspectShare <= maxSuspectLoad) && hasRoom(candidate, step, occupancy);
+		const isPossible = !candidate.isReserved && (step.isGang || candidate.startSlots !== 0) && (suspectShare === 0 || candidate.suspectLoad + suspectShare <= maxSuspectLoad) && hasRoom(candidate, step, occupancy);
 		const spreadPenalty = step.isLongRunning ? (occupancy.get(candidate.id) ?? 0) * spreadCost : 0;
 		const cost = isPossible ? computeCost(candidate, step, required, isSuspect) + spreadPenalty : Number.POSITIVE_INFINITY;
 		if (cost < bestCost) {
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -53,6 +53,8 @@
 	readonly #unprovenSessions = new Map<WorkerSession, boolean>();
 	/** Number of workers that may still be reserved for suspects that start alone. */
 	#reservableWorkers: number;
+	/** Number of starts that may still be assigned. */
+	#startSlots: number;
 	#isCut = false;
 
 	private constructor(options: PlacementPassOptions) {
@@ -61,6 +63,7 @@
 		const isOnly = options.candidates.length === 1;
 		this.#candidates = options.candidates.map(candidate => ({...candidate, isReserved: candidate.isReserved && !isOnly}));
 		this.#groups = CandidateGroups.create(this.#candidates);
+		this.#startSlots = this.#candidates.reduce((sum, {startSlots = Number.POSITIVE_INFINITY}) => sum + startSlots, 0);
 		this.#reservableWorkers = Math.max(1, Math.floor(options.candidates.length * reservableShare)) - this.#candidates.filter(({isReserved}) => isReserved).length;
 	}
 
@@ -99,6 +102,10 @@
 			return count > 1 ? 'gang-no-room' : 'no-room';
 		}
 
+		if (this.#startSlots <= 0 && count === 1) {
+			return 'start-queued';
+		}
+
 		return this.#failedDemands.getReason(demand);
 	}
 
@@ -199,8 +206,12 @@
 			return 'no-ticket';
 		}
 
-		const areReserved = allowed.some(({isReserved}) => isReserved);
-		return (demand.suspectShare > 0 || areReserved) && allowed.some(candidate => hasRoom(candidate, spec, occupancy)) ? 'suspect' : 'no-room';
+		const withRoom = allowed.filter(candidate => hasRoom(candidate, spec, occupancy));
+		if (withRoom.length === 0) {
+			return 'no-room';
+		}
+
+		return withRoom.every(({startSlots}) => startSlots === 0) ? 'start-queued' : 'suspect';
 	}
 
 	/** Remembers a failure that holds for other steps too: one that depends on neither the step's other tasks nor its tickets. */
@@ -221,6 +232,11 @@
 		session.addTask(task);
 		this.#unprovenSessions.set(session, true);
 		candidate.free = addResources(candidate.free, getReservation(task.spec), -1);
+		if (candidate.startSlots !== undefined) {
+			candidate.startSlots = Math.max(0, candidate.startSlots - 1);
+			this.#startSlots--;
+		}
+
 		candidate.suspectLoad += isSuspect(task) ? computeSuspectShare(task) : 0;
 		candidate.isReserved ||= isTestedAlone(task) && this.#candidates.length > 1;
 		if (isTestedAlone(task)) {
--- a/packages/workflows/src/starters.ts
+++ b/packages/workflows/src/starters.ts
@@ -56,6 +56,7 @@
 			return;
 		}
 
+		session.markSent(task);
 		task.phase = 'starting';
 		task.orderedAt = clock.readMonotonic();
 		task.progressedAt = task.orderedAt;
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -8,7 +8,7 @@
  * - `not-reached`: no planning pass has come to it.
  * - `restart-delay`: its last run failed a moment ago.
  * - `recording`: its assignment is being written.
- * - `start-queued`: its start waits for earlier orders to its worker.
+ * - `start-queued`: its start waits for earlier orders to its worker, or all workers with room have enough of such starts.
  * - `unconfirmed`: its worker has not confirmed the start.
  * - `stopping`: its last run is not known to have ended.
  */
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -35,6 +35,9 @@
 /** Consecutive failed calls after which a worker counts as unreachable and gets no new work. */
 const maxFailures = 2;
 
+/** Longest time for which a start should wait for those before it, in milliseconds; a sixth of the time for which no task may stand. */
+const maxStartWaitMs = 500;
+
 /** Rounding error of sums of fractional resources. */
 const roundingSlack: Resources = {cpu: 1e-6, memory: 1e-6, gpu: 1e-6};
 
@@ -99,6 +102,8 @@
 	readonly #tasks = new Set<Task>();
 	/** Resources that the assigned tasks reserve. */
 	#reserved: Resources = noResources;
+	/** Assigned tasks whose start has not been sent. */
+	readonly #unsentTasks = new Set<Task>();
 	/** Assigned tasks under which another worker has crashed. */
 	readonly #suspects = new Set<Task>();
 	/** Evidence against tasks whose lease has expired, if the worker turns out to have crashed before. */
@@ -139,7 +144,7 @@
 		this.record = options.record;
 		this.cordons = Cordons.create(options.clock);
 		this.health = WorkerHealth.create();
-		this.orders = OrderQueue.create({maxOpen: options.control.getOrderLimit()});
+		this.orders = OrderQueue.create({clock: options.clock, maxOpen: options.control.getOrderLimit()});
 		this.#lease = WorkerLease.create(options.earlierRunsEndBy);
 		this.#idleSince = options.clock.readMonotonic();
 		this.#listedAt = this.#idleSince;
@@ -239,6 +244,7 @@
 			servingTasks: this.#servingTasks,
 			fillerTasks: this.#fillerTasks,
 			suspectLoad: this.#suspectLoad,
+			startSlots: this.#startSlots,
 			isReserved: this.#suspects.size > 0 && [...this.#suspects].some(task => isTestedAlone(task)),
 		};
 	}
@@ -304,6 +310,10 @@
 	addTask(task: Task): void {
 		if (!this.#tasks.has(task)) {
 			this.#tasks.add(task);
+			if (task.phase === 'recorded') {
+				this.#unsentTasks.add(task);
+			}
+
 			if (isSuspect(task)) {
 				this.#suspects.add(task);
 			}
@@ -312,10 +322,16 @@
 		}
 	}
 
+	/** Notes that the start of a task is being sent. */
+	markSent(task: Task): void {
+		this.#unsentTasks.delete(task);
+	}
+
 	/** Unassigns a task and frees its resources. */
 	removeTask(task: Task): void {
 		if (this.#tasks.delete(task)) {
 			this.#suspects.delete(task);
+			this.#unsentTasks.delete(task);
 			this.#countTask(task, -1);
 		}
 
@@ -382,6 +398,11 @@
 		}
 	}
 
+	/** Number of starts that may be assigned now: as many as the worker takes within the longest wait, so that others with room get the rest. */
+	get #startSlots(): number {
+		return Math.max(0, Math.floor(maxStartWaitMs / this.orders.intervalMs) - this.#unsentTasks.size);
+	}
+
 	#countTask({spec}: Task, sign: 1 | -1): void {
 		this.#reserved = addResources(this.#reserved, getReservation(spec), sign);
 		this.#servingTasks += spec.targetMs === undefined ? 0 : sign;
--- a/packages/workflows/tests/placement-passes.test.ts
+++ b/packages/workflows/tests/placement-passes.test.ts
@@ -4,7 +4,7 @@
 import {type StepSpec} from '@tamarackwind/scheduling';
 import test from 'ava';
 import {
-	ActiveJob, AdviceCache, PlacementPass, type PlanCandidate, type WorkerSession,
+	ActiveJob, AdviceCache, PlacementPass, type PlanCandidate, type WaitReason, type WorkerSession,
 } from '../src/index.js';
 
 const workers = 8;
@@ -110,3 +110,47 @@
 		t.true(looks <= steps.length, `${looks} looks`);
 	});
 }
+
+type SlotCase = {
+	readonly name: string;
+	/** Start slots of each worker. */
+	readonly startSlots: readonly number[];
+	readonly spec: Partial<StepSpec>;
+	/** Number of tasks placed on each worker. */
+	readonly placed: readonly number[];
+	readonly reason: WaitReason | undefined;
+};
+
+const slotCases: readonly SlotCase[] = [
+	{
+		name: 'go to other workers once one has enough', startSlots: [4, 4], spec: {count: 6}, placed: [4, 2], reason: undefined,
+	},
+	{
+		name: 'wait once all workers have enough', startSlots: [4, 4], spec: {count: 10}, placed: [4, 4], reason: 'start-queued',
+	},
+	{
+		name: 'are not assigned to a worker without a slot', startSlots: [0, 4], spec: {count: 3}, placed: [0, 3], reason: undefined,
+	},
+	{
+		name: 'of a gang are assigned together', startSlots: [2, 2], spec: {count: 8, isGang: true}, placed: [8, 0], reason: undefined,
+	},
+];
+
+// Guards against starts that wait behind hundreds of others of one worker while the rest of the pool is idle.
+for (const {
+	name, startSlots, spec, placed, reason,
+} of slotCases) {
+	test(`pass: starts ${name}`, t => {
+		const candidates: PlanCandidate[] = startSlots.map((slots, index) => ({
+			id: `worker-${index}` as VmId, zone: 'zone-a' as ZoneName, labels: ['a'], capacity: {cpu: 64_000, memory: 64_000, gpu: 0}, free: {cpu: 64_000, memory: 64_000, gpu: 0}, suspicion: 0, servingTasks: 0, fillerTasks: 0, suspectLoad: 0, isReserved: false, startSlots: slots,
+			session: {record: {startedAt: 1}, addTask() {}} as unknown as WorkerSession,
+		}));
+		const pass = PlacementPass.create({
+			candidates, advice, now, isOverBudget: () => false,
+		});
+		const ready = createJob(0, 0, {...step, ...spec}).listReadySteps()[0]!;
+		const tasks = pass.placeStep(ready);
+		t.deepEqual(candidates.map(({id}) => tasks.filter(({incarnation}) => incarnation?.id === id).length), [...placed]);
+		t.is(ready.waitReason, reason);
+	});
+}
--- a/packages/workflows/tests/starters.test.ts
+++ b/packages/workflows/tests/starters.test.ts
@@ -15,7 +15,7 @@
 
 /** Orders to one worker that answers only when told to. */
 type Worker = {
-	readonly session: WorkerSession & {isReachable: boolean};
+	readonly session: {-readonly [Key in keyof WorkerSession]: WorkerSession[Key]};
 	readonly tasks: Task[];
 	/** Orders that were sent and not answered. */
 	readonly open: Array<{readonly name: string; readonly answer: () => void}>;
@@ -44,10 +44,10 @@
 		};
 		open.push(order);
 	});
-	const orders = OrderQueue.create({maxOpen});
+	const orders = OrderQueue.create({clock: SystemClock.create(), maxOpen});
 	const assigned = new Set(job.tasks);
 	const session = {
-		orders, tasks: assigned, name: 'worker-1', record: {id: 'worker-1' as VmId}, isReachable: true, isOverCapacity: false, health: {computeSuspicion: () => 0}, wake() {}, renewLease: () => 0, async checkSuspects() {}, removeTask(task: Task) {
+		orders, tasks: assigned, name: 'worker-1', record: {id: 'worker-1' as VmId}, isReachable: true, isOverCapacity: false, health: {computeSuspicion: () => 0}, wake() {}, markSent() {}, renewLease: () => 0, async checkSuspects() {}, removeTask(task: Task) {
 			assigned.delete(task);
 		},
 	} as unknown as Worker['session'];
@@ -59,7 +59,7 @@
 	for (const task of job.tasks) {
 		task.run = 1;
 		task.phase = 'recorded';
-		void starter.start(task, session, () => undefined);
+		void starter.start(task, session as WorkerSession, () => undefined);
 	}
 
 	return {
