Add the types of client accounts

Authentication, caps and shares are built side by side; all three need the account of a job and of the configuration. Nothing reads the types yet.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -15,6 +15,8 @@
 export type ServiceName = Branded<string, 'ServiceName'>;
 /** Id of a caller, the principal behind a bearer token. */
 export type CallerId = Branded<string, 'CallerId'>;
+/** Name of a client account, the owner of jobs on the users' platform. */
+export type AccountName = Branded<string, 'AccountName'>;
 /** Id of an operator, the principal behind an operator's bearer token. */
 export type OperatorId = Branded<string, 'OperatorId'>;
 /** Name of a team with a quota. */
--- a/packages/workflows/src/configurations.ts
+++ b/packages/workflows/src/configurations.ts
@@ -3,6 +3,7 @@
  */
 import {type ServiceName, type VmId} from '@tamarackwind/core';
 import {type QueuePolicy} from '@tamarackwind/scheduling';
+import {type ClientAccount} from './accounts.js';
 
 /** A queue: the host and path at which its jobs are submitted, and the pool that runs them. */
 export type Queue = {
@@ -13,6 +14,8 @@
 	/** Maximum response time for a client's request, in milliseconds. */
 	readonly timeoutMs: number;
 	readonly policy: QueuePolicy;
+	/** Whether requests need no key of an account; has no meaning without accounts. */
+	readonly isOpen?: boolean;
 };
 
 /** A pool of VMs; its name is also the name of its service. */
@@ -30,6 +33,8 @@
 	readonly queues: readonly Queue[];
 	readonly pools: readonly Pool[];
 	readonly limits: RequestLimits;
+	/** Client accounts; `undefined` where requests are not authenticated. */
+	readonly accounts?: readonly ClientAccount[];
 };
 
 /** A wave of VM maintenance that the operator has requested. */
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -1,3 +1,4 @@
+export * from './accounts.js';
 export * from './bounds.js';
 export * from './timings.js';
 export * from './jobs.js';
--- a/packages/workflows/src/jobs.ts
+++ b/packages/workflows/src/jobs.ts
@@ -1,7 +1,9 @@
 /**
  * Types of multi-step jobs and the keys of their tasks and runs.
  */
-import {type JobId, type ServiceName, type VmId} from '@tamarackwind/core';
+import {
+	type AccountName, type JobId, type ServiceName, type VmId,
+} from '@tamarackwind/core';
 import {type QueuePolicy, type StepSpec} from '@tamarackwind/scheduling';
 
 /** Recurrence of a job's steps. */
@@ -33,6 +35,8 @@
 	readonly policy: QueuePolicy;
 	/** Time of acceptance, in milliseconds since the Unix epoch by the clock of the accepting entry. */
 	readonly submittedAt: number;
+	/** Account that owns the job; `undefined` where it was submitted without one. */
+	readonly account?: AccountName;
 };
 
 export type JobState = 'queued' | 'running' | 'succeeded' | 'failed' | 'cancelled';
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -3,7 +3,7 @@
  */
 import * as z from 'zod';
 import {
-	type JobId, type RackName, type ServiceName, type VmId,
+	type AccountName, type JobId, type RackName, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {type Job} from './jobs.js';
@@ -48,6 +48,7 @@
 	schedule: z.object({repetitions: z.int(), firstAt: z.number(), intervalMs: z.number()}).optional(),
 	policy: policySchema,
 	submittedAt: z.number(),
+	account: z.string().transform(name => name as AccountName).optional(),
 });
 
 /** Row in place of a permanently refused job, which makes a late write of the job fail. */
