Authenticate callers by the keys of their accounts, and keep owners of jobs

Cause: a configuration with accounts asks that a closed queue serves only requests with a known key, and that a job can be used only by the account that submitted it. The platform's `tenants` and `public` were ignored.

Submissions, cancellations and queries compare the principal with the owner in the job's row or in the head row of its progress, so that no further store call is needed; a submission that joins one in flight compares with the owner that was settled. `JobSubmitter.submit` and `cancel` take a principal, and `getState` became `getStatus`, so their callers in tests changed with them; the assertions are as strict as before.

--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -11,7 +11,7 @@
 } from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {
-	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice, type Schedule,
+	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, UncheckedPrincipal, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice, type Schedule,
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
@@ -38,6 +38,8 @@
 /** Limits of the emulated store. */
 const storeLimits: TableLimits = {valueBytes: 49_152, transactionBytes: 690_000, transactionEntries: 100};
 const callDelayMs = 4;
+/** Principal of all requests, since the emulated configuration has no accounts. */
+const unchecked = UncheckedPrincipal.create();
 const timeoutMs = 1000;
 
 /** Injects faults into one entry's calls of the tables. */
@@ -296,7 +298,7 @@
 	/** Repeats the submission of a job at an entry whose configuration sends the queue to the given service; resolves to the outcome. */
 	async repeatSubmission(id: JobId, service: string, entry: EmulatedEntry): Promise<string> {
 		const {job} = this.fleet.jobs.get(id)!;
-		return entry.submitter.submit({...job, service: service as ServiceName, queue: service});
+		return entry.submitter.submit({...job, service: service as ServiceName, queue: service}, unchecked);
 	}
 
 	/** Cancels a job and records the time of the acknowledgement. */
@@ -307,7 +309,7 @@
 			try {
 				this.cancelled.add(id);
 				this.fleet.cancelRequested.add(id);
-				if (await entry.submitter.cancel(id)) {
+				if (await entry.submitter.cancel(id, unchecked) === 'cancelled') {
 					this.fleet.cancelledAt.set(id, this.clock.readMonotonic());
 				}
 			} catch {
@@ -326,14 +328,15 @@
 
 	/** Reads the state of a job as a client does. */
 	async getState(id: JobId): Promise<string | undefined> {
-		return this.#entries[0]!.queries.getState(this.fleet.jobs.get(id)!.job.service, id);
+		const status = await this.#entries[0]!.queries.getStatus(this.fleet.jobs.get(id)!.job.service, id);
+		return status?.state;
 	}
 
 	async #trySubmit(job: Job): Promise<string> {
 		const entry = this.random.pickItem(this.#entries);
 		return entry === undefined
 			? 'unknown'
-			: Promise.race([entry.submitter.submit(job), (async () => {
+			: Promise.race([entry.submitter.submit(job, unchecked), (async () => {
 				await this.clock.sleep(3000);
 				return 'unknown';
 			})()]);
--- a/packages/testing/tests/queue-moves.test.ts
+++ b/packages/testing/tests/queue-moves.test.ts
@@ -1,4 +1,5 @@
 import {type JobId} from '@tamarackwind/core';
+import {UncheckedPrincipal} from '@tamarackwind/workflows';
 import test from 'ava';
 import {createStep, EmulatedSystem, type EmulatedEntry} from '../src/index.js';
 
@@ -140,15 +141,15 @@
 	const {service} = fleet.jobs.get(id)!.job;
 	const other = services.find(candidate => candidate !== service)!;
 	const entry = pickEntry(system, 1);
-	const before = entry.queries.getState(other as typeof service, id);
+	const before = entry.queries.getStatus(other as typeof service, id);
 	await clock.run(500);
-	t.is(await before, 'running');
+	t.is((await before)?.state, 'running');
 	t.is(fleet.countRunning(id), tasks);
-	const cancelled = entry.submitter.cancel(id);
+	const cancelled = entry.submitter.cancel(id, UncheckedPrincipal.create());
 	await clock.run(2000);
-	t.true(await cancelled);
+	t.is(await cancelled, 'cancelled');
 	t.is(fleet.countRunning(id), 0);
-	const after = entry.queries.getState(other as typeof service, id);
+	const after = entry.queries.getStatus(other as typeof service, id);
 	await clock.run(500);
-	t.is(await after, 'cancelled');
+	t.is((await after)?.state, 'cancelled');
 });
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -431,7 +431,7 @@
 
 	/** Encodes a progress row for the next holder. */
 	encodeProgressRow(row: number): Write {
-		const {state, endedAt} = this;
+		const {state, endedAt, job: {account}} = this;
 		const {tasksPerRow} = this.#layout;
 		const key = this.#layout.getKey(this.job, row);
 		if (row !== headRow) {
@@ -441,7 +441,7 @@
 		const steps = this.#isOver || tasksPerRow !== undefined ? [] : this.steps.filter(step => !step.isUntouched).flatMap(step => encodeStep(step, step.tasks));
 		return {
 			...key, value: {
-				state, endedAt, ...(tasksPerRow === undefined ? {} : {tasksPerRow}), steps,
+				state, endedAt, ...(tasksPerRow === undefined ? {} : {tasksPerRow}), ...(account === undefined ? {} : {account}), steps,
 			} satisfies ProgressRow,
 		};
 	}
--- a/packages/workflows/src/bounds.ts
+++ b/packages/workflows/src/bounds.ts
@@ -10,6 +10,8 @@
 	readonly fleetLeaseMs: number;
 	/** Time within which a configuration must apply at every entry. */
 	readonly configurationMs: number;
+	/** Time within which a revoked key must be refused even by an entry that can't reach the store; infinite where that is not required. */
+	readonly revocationMs: number;
 	/** Time within which a cancelled job must not start further tasks. */
 	readonly cancellationMs: number;
 	/** Time within which an accepted job must be visible to callers. */
@@ -35,6 +37,7 @@
 	maxWorkerLeaseMs: 10_000,
 	fleetLeaseMs: 3000,
 	configurationMs: 2000,
+	revocationMs: Number.POSITIVE_INFINITY,
 	cancellationMs: 3000,
 	visibilityMs: 3000,
 	gangStartMs: 3000,
--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -3,12 +3,11 @@
  */
 import {readErrorMessage, type Clock} from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
+import {AccountDirectory} from './account-directories.js';
 import {type Configuration, type WaveRequest} from './configurations.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
-import {declarationRetryMs, type Timings} from './timings.js';
+import {declarationRetryMs, minDeclarationWatchMs, type Timings} from './timings.js';
 
-/** Minimum wait of a watch, in milliseconds: bounds the calls while the store is very slow. */
-const minWatchMs = 100;
 /** Time by which two watches together end before the configuration counts as stale, in milliseconds. */
 const watchMarginMs = 50;
 
@@ -47,6 +46,7 @@
 	readonly waves = new Map<string, WaveRequest>();
 	readonly #options: DeclarationWatcherOptions;
 	#configuration: Configuration | undefined;
+	#accounts: AccountDirectory | undefined;
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#version: number | undefined;
 	/** Time beyond its wait that the last watch without a change took, in milliseconds. */
@@ -62,6 +62,11 @@
 		return this.#configuration;
 	}
 
+	/** Accounts of that configuration by key; `undefined` where requests are not authenticated. */
+	get accounts(): AccountDirectory | undefined {
+		return this.#accounts;
+	}
+
 	/** Time since the store last confirmed the configuration as the newest, in milliseconds. */
 	get ageMs(): number {
 		return this.#options.clock.readBootTime() - this.#confirmedAt;
@@ -71,6 +76,11 @@
 		return this.#configuration !== undefined && this.ageMs < this.#options.timings.staleConfigurationMs;
 	}
 
+	/** Whether the configuration is recent enough to tell which keys are valid. */
+	get hasFreshKeys(): boolean {
+		return this.#configuration !== undefined && this.ageMs < this.#options.timings.staleKeysMs;
+	}
+
 	close(): void {
 		this.#isClosed = true;
 	}
@@ -131,11 +141,11 @@
 		this.#version = outcome.version;
 	}
 
-	/** Computes the wait of the next watch. A watch confirms the configuration as of its start, so two of them have to end before it counts as stale. */
+	/** Computes the wait of the next watch. A watch confirms the configuration as of its start, so two of them have to end before it counts as stale, for keys or at all. */
 	#computeWaitMs(): number {
-		const {declarationWatchMs, staleConfigurationMs} = this.#options.timings;
-		const remainingMs = (staleConfigurationMs / 2) - this.#answerMs - watchMarginMs;
-		return Math.floor(Math.max(minWatchMs, Math.min(declarationWatchMs, remainingMs)));
+		const {declarationWatchMs, staleKeysMs} = this.#options.timings;
+		const remainingMs = (staleKeysMs / 2) - this.#answerMs - watchMarginMs;
+		return Math.floor(Math.max(minDeclarationWatchMs, Math.min(declarationWatchMs, remainingMs)));
 	}
 
 	#apply(key: string, value: unknown): void {
@@ -147,8 +157,7 @@
 		try {
 			const declaration = codec.decode(key, value);
 			if (declaration.kind === 'configuration' && declaration.configuration.version > (this.#configuration?.version ?? -1)) {
-				log.info('configuration in force', {version: declaration.configuration.version, before: this.#configuration?.version, queues: declaration.configuration.queues.length});
-				this.#configuration = declaration.configuration;
+				this.#replaceConfiguration(declaration.configuration);
 			} else if (declaration.kind === 'wave') {
 				this.waves.set(declaration.wave.id, declaration.wave);
 			}
@@ -156,4 +165,19 @@
 			log.warn('declaration is invalid', {key, error: readErrorMessage(error)});
 		}
 	}
+
+	#replaceConfiguration(configuration: Configuration): void {
+		const {log} = this.#options;
+		const {version, queues, accounts} = configuration;
+		const directory = accounts === undefined ? undefined : AccountDirectory.create(accounts);
+		log.info('configuration in force', {
+			version, before: this.#configuration?.version, queues: queues.length, accounts: accounts?.length,
+		});
+		if (directory !== undefined && directory.conflicts.length > 0) {
+			log.warn('keys of several accounts count for none', {version, accounts: directory.conflicts});
+		}
+
+		this.#configuration = configuration;
+		this.#accounts = directory;
+	}
 }
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -1,4 +1,6 @@
 export * from './accounts.js';
+export * from './account-directories.js';
+export * from './principals.js';
 export * from './bounds.js';
 export * from './timings.js';
 export * from './jobs.js';
--- a/packages/workflows/src/job-queries.ts
+++ b/packages/workflows/src/job-queries.ts
@@ -1,7 +1,7 @@
 /**
  * Reads the states of jobs from the tables, for responses to clients.
  */
-import {type JobId, type ServiceName} from '@tamarackwind/core';
+import {type AccountName, type JobId, type ServiceName} from '@tamarackwind/core';
 import {getKeyAfter, type WatchableTableService} from '@tamarackwind/clients';
 import {isTerminal, type JobState} from './jobs.js';
 import {
@@ -9,8 +9,11 @@
 } from './table-keys.js';
 import {decodeJob, decodeProgress} from './records.js';
 
+/** State of a job and the account that owns it; a job without an owner has none. */
+export type JobStatus = {readonly state: JobState; readonly account: AccountName | undefined};
+
 /** Maximum number of cached terminal states, which never change. */
-const maxCachedStates = 4096;
+const maxCachedStatuses = 4096;
 
 /** Reads the states of jobs. */
 export class JobQueries {
@@ -18,32 +21,37 @@
 		return new JobQueries(tables);
 	}
 
-	readonly #cachedStates = new Map<JobId, JobState>();
+	readonly #cachedStatuses = new Map<JobId, JobStatus>();
 
 	private constructor(private readonly tables: WatchableTableService) {}
 
-	/** Reads the state of a job; `undefined` when there is no such job. `service` is the one that its queue belongs to now, which may differ from the one that runs the job. */
-	async getState(service: ServiceName, id: JobId): Promise<JobState | undefined> {
-		const cached = this.#cachedStates.get(id);
+	/** Reads the state and the owner of a job; `undefined` when there is no such job. `service` is the one that its queue belongs to now, which may differ from the one that runs the job. */
+	async getStatus(service: ServiceName, id: JobId): Promise<JobStatus | undefined> {
+		const cached = this.#cachedStatuses.get(id);
 		if (cached !== undefined) {
 			return cached;
 		}
 
-		const state = await this.#readProgressState(service, id) ?? await this.#readSubmissionState(service, id);
-		if (state !== undefined) {
-			this.#storeState(id, state);
+		const status = await this.#readProgress(service, id) ?? await this.#readSubmission(service, id);
+		if (status !== undefined) {
+			this.#storeStatus(id, status);
 		}
 
-		return state;
+		return status;
 	}
 
-	/** Reads the state in the progress row, which includes a cancellation once the holder has processed it. */
-	async #readProgressState(service: ServiceName, id: JobId): Promise<JobState | undefined> {
-		const progress = await this.tables.getRow(getProgressKey(service, id));
-		return progress === undefined ? undefined : decodeProgress(progress.value).state;
+	/** Reads the head row of the progress, which includes a cancellation once the holder has processed it. */
+	async #readProgress(service: ServiceName, id: JobId): Promise<JobStatus | undefined> {
+		const row = await this.tables.getRow(getProgressKey(service, id));
+		if (row === undefined) {
+			return undefined;
+		}
+
+		const {state, account} = decodeProgress(row.value);
+		return {state, account};
 	}
 
-	async #readSubmissionState(service: ServiceName, id: JobId): Promise<JobState | undefined> {
+	async #readSubmission(service: ServiceName, id: JobId): Promise<JobStatus | undefined> {
 		const {rows} = await this.tables.readRange(jobTable, {
 			partition: getSubmissionPartition(id), from: getJobKey(id).key, to: getKeyAfter(getCancelKey(id).key),
 		});
@@ -53,16 +61,16 @@
 			return undefined;
 		}
 
-		const state = job.service === service ? undefined : await this.#readProgressState(job.service, id);
-		return state ?? (rows.some(({key}) => parseCancelKey(key) === id) ? 'cancelled' : 'queued');
+		const progress = job.service === service ? undefined : await this.#readProgress(job.service, id);
+		return progress ?? {state: rows.some(({key}) => parseCancelKey(key) === id) ? 'cancelled' : 'queued', account: job.account};
 	}
 
-	#storeState(id: JobId, state: JobState): void {
-		if (isTerminal(state)) {
-			this.#cachedStates.set(id, state);
-			const oldest = this.#cachedStates.size > maxCachedStates ? this.#cachedStates.keys().next().value : undefined;
+	#storeStatus(id: JobId, status: JobStatus): void {
+		if (isTerminal(status.state)) {
+			this.#cachedStatuses.set(id, status);
+			const oldest = this.#cachedStatuses.size > maxCachedStatuses ? this.#cachedStatuses.keys().next().value : undefined;
 			if (oldest !== undefined) {
-				this.#cachedStates.delete(oldest);
+				this.#cachedStatuses.delete(oldest);
 			}
 		}
 	}
--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -2,13 +2,14 @@
  * Accepts submitted jobs at an entry. Each job is one conditional insert; inserts are batched into one transaction at a time per partition.
  */
 import {
-	readErrorMessage, VerdictError, type Clock, type JobId, type ServiceName,
+	readErrorMessage, VerdictError, type AccountName, type Clock, type JobId, type ServiceName,
 } from '@tamarackwind/core';
 import {
 	absentVersion, AdaptiveTimeout, platformBusyCode, type Row, type WatchableTableService,
 } from '@tamarackwind/clients';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type Job} from './jobs.js';
+import {type Principal} from './principals.js';
 import {getCancelKey, getJobKey, getSubmissionPartition} from './table-keys.js';
 import {encodeJob, tombstone, type SubmissionRow} from './records.js';
 
@@ -16,8 +17,19 @@
  * - `accepted`: the job is durable, written by this or an earlier attempt.
  * - `refused`: this attempt has not written the job and never will.
  * - `unknown`: the write may still take effect.
+ * - `foreign`: a job with this id belongs to another account; this attempt has not changed it.
  */
-export type SubmitOutcome = 'accepted' | 'refused' | 'unknown';
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'foreign';
+
+/**
+ * - `cancelled`: the job will start no further tasks.
+ * - `absent`: there is no such job.
+ * - `foreign`: the job belongs to another account; nothing was changed.
+ */
+export type CancelOutcome = 'cancelled' | 'absent' | 'foreign';
+
+/** Outcome of a submission regardless of who made it, with the owner of an accepted job. */
+type Settlement = {readonly outcome: 'accepted'; readonly account: AccountName | undefined} | {readonly outcome: 'refused' | 'unknown'};
 
 export type JobSubmitterOptions = {
 	readonly clock: Clock;
@@ -44,7 +56,7 @@
 	minMs: 500, maxMs: 1500, factor: 2, windowMs: 5000,
 };
 
-type PendingSubmission = {readonly job: Job; readonly row: SubmissionRow; readonly bytes: number; readonly submittedAt: number; readonly resolve: (outcome: SubmitOutcome) => void; expectedVersion: number; isResolved: boolean};
+type PendingSubmission = {readonly job: Job; readonly row: SubmissionRow; readonly bytes: number; readonly submittedAt: number; readonly resolve: (settlement: Settlement) => void; expectedVersion: number; isResolved: boolean};
 
 /** Accepts and cancels jobs. */
 export class JobSubmitter {
@@ -56,7 +68,7 @@
 	/** Unsent submissions, by partition. */
 	readonly #queues = new Map<string, PendingSubmission[]>();
 	/** Outcomes of the jobs that are being submitted; a transaction must not write a row twice. */
-	readonly #pending = new Map<JobId, Promise<SubmitOutcome>>();
+	readonly #pending = new Map<JobId, Promise<Settlement>>();
 	/** Time at which the in-flight transaction of each partition was sent, on the monotonic clock. */
 	readonly #sentAt = new Map<string, number>();
 	/** Time of the last response of the store, on the monotonic clock. */
@@ -77,30 +89,48 @@
 		return bytes > valueBytes ? `job takes ${bytes} bytes, more than the ${valueBytes} bytes that a row of the store holds` : undefined;
 	}
 
-	/** Submits a job; a job that already exists is accepted again, and one that is being submitted by another request gets the outcome of that. While the outcome of earlier submissions is in doubt, the job is refused immediately without an attempt. */
-	async submit(job: Job): Promise<SubmitOutcome> {
-		const pending = this.#pending.get(job.id) ?? this.#submit(job);
-		this.#pending.set(job.id, pending);
+	/** Reports whether a job is being submitted by some request. */
+	isSubmitting(id: JobId): boolean {
+		return this.#pending.has(id);
+	}
+
+	/**
+	 * Submits a job; a job that already exists is accepted again if the principal has access to it, and one that is being submitted by
+	 * another request gets the outcome of that. While the outcome of earlier submissions is in doubt, the job is refused immediately without
+	 * an attempt.
+	 */
+	async submit(job: Job, principal: Principal): Promise<SubmitOutcome> {
+		let pending = this.#pending.get(job.id);
+		if (pending === undefined) {
+			pending = this.#submitFirst(job);
+			this.#pending.set(job.id, pending);
+		}
+
+		const settlement = await pending;
+		return settlement.outcome !== 'accepted' || principal.hasAccess(settlement.account) ? settlement.outcome : 'foreign';
+	}
+
+	async #submitFirst(job: Job): Promise<Settlement> {
 		try {
-			return await pending;
+			return await this.#submit(job);
 		} finally {
 			this.#pending.delete(job.id);
 		}
 	}
 
-	async #submit(job: Job): Promise<SubmitOutcome> {
+	async #submit(job: Job): Promise<Settlement> {
 		const partition = getSubmissionPartition(job.id);
 		if (this.#isInDoubt(job.service)) {
 			this.#options.log.info('submission refused', {job: job.id, queue: job.queue, reason: 'earlier submissions have no response yet'});
-			return 'refused';
+			return {outcome: 'refused'};
 		}
 
 		const row = encodeJob(job);
 		return new Promise(resolve => {
 			const pending: PendingSubmission = {
-				job, row, bytes: countBytes(row), resolve(outcome) {
+				job, row, bytes: countBytes(row), resolve(settlement) {
 					pending.isResolved = true;
-					resolve(outcome);
+					resolve(settlement);
 				}, submittedAt: this.#options.clock.readMonotonic(), expectedVersion: absentVersion, isResolved: false,
 			};
 			const queue = this.#queues.get(partition);
@@ -117,15 +147,18 @@
 	/**
 	 * Cancels a job.
 	 *
-	 * @returns whether the job exists.
 	 * @throws {VerdictError} when the outcome is unknown.
 	 */
-	async cancel(id: JobId): Promise<boolean> {
+	async cancel(id: JobId, principal: Principal): Promise<CancelOutcome> {
 		const {tables} = this.#options;
 		const key = getJobKey(id);
 		const row = await tables.getRow(key);
 		if (row === undefined || isTombstone(row)) {
-			return false;
+			return 'absent';
+		}
+
+		if (!principal.hasAccess(getOwner(row))) {
+			return 'foreign';
 		}
 
 		const outcome = await tables.commit({
@@ -133,7 +166,7 @@
 			writes: [{...getCancelKey(id), value: {}}],
 			isRepeatable: true,
 		});
-		return outcome.status === 'committed' || await tables.getRow(getCancelKey(id)) !== undefined;
+		return outcome.status === 'committed' || await tables.getRow(getCancelKey(id)) !== undefined ? 'cancelled' : 'absent';
 	}
 
 	/** Reports whether an earlier outcome of the service is open, or the store has not responded since its oldest transaction was sent and that is long ago. */
@@ -191,7 +224,7 @@
 	#refuseUnsent(unsent: readonly PendingSubmission[]): void {
 		for (const {job, resolve} of unsent) {
 			this.#options.log.info('submission refused', {job: job.id, queue: job.queue, reason: 'the preceding batch failed'});
-			resolve('refused');
+			resolve({outcome: 'refused'});
 		}
 	}
 
@@ -206,8 +239,10 @@
 			});
 			if (outcome.status === 'committed') {
 				for (const {job, resolve} of remaining) {
-					this.#options.log.info('job accepted', {job: job.id, queue: job.queue, version: outcome.version});
-					resolve('accepted');
+					this.#options.log.info('job accepted', {
+						job: job.id, queue: job.queue, account: job.account, version: outcome.version,
+					});
+					resolve({outcome: 'accepted', account: job.account});
 				}
 
 				return;
@@ -230,7 +265,7 @@
 		}
 	}
 
-	/** Accepts the jobs that already exist; returns those that may still be written, including over a tombstone. */
+	/** Resolves the jobs that already exist, with their owners; returns those that may still be written, including over a tombstone. */
 	async #resolveConflicts(remaining: readonly PendingSubmission[], conflicts: ReadonlySet<string>): Promise<PendingSubmission[]> {
 		const retried: PendingSubmission[] = [];
 		for (const pending of remaining) {
@@ -242,7 +277,7 @@
 			const row = await this.#options.tables.getRow(getJobKey(pending.job.id));
 			if (row !== undefined && !isTombstone(row)) {
 				this.#options.log.info('job accepted before', {job: pending.job.id, queue: pending.job.queue, version: row.version});
-				pending.resolve('accepted');
+				pending.resolve({outcome: 'accepted', account: getOwner(row)});
 			} else {
 				pending.expectedVersion = row?.version ?? absentVersion;
 				retried.push(pending);
@@ -261,7 +296,7 @@
 			jobs: batch.map(({job}) => job.id).slice(0, 5), count: batch.length, isUnsent, error: readErrorMessage(error),
 		});
 		await Promise.all(batch.map(async pending => {
-			pending.resolve(isUnsent ? 'refused' : await this.#settleJob(pending));
+			pending.resolve(isUnsent ? {outcome: 'refused'} : await this.#settleJob(pending));
 		}));
 		this.#countUnsettled(services, -1);
 	}
@@ -273,7 +308,7 @@
 	}
 
 	/** Determines the outcome of one job: writes a tombstone in its place, so that a late write of it fails, or finds that the job exists. */
-	async #settleJob({job, submittedAt, expectedVersion}: PendingSubmission): Promise<SubmitOutcome> {
+	async #settleJob({job, submittedAt, expectedVersion}: PendingSubmission): Promise<Settlement> {
 		const {clock, tables, log} = this.#options;
 		const key = getJobKey(job.id);
 		const deadline = submittedAt + maxSettleMs;
@@ -283,16 +318,16 @@
 				const outcome = await tables.commit({checks: [{...key, version: expectedVersion}], writes: [{...key, value: tombstone}], isRepeatable: true});
 				if (outcome.status === 'committed') {
 					log.info('job refused permanently', {job: job.id, queue: job.queue, version: outcome.version});
-					return 'refused';
+					return {outcome: 'refused'};
 				}
 
 				const row = await tables.getRow(key);
 				if (row !== undefined && !isTombstone(row)) {
 					log.info('job accepted', {job: job.id, queue: job.queue, version: row.version});
-					return 'accepted';
+					return {outcome: 'accepted', account: getOwner(row)};
 				}
 
-				return 'refused';
+				return {outcome: 'refused'};
 			} catch (error) {
 				log.warn('determining the outcome of a submission failed', {job: job.id, attempt, error: readErrorMessage(error)});
 				const remainingMs = startedAt + settleIntervalMs - clock.readMonotonic();
@@ -302,7 +337,7 @@
 			}
 		}
 
-		return 'unknown';
+		return {outcome: 'unknown'};
 	}
 }
 
@@ -313,3 +348,8 @@
 function isTombstone(row: Row): boolean {
 	return 'isRefused' in (row.value as SubmissionRow);
 }
+
+/** Returns the account of a submitted job's row. */
+function getOwner(row: Row): AccountName | undefined {
+	return (row.value as Partial<Job>).account;
+}
--- a/packages/workflows/src/progress-layouts.ts
+++ b/packages/workflows/src/progress-layouts.ts
@@ -23,9 +23,10 @@
 
 /** Maps the tasks of one job to its progress rows. */
 export class ProgressLayout {
-	/** Creates the layout for a job without progress. */
-	static create(spec: JobSpec, {valueBytes}: TableLimits): ProgressLayout {
-		const limit = Math.max(1, Math.floor(valueBytes / maxTaskBytes));
+	/** Creates the layout for a job without progress; the first row also holds the account of the job. */
+	static create(spec: JobSpec & Pick<Job, 'account'>, {valueBytes}: TableLimits): ProgressLayout {
+		const accountBytes = spec.account === undefined ? 0 : Buffer.byteLength(JSON.stringify({account: spec.account}));
+		const limit = Math.max(1, Math.floor((valueBytes - accountBytes) / maxTaskBytes));
 		return new ProgressLayout(spec, countTasks(spec) <= Math.min(maxSingleRowTasks, limit) ? undefined : Math.min(maxTasksPerRow, limit));
 	}
 
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -32,6 +32,8 @@
 	mayMiss: z.int().optional(),
 });
 
+const accountSchema = z.string().transform(name => name as AccountName);
+
 const policySchema = z.object({
 	priority: z.int(),
 	maxAttempts: z.int(),
@@ -48,7 +50,7 @@
 	schedule: z.object({repetitions: z.int(), firstAt: z.number(), intervalMs: z.number()}).optional(),
 	policy: policySchema,
 	submittedAt: z.number(),
-	account: z.string().transform(name => name as AccountName).optional(),
+	account: accountSchema.optional(),
 });
 
 /** Row in place of a permanently refused job, which makes a late write of the job fail. */
@@ -100,6 +102,8 @@
 	endedAt: z.number().optional(),
 	/** Number of tasks in each further row of a job whose progress does not fit into one row. */
 	tasksPerRow: z.int().min(1).optional(),
+	/** Account that owns the job. */
+	account: accountSchema.optional(),
 	steps: z.array(stepProgressSchema),
 });
 
--- a/packages/workflows/src/timings.ts
+++ b/packages/workflows/src/timings.ts
@@ -34,6 +34,8 @@
 	readonly declarationWatchMs: number;
 	/** Time since the store's last confirmation after which the configuration counts as stale. */
 	readonly staleConfigurationMs: number;
+	/** The same for the keys of accounts, which may have been revoked since; at most `staleConfigurationMs`. */
+	readonly staleKeysMs: number;
 	/** Maximum wait of one watch on submissions and cancellations. */
 	readonly submissionWatchMs: number;
 	/** Maximum age of the count of waiting jobs in a response to a caller. */
@@ -54,6 +56,8 @@
 
 /** Delay before a failed watch of the declarations is repeated, in milliseconds. */
 export const declarationRetryMs = 60;
+/** Minimum wait of a watch of the declarations, in milliseconds: bounds the calls while the store is very slow. */
+export const minDeclarationWatchMs = 100;
 /** Delay after a failed call to a worker, in milliseconds. */
 export const workerRetryMs = 150;
 /** Longest pause before a candidate with the smallest share of a core acquires a vacant scheduler lease, in milliseconds. */
@@ -89,6 +93,7 @@
 	watchSlackOfConfiguration: 0.35,
 	declarationWatchOfConfiguration: 0.35,
 	staleOfConfiguration: 0.8,
+	staleOfRevocation: 0.8,
 	submissionWatchOfCancellation: 1 / 3,
 	countAgeOfVisibility: 0.6,
 	readyAgeOfContact: 5 / 6,
@@ -150,6 +155,7 @@
 	const workerLeaseMs = Math.min(preferred.workerLeaseMs, bounds.maxWorkerLeaseMs);
 	const schedulerTermMs = Math.min(preferred.schedulerTermMs, workerLeaseMs * shares.termOfLease);
 	const orderTimeoutMs = Math.min(preferred.orderTimeoutMs, bounds.gangStartMs * shares.orderTimeoutOfGangStart);
+	const staleConfigurationMs = Math.min(preferred.staleConfigurationMs, bounds.configurationMs * shares.staleOfConfiguration);
 	return {
 		workerLeaseMs,
 		longPollMs: Math.floor(Math.min(preferred.longPollMs, workerLeaseMs * shares.longPollOfLease)),
@@ -162,7 +168,8 @@
 		schedulerRefreshMs: schedulerTermMs * shares.refreshOfTerm,
 		watchSlackMs: Math.floor(Math.min(preferred.watchSlackMs, bounds.configurationMs * shares.watchSlackOfConfiguration)),
 		declarationWatchMs: Math.floor(Math.min(preferred.declarationWatchMs, bounds.configurationMs * shares.declarationWatchOfConfiguration)),
-		staleConfigurationMs: Math.min(preferred.staleConfigurationMs, bounds.configurationMs * shares.staleOfConfiguration),
+		staleConfigurationMs,
+		staleKeysMs: Math.min(staleConfigurationMs, bounds.revocationMs * shares.staleOfRevocation),
 		submissionWatchMs: Math.floor(Math.min(preferred.submissionWatchMs, bounds.cancellationMs * shares.submissionWatchOfCancellation)),
 		maxCountAgeMs: Math.min(preferred.maxCountAgeMs, bounds.visibilityMs * shares.countAgeOfVisibility),
 		maxReadyStoreAgeMs: Math.min(preferred.maxReadyStoreAgeMs, bounds.contactMs * shares.readyAgeOfContact),
@@ -199,6 +206,11 @@
 			terms: [['submissionWatchMs', submissionWatchMs], ['watchSlackMs', watchSlackMs], ['storeAnswerMs', 2 * storeAnswerMs]],
 			bound: ['cancellationMs', bounds.cancellationMs],
 		},
+		{
+			name: 'confirming the keys in force twice',
+			terms: [['minDeclarationWatchMs', 2 * minDeclarationWatchMs], ['storeAnswerMs', 2 * storeAnswerMs], ['margin', bounds.revocationMs * (1 - shares.staleOfRevocation)]],
+			bound: ['revocationMs', bounds.revocationMs],
+		},
 	];
 }
 
--- a/packages/workflows/tests/job-submitters.test.ts
+++ b/packages/workflows/tests/job-submitters.test.ts
@@ -6,10 +6,11 @@
 } from '@tamarackwind/clients';
 import test from 'ava';
 import {
-	RateLimitedLog, getJobKey, getSubmissionPartition, JobSubmitter, tombstone, type Job, type SubmitOutcome,
+	RateLimitedLog, getJobKey, getSubmissionPartition, JobSubmitter, tombstone, UncheckedPrincipal, type Job, type SubmitOutcome,
 } from '../src/index.js';
 
 const service = 'north' as ServiceName;
+const unchecked = UncheckedPrincipal.create();
 
 function createJob(id: string): Job {
 	return {
@@ -92,7 +93,7 @@
 		const clock = ManualClock.create();
 		const tables = createTables(clock, faults);
 		const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
-		const submitted = submitter.submit(createJob('0123456789abcdef'));
+		const submitted = submitter.submit(createJob('0123456789abcdef'), unchecked);
 		await clock.advance(4100);
 		t.is(await submitted, outcome);
 		for (const write of lateWrites.get(tables)!) {
@@ -109,11 +110,11 @@
 	const tables = MemoryTableService.create(clock);
 	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
 	await tables.commit({checks: [], writes: [{...getJobKey('refused' as JobId), value: tombstone}]});
-	const submitted = Promise.all(['new', 'new', 'refused'].map(async id => submitter.submit(createJob(id))));
+	const submitted = Promise.all(['new', 'new', 'refused'].map(async id => submitter.submit(createJob(id), unchecked)));
 	await clock.advance(100);
 	t.deepEqual(await submitted, ['accepted', 'accepted', 'accepted']);
-	t.true(await submitter.cancel('new' as JobId));
-	t.false(await submitter.cancel('other' as JobId));
+	t.is(await submitter.cancel('new' as JobId, unchecked), 'cancelled');
+	t.is(await submitter.cancel('other' as JobId, unchecked), 'absent');
 });
 
 /** Lists ids of jobs that share a partition. */
@@ -144,7 +145,7 @@
 		};
 
 		const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
-		const submitted = submitter.submit(createJob('0123456789abcdef'));
+		const submitted = submitter.submit(createJob('0123456789abcdef'), unchecked);
 		await clock.advance(1300);
 		t.is(await submitted, outcome);
 	});
@@ -170,7 +171,7 @@
 
 	const log = RateLimitedLog.create(Log.createSilent(), clock);
 	const entries = Array.from({length: 9}, () => JobSubmitter.create({clock, tables, log}));
-	const submissions = Promise.all(entries.map(async (submitter, index) => submitter.submit(createJob(`${index}123456789abcdef`))));
+	const submissions = Promise.all(entries.map(async (submitter, index) => submitter.submit(createJob(`${index}123456789abcdef`), unchecked)));
 	await clock.advance(2200);
 	t.deepEqual(await submissions, entries.map(() => 'accepted'));
 });
@@ -180,7 +181,7 @@
 	const tables = MemoryTableService.create(clock);
 	const id = '0123456789abcdef' as JobId;
 	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
-	const first = submitter.submit(createJob(id));
+	const first = submitter.submit(createJob(id), unchecked);
 	await clock.advance(100);
 	t.is(await first, 'accepted');
 	const getRow = tables.getRow.bind(tables);
@@ -188,11 +189,11 @@
 		throw new VerdictError('connection refused', {verdict: 'not-run', code: 'platform_unavailable'});
 	};
 
-	const repeated = submitter.submit(createJob(id));
+	const repeated = submitter.submit(createJob(id), unchecked);
 	await clock.advance(4200);
 	t.is(await repeated, 'unknown');
 	tables.getRow = getRow;
-	const last = submitter.submit(createJob(id));
+	const last = submitter.submit(createJob(id), unchecked);
 	await clock.advance(100);
 	t.is(await last, 'accepted');
 });
@@ -209,7 +210,7 @@
 	const answers: Array<{readonly sentAt: number; readonly afterMs: number; readonly outcome: SubmitOutcome}> = [];
 	const submit = async (index: number): Promise<void> => {
 		const sentAt = clock.readMonotonic();
-		const outcome = await submitter.submit(createJob(`${index}`.padStart(16, '0')));
+		const outcome = await submitter.submit(createJob(`${index}`.padStart(16, '0')), unchecked);
 		answers.push({sentAt, afterMs: clock.readMonotonic() - sentAt, outcome});
 	};
 
@@ -269,7 +270,7 @@
 		let acceptedInTime = 0;
 		const submit = async (index: number): Promise<void> => {
 			const sentAt = clock.readMonotonic();
-			const outcome = await submitters[(index * 31) % entries]!.submit(createJob((index * 2_654_435_761).toString(16).padStart(16, '0')));
+			const outcome = await submitters[(index * 31) % entries]!.submit(createJob((index * 2_654_435_761).toString(16).padStart(16, '0')), unchecked);
 			acceptedInTime += outcome === 'accepted' && clock.readMonotonic() - sentAt <= callerWaitMs ? 1 : 0;
 		};
 
@@ -295,7 +296,7 @@
 	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
 	const outcomes = new Map<string, SubmitOutcome>();
 	const submit = async (id: string): Promise<void> => {
-		outcomes.set(id, await submitter.submit(createJob(id)));
+		outcomes.set(id, await submitter.submit(createJob(id), unchecked));
 	};
 
 	const [sent, queued, inDoubt, last] = listJobsOfOnePartition(4) as [string, string, string, string];
@@ -324,7 +325,7 @@
 	const clock = ManualClock.create();
 	const tables = MemoryTableService.create(clock, {valueBytes: 10_000, transactionBytes: 25_000, transactionEntries: 100});
 	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
-	const submitted = Promise.all(listJobsOfOnePartition(12).map(async id => submitter.submit({...createJob(id), payload: 'x'.repeat(4000)})));
+	const submitted = Promise.all(listJobsOfOnePartition(12).map(async id => submitter.submit({...createJob(id), payload: 'x'.repeat(4000)}, unchecked)));
 	await clock.advance(200);
 	t.deepEqual(new Set(await submitted), new Set(['accepted']));
 	t.is(tables.rejections, 0);
