Test accounts, owners and their limits by tables of cases

Cause: decoding of accounts, owners under lost answers and repeated submissions, the size of the head row and the revocation bound had no tests.

--- a/packages/workflows/tests/job-submitters.test.ts
+++ b/packages/workflows/tests/job-submitters.test.ts
@@ -1,12 +1,13 @@
 import {
-	Log, ManualClock, VerdictError, type JobId, type ServiceName,
+	Log, ManualClock, VerdictError, type AccountName, type JobId, type ServiceName,
 } from '@tamarackwind/core';
 import {
 	MemoryTableService, platformBusyCode, type CommitOutcome, type Transaction,
 } from '@tamarackwind/clients';
+import {noResources} from '@tamarackwind/scheduling';
 import test from 'ava';
 import {
-	RateLimitedLog, getJobKey, getSubmissionPartition, JobSubmitter, tombstone, UncheckedPrincipal, type Job, type SubmitOutcome,
+	AccountPrincipal, AnonymousPrincipal, decodeJob, getCancelKey, RateLimitedLog, getJobKey, getSubmissionPartition, JobSubmitter, tombstone, UncheckedPrincipal, type Job, type Principal, type SubmitOutcome,
 } from '../src/index.js';
 
 const service = 'north' as ServiceName;
@@ -330,3 +331,116 @@
 	t.deepEqual(new Set(await submitted), new Set(['accepted']));
 	t.is(tables.rejections, 0);
 });
+
+const anonymous = AnonymousPrincipal.create();
+const [accountA, accountB] = ['a', 'b'].map(name => AccountPrincipal.create({
+	name: name as AccountName, weight: 1, cap: noResources, keyHashes: [],
+})) as [Principal, Principal];
+
+function createOwnedJob(id: string, {account}: Principal): Job {
+	return {...createJob(id), ...(account === undefined ? {} : {account: account.name})};
+}
+
+/** Moment of the second submission: in the same batch, while the transaction of the first is in flight, or after it. */
+const moments = {'in one batch': 0, 'in flight': 30, afterwards: 8000};
+
+type RepeatCase = {readonly name: string; readonly first: Principal; readonly second: Principal; readonly outcome: SubmitOutcome; readonly owner: string | undefined};
+
+const repeatCases: readonly RepeatCase[] = [
+	{
+		name: 'the owner', first: accountA, second: accountA, outcome: 'accepted', owner: 'a',
+	},
+	{
+		name: 'another account', first: accountA, second: accountB, outcome: 'foreign', owner: 'a',
+	},
+	{
+		name: 'nobody, of a job with an owner', first: accountA, second: anonymous, outcome: 'foreign', owner: 'a',
+	},
+	{
+		name: 'an account, of a job without an owner', first: anonymous, second: accountB, outcome: 'accepted', owner: undefined,
+	},
+	{
+		name: 'nobody, of a job without an owner', first: anonymous, second: anonymous, outcome: 'accepted', owner: undefined,
+	},
+	{
+		name: 'a request without accounts', first: accountA, second: unchecked, outcome: 'accepted', owner: 'a',
+	},
+];
+
+/** Fates of the first submission's transaction after which its job exists. */
+const survivals: ReadonlyArray<readonly [name: string, faults: readonly Fault[]]> = [['its answer arrives', ['none']], ['its answer is lost', ['lost after', 'none']]];
+
+for (const {name, first, second, outcome, owner} of repeatCases) {
+	for (const [moment, afterMs] of Object.entries(moments)) {
+		for (const isSameEntry of [true, false]) {
+			for (const [survival, faults] of survivals) {
+				// Guards against an outcome by which one account learns of, changes or takes over the job of another.
+				test(`a job that ${name} submits again ${moment} at ${isSameEntry ? 'the same' : 'another'} entry, when ${survival}`, async t => {
+					const clock = ManualClock.create();
+					const tables = createTables(clock, faults);
+					const commit = tables.commit.bind(tables);
+					tables.commit = async (transaction: Transaction): Promise<CommitOutcome> => {
+						await clock.sleep(100);
+						return commit(transaction);
+					};
+
+					const log = RateLimitedLog.create(Log.createSilent(), clock);
+					const entries = [JobSubmitter.create({clock, tables, log}), JobSubmitter.create({clock, tables, log})] as const;
+					const id = '0123456789abcdef';
+					const submitted = entries[0].submit(createOwnedJob(id, first), first);
+					await clock.advance(afterMs);
+					const repeated = entries[isSameEntry ? 0 : 1].submit(createOwnedJob(id, second), second);
+					await clock.advance(9000);
+					t.is(await submitted, 'accepted');
+					t.is(await repeated, outcome);
+					const row = await tables.getRow(getJobKey(id as JobId));
+					t.is(decodeJob(id as JobId, row!.value)?.account, owner as AccountName | undefined);
+				});
+			}
+		}
+	}
+}
+
+// Guards against a tombstone, or a late write, by which the job of one account comes into the place of another's.
+for (const fault of ['lost before', 'lost after', 'late'] as const) {
+	test(`the transaction of another account is ${fault === 'late' ? 'late' : fault.replace(' ', ' its answer ')}: the job keeps its owner`, async t => {
+		const clock = ManualClock.create();
+		const tables = createTables(clock, ['none', fault, 'none']);
+		const log = RateLimitedLog.create(Log.createSilent(), clock);
+		const submitter = JobSubmitter.create({clock, tables, log});
+		const id = '0123456789abcdef' as JobId;
+		const submit = async (principal: Principal): Promise<SubmitOutcome> => {
+			const outcome = submitter.submit(createOwnedJob(id, principal), principal);
+			await clock.advance(4100);
+			return outcome;
+		};
+
+		t.is(await submit(accountA), 'accepted');
+		const before = await tables.getRow(getJobKey(id));
+		t.is(await submit(accountB), 'foreign');
+		for (const write of lateWrites.get(tables)!) {
+			await write();
+		}
+
+		t.deepEqual(await tables.getRow(getJobKey(id)), before);
+		t.is(await submitter.cancel(id, accountB), 'foreign');
+		t.is(await tables.getRow(getCancelKey(id)), undefined);
+		t.is(await submitter.cancel(id, accountA), 'cancelled');
+	});
+}
+
+test('a permanently refused job does not belong to the account that submitted it', async t => {
+	const clock = ManualClock.create();
+	const tables = createTables(clock, ['lost before', 'none']);
+	const submitter = JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)});
+	const id = '0123456789abcdef';
+	const refused = submitter.submit(createOwnedJob(id, accountA), accountA);
+	await clock.advance(4100);
+	t.is(await refused, 'refused');
+	const accepted = submitter.submit(createOwnedJob(id, accountB), accountB);
+	await clock.advance(100);
+	t.is(await accepted, 'accepted');
+	const foreign = submitter.submit(createOwnedJob(id, accountA), accountA);
+	await clock.advance(100);
+	t.is(await foreign, 'foreign');
+});
--- a/packages/workflows/tests/progress-layouts.test.ts
+++ b/packages/workflows/tests/progress-layouts.test.ts
@@ -1,4 +1,6 @@
-import {type JobId, type ServiceName, type VmId} from '@tamarackwind/core';
+import {
+	type AccountName, type JobId, type ServiceName, type VmId,
+} from '@tamarackwind/core';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import test from 'ava';
 import {
@@ -133,3 +135,26 @@
 	t.is(restore(active, () => true).progressKeys.length, 11);
 	t.is(ProgressLayout.create(job, limits).rowCount, 4);
 });
+
+const ownerCases: ReadonlyArray<readonly [name: string, count: number, account: string | undefined, rows: number]> = [
+	['no owner', 61, undefined, 1],
+	['a short name of its owner', 60, 'a', 1],
+	['a long name of its owner', 61, '\u0000'.repeat(128), 3],
+	['an owner and further rows', 100, 'a', 5],
+];
+
+// Guards against a head row that outgrows the limit by the name of the owner, and against queries that don't find the owner there.
+for (const [name, count, account, rows] of ownerCases) {
+	test(`the head row of a job with ${name} holds the owner within the limit`, t => {
+		const active = ActiveJob.create({...createJob([{count}]), ...(account === undefined ? {} : {account: account as AccountName})}, now, limits);
+		startAll(active);
+		t.is(active.progressKeys.length, rows);
+		for (const isOver of [false, true]) {
+			active.isUnrecordable = isOver;
+			const {value} = active.encodeProgressRow(headRow);
+			t.true(Buffer.byteLength(JSON.stringify(value)) <= limits.valueBytes);
+			t.is(decodeProgress(value).account, account as AccountName | undefined);
+			t.is('account' in (value as Progress), account !== undefined);
+		}
+	});
+}
--- a/packages/workflows/tests/timings.test.ts
+++ b/packages/workflows/tests/timings.test.ts
@@ -27,6 +27,8 @@
 	['large, halved', scaleBounds(large, 0.5)],
 	['small, doubled', scaleBounds(defaultBounds, 2)],
 	['large, doubled', scaleBounds(large, 2)],
+	['large with strict revocation', {...large, revocationMs: 5000}],
+	['small with fast revocation', {...defaultBounds, revocationMs: 2000}],
 ];
 
 type Limit = readonly [name: string, compute: (timings: Timings, bounds: Bounds) => boolean];
@@ -38,6 +40,7 @@
 	['a watch on the scheduler lease is shorter than half of its term', ({schedulerWatchMs, schedulerTermMs}) => schedulerWatchMs < schedulerTermMs / 2],
 	['a configuration applies in time over a stalled connection', ({declarationWatchMs, watchSlackMs}, {configurationMs}) => declarationWatchMs + watchSlackMs < configurationMs],
 	['a configuration counts as stale before it must be replaced', ({staleConfigurationMs}, {configurationMs}) => staleConfigurationMs < configurationMs],
+	['keys count as outdated before a revoked one must be refused, and no later than the configuration', ({staleKeysMs, staleConfigurationMs}, {revocationMs}) => staleKeysMs <= staleConfigurationMs && staleKeysMs < revocationMs],
 	['a cancellation applies in time over a stalled connection', ({submissionWatchMs, watchSlackMs}, {cancellationMs}) => submissionWatchMs + watchSlackMs < cancellationMs],
 	['a start without a response is stopped before the rest of its gang gives up', ({orderTimeoutMs}, {gangStartMs}) => orderTimeoutMs < gangStartMs],
 	['a VM counts as removed only once it counts as lost', ({missingVmMs}, {lossDetectionMs}) => missingVmMs > lossDetectionMs],
@@ -58,6 +61,7 @@
 const rejected: ReadonlyArray<[string, Partial<Bounds>, RegExp]> = [
 	['worker leases that end before a takeover', {maxWorkerLeaseMs: 1500}, /renewing a worker lease after a takeover takes .*takeoverWorkMs.*more than maxWorkerLeaseMs of 1500 ms/v],
 	['configurations that apply faster than the store answers', {configurationMs: 200}, /applying a configuration over a stalled connection takes .* more than configurationMs of 200 ms/v],
+	['revocations that apply faster than two watches end', {revocationMs: 450}, /confirming the keys in force twice takes 490 ms \(.*\), more than revocationMs of 450 ms/v],
 	['cancellations that apply faster than the store answers', {cancellationMs: 700}, /applying a cancellation .* more than cancellationMs of 700 ms/v],
 ];
 
