Move tasks and steps out of active-jobs.ts

Task and StepState, which the accounting of use by account has to observe, are now in tasks.ts; nothing else changes.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -2,7 +2,7 @@
  * Caches the tickets of an external placement policy, which allow workers to run a step. Tickets are requested once and kept until they expire.
  */
 import {readErrorMessage, type Clock, type VmId} from '@tamarackwind/core';
-import {type Task} from './active-jobs.js';
+import {type Task} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type PlacementAdvisor} from './workers.js';
 
--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -4,7 +4,7 @@
  * Each task has a probability of being one that crashes its workers. A crash raises it by how unlikely the crash was without the task, which
  * depends on the rate of crashes in the pool and on the other suspects. A run that outlasts its start lowers it.
  */
-import {type Task} from './active-jobs.js';
+import {type Task} from './tasks.js';
 import {priorGuilt, type CrashEvidence} from './crash-evidence.js';
 import {type CrashHistory} from './crash-histories.js';
 
--- a/packages/workflows/src/crash-histories.ts
+++ b/packages/workflows/src/crash-histories.ts
@@ -2,7 +2,7 @@
  * Remembers the recent crashes of a pool's workers, from which the rate of crashes without a task is estimated.
  */
 import {type VmId} from '@tamarackwind/core';
-import {type Task} from './active-jobs.js';
+import {type Task} from './tasks.js';
 
 /** Intervals over which crashes are counted, in milliseconds: the short one follows a sudden series, the long one a steady rate. */
 const windowsMs = [5000, 60_000] as const;
--- a/packages/workflows/src/doubtful-runs.ts
+++ b/packages/workflows/src/doubtful-runs.ts
@@ -3,7 +3,7 @@
  * under its id before it had listed the run.
  */
 import {type VmId} from '@tamarackwind/core';
-import {type Task} from './active-jobs.js';
+import {type Task} from './tasks.js';
 import {type IncarnationEnd} from './worker-sessions.js';
 
 /** A task with the time by which its run has ended in any case, on the monotonic clock. */
--- a/packages/workflows/src/filler-throttlers.ts
+++ b/packages/workflows/src/filler-throttlers.ts
@@ -3,7 +3,7 @@
  */
 import {findMaximum, readErrorMessage, type Clock} from '@tamarackwind/core';
 import {chooseSpeed} from '@tamarackwind/scheduling';
-import {type Task} from './active-jobs.js';
+import {type Task} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type WorkerControl} from './workers.js';
 import {type WorkerSession} from './worker-sessions.js';
--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -6,7 +6,7 @@
 } from '@tamarackwind/core';
 import {type Check, type WatchableTableService} from '@tamarackwind/clients';
 import {planEviction, type EvictionPlan} from '@tamarackwind/scheduling';
-import {type Task} from './active-jobs.js';
+import {type Task} from './tasks.js';
 import {type Bounds} from './bounds.js';
 import {type WaveRequest} from './configurations.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -8,6 +8,7 @@
 export * from './task-phases.js';
 export type * from './wait-reasons.js';
 export * from './crash-evidence.js';
+export * from './tasks.js';
 export * from './active-jobs.js';
 export * from './rate-limited-logs.js';
 export * from './load-meters.js';
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -5,7 +5,7 @@
 import {
 	addResources, chooseWorker, getReservation, hasRoom, planGang, type Candidate, type StepOccupancy, type StepSpec,
 } from '@tamarackwind/scheduling';
-import {type StepState, type Task} from './active-jobs.js';
+import {type StepState, type Task} from './tasks.js';
 import {type AdviceCache} from './advice-caches.js';
 import {CandidateGroups, type CandidateGroup} from './candidate-groups.js';
 import {
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -5,7 +5,8 @@
 	appendAll, findMaximum, readErrorMessage, waitAtMost, type Clock, type JobId, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
-import {ActiveJob, type Task} from './active-jobs.js';
+import {ActiveJob} from './active-jobs.js';
+import {type Task} from './tasks.js';
 import {AdviceCache} from './advice-caches.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type JobChange, type JobFeed, type JobSubscriber} from './job-feeds.js';
--- a/packages/workflows/src/starters.ts
+++ b/packages/workflows/src/starters.ts
@@ -5,7 +5,7 @@
 	readErrorMessage, VerdictError, type Clock,
 } from '@tamarackwind/core';
 import {match} from 'ts-pattern';
-import {type Task} from './active-jobs.js';
+import {type Task} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type StartRefusal, type WorkerControl} from './workers.js';
 import {type WorkerSession} from './worker-sessions.js';
--- a/packages/workflows/src/wait-counts.ts
+++ b/packages/workflows/src/wait-counts.ts
@@ -2,7 +2,7 @@
  * Counts the waiting tasks of a step, and sums them up by reason over the jobs of a pool.
  */
 import {type JobId} from '@tamarackwind/core';
-import {type StepState, type Task} from './active-jobs.js';
+import {type StepState, type Task} from './tasks.js';
 import {isSuspect} from './crash-budgets.js';
 import {type WaitReason} from './wait-reasons.js';
 
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -2,7 +2,8 @@
  * Observes the tasks of a pool whose preceding steps are done and that no worker runs, and reports for each reason how many wait and for how long.
  */
 import {type ServiceName} from '@tamarackwind/core';
-import {type ActiveJob, type StepState} from './active-jobs.js';
+import {type ActiveJob} from './active-jobs.js';
+import {type StepState} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {StepWaits, WaitSums, type ReasonSum} from './wait-counts.js';
 import {type WaitReason} from './wait-reasons.js';
--- a/packages/workflows/src/waiting-steps.ts
+++ b/packages/workflows/src/waiting-steps.ts
@@ -4,7 +4,8 @@
  */
 import {compareRanks, type Rank} from '@tamarackwind/scheduling';
 import TinyQueue from 'tinyqueue';
-import {type ActiveJob, type StepState} from './active-jobs.js';
+import {type ActiveJob} from './active-jobs.js';
+import {type StepState} from './tasks.js';
 import {type Demand} from './demands.js';
 import {type WaitQueue, type WaitReason} from './wait-reasons.js';
 
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -7,7 +7,7 @@
 import {
 	addResources, getReservation, isWithin, noResources, type Candidate, type Resources,
 } from '@tamarackwind/scheduling';
-import {type Task} from './active-jobs.js';
+import {type Task} from './tasks.js';
 import {Cordons} from './cordons.js';
 import {
 	computeSuspectShare, isSuspect, isTestedAlone, isUnproven, provingMs, recordSurvival,
