Move the planning of a pool out of pool-schedulers.ts

PoolPlanner now runs the planning passes and holds the waiting steps, the loads and the observation of waits; JobHooks holds the callbacks of a job. Nothing else changes: build, lint, the tests of packages/workflows and six test files of emulated systems pass.

--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -9,6 +9,7 @@
 import {
 	isTerminal, type Job, type JobState, type TaskKey,
 } from './jobs.js';
+import {JobHooks} from './job-hooks.js';
 import {headRow, maxCheckpointBytes, ProgressLayout} from './progress-layouts.js';
 import {type Progress, type ProgressPartRow, type ProgressRow} from './records.js';
 import {PhaseCounts} from './task-phases.js';
@@ -24,10 +25,7 @@
 	state: JobState = 'queued';
 	endedAt: number | undefined;
 	readonly isLongRunning: boolean;
-	/** Called when a task changes, and when a step is done or was opened. */
-	onChanged: (() => void) | undefined;
-	/** Called when a task waits again, and when a step is done or was opened. */
-	onWaiting: (() => void) | undefined;
+	readonly hooks = JobHooks.create();
 	/** Whether a cancellation of the job has been read. */
 	isCancelled = false;
 	/** Whether the table service rejects the progress of the job, so that only its state is kept. */
@@ -181,7 +179,7 @@
 		const {stepState, index, run, failures, isGivenUp, spec} = task;
 		const {occurrence, step} = stepState;
 		stepState.changes++;
-		this.onChanged?.();
+		this.hooks.onChanged?.();
 		this.#hasOrderedRuns ||= run > 0;
 		if (isGivenUp || (!spec.isLongRunning && failures >= this.job.policy.maxAttempts)) {
 			this.#exhaustedTasks.add(task);
@@ -195,8 +193,8 @@
 		this.#unfinishedSteps = undefined;
 		this.#openSteps = undefined;
 		this.#rankPeriod = undefined;
-		this.onChanged?.();
-		this.onWaiting?.();
+		this.hooks.onChanged?.();
+		this.hooks.onWaiting?.();
 	}
 
 	/** Takes the indices of the progress rows to write, the head row first; the rows are unchanged from then on until a task changes again. */
--- a/packages/workflows/src/pool-loads.ts
+++ b/packages/workflows/src/pool-loads.ts
@@ -33,7 +33,7 @@
 
 	/** Takes up a job that has not ended. */
 	add(job: ActiveJob): void {
-		job.onChanged = () => {
+		job.hooks.onChanged = () => {
 			this.#changedJobs.add(job);
 		};
 
@@ -42,7 +42,7 @@
 
 	/** Drops a job that has ended. */
 	remove(job: ActiveJob): void {
-		job.onChanged = undefined;
+		job.hooks.onChanged = undefined;
 		this.#changedJobs.delete(job);
 		this.#contributions.delete(job);
 	}
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -2,49 +2,38 @@
  * Schedules the jobs of one pool onto its workers, on the entry that holds the scheduler lease.
  */
 import {
-	appendAll, findMaximum, readErrorMessage, waitAtMost, type Clock, type JobId, type ServiceName, type VmId,
+	findMaximum, readErrorMessage, type JobId, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
 import {ActiveJob} from './active-jobs.js';
 import {type Task} from './tasks.js';
 import {AdviceCache} from './advice-caches.js';
-import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type JobChange, type JobFeed, type JobSubscriber} from './job-feeds.js';
-import {type LoadMeter} from './load-meters.js';
 import {
 	computeEvidence, isSuspect, isUnobserved, recordCrash, unobservedCrash,
 } from './crash-budgets.js';
 import {type CrashEvidence} from './crash-evidence.js';
 import {CrashHistory} from './crash-histories.js';
-import {PlacementPass, type PlanCandidate} from './placement-passes.js';
-import {JobLoads, type JobLoad} from './pool-loads.js';
+import {PoolPlanner, type PlanningEnvironment, type PoolLoad} from './pool-planners.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
 import {readProgress, restoreJobs, type SavedProgress} from './progress-readers.js';
 import {ProgressWriter} from './progress-writers.js';
 import {DoubtfulRuns, type DoubtfulRun} from './doubtful-runs.js';
 import {FillerThrottler} from './filler-throttlers.js';
 import {RunStarter} from './starters.js';
-import {Signal} from './signals.js';
 import {
 	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
 import {type Timings} from './timings.js';
-import {WaitMonitor} from './wait-monitors.js';
-import {WaitingSteps} from './waiting-steps.js';
+import {type WaitMonitor} from './wait-monitors.js';
 import {SessionOwner, WorkerSession, type IncarnationEnd} from './worker-sessions.js';
 
-export type PoolSchedulerOptions = {
-	readonly clock: Clock;
+export type PoolSchedulerOptions = PlanningEnvironment & {
 	readonly tables: WatchableTableService;
 	readonly control: WorkerControl;
 	readonly advisor: PlacementAdvisor;
-	readonly log: RateLimitedLog;
-	readonly meter: LoadMeter;
-	readonly service: ServiceName;
 	readonly epoch: number;
 	readonly holder: string;
-	/** Reports whether orders may be sent now. */
-	readonly canOrder: () => boolean;
 	/** Reports whether worker leases may be renewed now. */
 	readonly isRenewalAllowed: () => boolean;
 	/** Time by which every run that an earlier holder started on an unreachable worker has ended; on the monotonic clock. */
@@ -56,33 +45,12 @@
 	readonly timings: Timings;
 };
 
-/** Maximum interval between planning passes, in milliseconds: bounds the delay of time-driven work such as lease expiry and due times. */
-const maxPlanIntervalMs = 100;
-/** Minimum interval between checks of all runs and leases for time-driven changes, in milliseconds: the shortest time that they judge is 30 times longer. */
-const timeoutIntervalMs = 100;
-/** Minimum interval between planning passes, in milliseconds: batches run ends and submissions. */
-const minPlanIntervalMs = 15;
 /** Minimum time without progress after which a run counts as stalled, in milliseconds: spans several listings. */
 const stallTimeoutMs = 3000;
 /** The same time as a share of a task's declared duration: progress is reported in whole percent, and a worker may run at a tenth of full speed. */
 const stallTimeoutShare = 0.15;
 /** Delay before a failed long-running task is restarted, in milliseconds. */
 const restartDelayMs = 150;
-/** Time after which a planning pass stops, in milliseconds; the next one continues with the jobs that are left. */
-const maxPassMs = 4;
-/** Minimum time in which a pass places tasks, in milliseconds, so that it makes progress however long its preparation took. */
-const minPlacementMs = 1;
-/** Time after which the observation of waiting tasks stops, in milliseconds; it continues after the next pass. */
-const maxObservationMs = 2;
-/** Pause before a pass that continues the last one, in milliseconds: leaves the event loop to other work. */
-const continuationDelayMs = 2;
-
-/** Demand of a pool's jobs and capacity of its workers; CPU is in thousandths of a core. */
-export type PoolLoad = JobLoad & {
-	/** CPU of the workers that accept new work. */
-	readonly cpu: number;
-};
-
 /** Digits of probabilities in log lines. */
 const shareDigits = 4;
 
@@ -105,18 +73,11 @@
 	readonly #crashes = CrashHistory.create();
 	/** Ended worker incarnations and the time at which each end was detected; the registry may still list them for some seconds. */
 	readonly #endedIncarnations = new Map<string, number>();
-	/** Observes the tasks that wait. */
-	readonly waits: WaitMonitor;
-	readonly #wake = Signal.create();
-	readonly #waitingSteps = WaitingSteps.create();
-	readonly #loads = JobLoads.create();
+	readonly #planner: PoolPlanner;
 	readonly #subscriber: JobSubscriber = changes => {
 		this.#applyChanges(changes);
 	};
 
-	#timeoutsHandledAt = Number.NEGATIVE_INFINITY;
-	/** Whether the last planning pass ran out of time. */
-	#isPassCut = false;
 	#isClosed = false;
 
 	private constructor(options: PoolSchedulerOptions) {
@@ -124,7 +85,6 @@
 		this.#options = options;
 		this.service = options.service;
 		this.fencingToken = options.epoch;
-		this.waits = WaitMonitor.create(options);
 		this.#doubtfulRuns = DoubtfulRuns.create(options.timings.orderTimeoutMs);
 		this.#progressWriter = ProgressWriter.create({
 			...options,
@@ -142,23 +102,42 @@
 			},
 			onSettled: task => {
 				this.#stopPartialGang(task);
-				this.#wake.set();
+				this.#planner.wake();
 			},
 		});
 		this.#advice = AdviceCache.create({
 			clock: options.clock, advisor: options.advisor, log: options.log, onResponse: () => {
-				this.#wake.set();
+				this.#planner.wake();
 			},
 		});
 		this.#fillerThrottler = FillerThrottler.create({
 			clock: options.clock, control: options.control, log: options.log, epoch: options.epoch,
 		});
+		this.#planner = PoolPlanner.create({
+			...options,
+			advice: this.#advice,
+			crashes: this.#crashes,
+			jobs: this.#jobs,
+			sessions: this.#sessions,
+			handleTimeouts: () => {
+				this.#handleTimeouts();
+			},
+			record: async jobs => this.#tryRecord(jobs),
+			start: (task, run) => {
+				this.#startRun(task, run);
+			},
+		});
 	}
 
 	override get isRenewalAllowed(): boolean {
 		return !this.#isClosed && this.#options.isRenewalAllowed();
 	}
 
+	/** Observes the tasks that wait. */
+	get waits(): WaitMonitor {
+		return this.#planner.waits;
+	}
+
 	get jobs(): Iterable<ActiveJob> {
 		return this.#jobs.values();
 	}
@@ -174,17 +153,12 @@
 
 	/** Counts, by queue, the submitted jobs of which no task is known to have started. */
 	countWaitingJobs(): Map<string, number> {
-		return this.#loads.countWaiting();
+		return this.#planner.countWaitingJobs();
 	}
 
 	/** Computes the demand of the pool's jobs and the available CPU. */
 	computeLoad(): PoolLoad {
-		let cpu = 0;
-		for (const session of this.#sessions.values()) {
-			cpu += session.isSchedulable ? session.record.capacity.cpu : 0;
-		}
-
-		return {...this.#loads.compute(), cpu};
+		return this.#planner.computeLoad();
 	}
 
 	/** Takes over the service: fences off earlier holders, loads the stored jobs and starts scheduling. */
@@ -206,7 +180,7 @@
 		this.#options.log.info('service loaded', {
 			service, jobs: jobs.length, running: jobs.filter(active => !active.isTerminal).length, orphans: this.#doubtfulRuns.count,
 		});
-		void this.#run();
+		this.#planner.start();
 		this.#record(new Set(jobs.filter(active => this.#setEndTime(active))));
 	}
 
@@ -259,7 +233,7 @@
 		}
 
 		if (isChanged) {
-			this.#wake.set();
+			this.#planner.wake();
 		}
 	}
 
@@ -297,7 +271,7 @@
 			this.#updateStates(changed);
 			this.#fillerThrottler.update(session);
 		});
-		this.#wake.set();
+		this.#planner.wake();
 		return this.#tryRecord(changed);
 	}
 
@@ -381,13 +355,12 @@
 	/** Stops scheduling; active runs continue under their leases. */
 	close(): void {
 		this.#isClosed = true;
+		this.#planner.close();
 		this.#progressWriter.close();
 		this.#options.feed.endSubscription(this.service, this.#subscriber);
 		for (const session of this.#sessions.values()) {
 			session.close();
 		}
-
-		this.#wake.set();
 	}
 
 	#addSession(record: WorkerRecord): WorkerSession {
@@ -429,7 +402,7 @@
 		for (const {task} of runs) {
 			task.pendingCrash ??= isUnobserved(task, now) ? unobservedCrash : undefined;
 			this.#releaseTask(task, changed);
-			this.#wake.set();
+			this.#planner.wake();
 		}
 
 		this.#updateStates(changed);
@@ -449,15 +422,12 @@
 			}
 		}
 
-		this.#wake.set();
+		this.#planner.wake();
 	}
 
 	#addJob(active: ActiveJob): void {
 		this.#jobs.set(active.job.id, active);
-		if (!active.isTerminal) {
-			this.#waitingSteps.add(active);
-			this.#loads.add(active);
-		}
+		this.#planner.add(active);
 	}
 
 	#cancelJob(active: ActiveJob | undefined): void {
@@ -492,8 +462,7 @@
 		if (active.isTerminal && active.state !== before) {
 			const {clock, log} = this.#options;
 			active.endedAt = clock.readWall();
-			this.#waitingSteps.remove(active);
-			this.#loads.remove(active);
+			this.#planner.remove(active);
 			log.info('job ended', {
 				job: active.job.id, queue: active.job.queue, state: active.state, ageMs: Math.round(clock.readMonotonic() - active.submittedAt),
 			});
@@ -642,7 +611,7 @@
 			void this.#tryRecord(changed);
 		}
 
-		this.#wake.set();
+		this.#planner.wake();
 	}
 
 	/** Resolves to whether the progress of these jobs, and everything recorded before, is durable. */
@@ -656,53 +625,6 @@
 		}
 	}
 
-	async #run(): Promise<void> {
-		const {clock, log} = this.#options;
-		while (!this.#isClosed) {
-			if (this.#isPassCut) {
-				await clock.sleep(continuationDelayMs);
-			} else {
-				await waitAtMost(clock, this.#wake.wait(), maxPlanIntervalMs);
-				await clock.sleep(minPlanIntervalMs);
-			}
-
-			try {
-				this.#options.meter.track('plan', () => {
-					this.#handleTimeoutsIfDue();
-					if (this.#options.canOrder() && !this.#isClosed) {
-						this.#plan();
-					}
-				});
-				this.#observeWaits();
-			} catch (error) {
-				log.warn('planning failed', {service: this.service, error: readErrorMessage(error), stack: error instanceof Error ? error.stack : undefined});
-			}
-		}
-	}
-
-	/** Observes the tasks that wait; a failure is logged, since nothing depends on the observation. */
-	#observeWaits(): void {
-		const {clock, log, meter} = this.#options;
-		try {
-			meter.track('observe waits', () => {
-				const now = clock.readMonotonic();
-				this.waits.observe({
-					jobs: this.#jobs.values(), now, readUse: () => this.computeLoad(), isOverBudget: () => clock.readMonotonic() - now >= maxObservationMs,
-				});
-			});
-		} catch (error) {
-			log.warn('waiting tasks not observed', {service: this.service, error: readErrorMessage(error)});
-		}
-	}
-
-	#handleTimeoutsIfDue(): void {
-		const now = this.#options.clock.readMonotonic();
-		if (now - this.#timeoutsHandledAt >= timeoutIntervalMs) {
-			this.#timeoutsHandledAt = now;
-			this.#handleTimeouts();
-		}
-	}
-
 	/** Handles time-driven changes: expired leases, stalled runs and removal of ended jobs. */
 	#handleTimeouts(): void {
 		const now = this.#options.clock.readMonotonic();
@@ -776,66 +698,11 @@
 		}
 	}
 
-	#plan(): void {
-		const {clock} = this.#options;
-		this.#isPassCut = false;
-		const now = clock.readMonotonic();
-		const isUpdateOver = () => clock.readMonotonic() - now >= maxPassMs / 2;
-		if (!this.#waitingSteps.update(clock.readWall(), isUpdateOver)) {
-			this.#isPassCut = this.#waitingSteps.hasChanges;
-			return;
-		}
-
-		const candidates = this.#listCandidates(now);
-		if (candidates.length === 0) {
-			return;
-		}
-
-		const endsAt = Math.max(now + maxPassMs, clock.readMonotonic() + minPlacementMs);
-		const isOverBudget = () => clock.readMonotonic() >= endsAt;
-		const pass = PlacementPass.create({
-			candidates, advice: this.#advice, now, isOverBudget,
-		});
-		const placed: Task[] = [];
-		const isComplete = this.#waitingSteps.visit({
-			now,
-			isOverBudget,
-			explain: demand => pass.explainDemand(demand),
-			place(step) {
-				const tasks = pass.placeStep(step);
-				appendAll(placed, tasks);
-				return pass.isCut && tasks.length > 0;
-			},
-		});
-		this.#isPassCut = !isComplete || this.#waitingSteps.hasChanges;
-		if (placed.length > 0) {
-			void this.#startRuns(placed);
-		}
-	}
-
-	#listCandidates(now: number): PlanCandidate[] {
-		return [...this.#sessions.values()].filter(session => session.isSchedulable).map(session => {
-			const candidate = session.describeCandidate(now);
-			return {...candidate, suspicion: Math.max(candidate.suspicion, this.#crashes.computeSuspicion(candidate.id, now))};
-		});
-	}
-
-	async #startRuns(tasks: readonly Task[]): Promise<void> {
-		const runs = tasks.map(task => ({task, run: task.run}));
-		const jobs = new Set(tasks.map(task => task.job));
-		for (const job of jobs) {
-			job.updateState();
-		}
-
-		if (!await this.#tryRecord(jobs)) {
-			return;
-		}
-
-		for (const {task, run} of runs) {
-			const session = this.#findSession(task);
-			if (task.phase === 'recorded' && task.run === run && session !== undefined) {
-				void this.#starter.start(task, session, () => this.#advice.getTicket(task, session.record.id));
-			}
+	/** Starts the run of a task unless its job has ended or the task was unassigned meanwhile. */
+	#startRun(task: Task, run: number): void {
+		const session = this.#findSession(task);
+		if (task.phase === 'recorded' && task.run === run && session !== undefined) {
+			void this.#starter.start(task, session, () => this.#advice.getTicket(task, session.record.id));
 		}
 	}
 }
--- a/packages/workflows/src/tasks.ts
+++ b/packages/workflows/src/tasks.ts
@@ -64,7 +64,7 @@
 		if (phase === 'done' && this.stepState.isDone) {
 			this.job.markStepsChanged();
 		} else if (phase === 'waiting') {
-			this.job.onWaiting?.();
+			this.job.hooks.onWaiting?.();
 		}
 	}
 
--- a/packages/workflows/src/waiting-steps.ts
+++ b/packages/workflows/src/waiting-steps.ts
@@ -152,7 +152,7 @@
 
 	/** Takes up a job that has not ended, and from then on its steps whenever they have waiting tasks. */
 	add(job: ActiveJob): void {
-		job.onWaiting = () => {
+		job.hooks.onWaiting = () => {
 			this.#changedJobs.add(job);
 		};
 
@@ -164,7 +164,7 @@
 
 	/** Drops a job that has ended. */
 	remove(job: ActiveJob): void {
-		job.onWaiting = undefined;
+		job.hooks.onWaiting = undefined;
 		this.#changedJobs.delete(job);
 		this.#scheduledJobs.delete(job);
 		for (const step of job.steps) {
