Enforce the caps of client accounts in the holder

A deployment with client accounts limits what each may have running over all pools. The holder of the scheduler lease now keeps a ledger of what the tasks of each account use, from their assignment until their runs are known to have ended, and assigns a task or gang only if the cap of its account allows it. A new holder assigns nothing for a capped account until the pools of all services are open. Waiting steps are queued by account as well as by demand: a step that waits for a cap (reason account-cap) holds up no other account, and is tried again with the next pass after the account uses less in any pool or has another cap. Accounts with no cap, jobs without an account and configurations without accounts are planned as before.

--- /dev/null
+++ b/packages/scheduling/src/account-caps.ts
@@ -0,0 +1,54 @@
+/**
+ * Decides whether an account's cap allows a start. The cap is compared with what the account has assigned over all pools.
+ */
+import {
+	addResources, isWithin, noResources, type Resources,
+} from './models.js';
+
+/** A start of one task or of a whole gang, and what its account may use. */
+export type CappedStart = {
+	/** Limits by dimension; 0 means no limit. */
+	readonly cap: Resources;
+	/** What the account uses already. */
+	readonly used: Resources;
+	/** What one task needs. */
+	readonly task: Resources;
+	/** Number of tasks that start together. */
+	readonly count: number;
+};
+
+/** Resource dimensions in the order in which refusals name them. */
+export const dimensions = ['cpu', 'memory', 'gpu'] as const;
+
+/** Share of a limit by which the rounding of summed fractional resources may exceed it. */
+const roundingShare = 1e-9;
+
+/** Reports whether a cap limits any dimension. */
+export function isCapped(cap: Resources): boolean {
+	return dimensions.some(dimension => cap[dimension] > 0);
+}
+
+/**
+ * Reports whether a cap allows a start. An account that uses nothing in any capped dimension may exceed its cap by one task, so that a job
+ * that was accepted under a higher cap can run at all.
+ *
+ * @example
+ * const task = {cpu: 1000, memory: 500, gpu: 0};
+ * isWithinCap({cap: {cpu: 4000, memory: 0, gpu: 0}, used: {cpu: 3500, memory: 500, gpu: 0}, task, count: 1}); // false
+ */
+export function isWithinCap({cap, used, task, count}: CappedStart): boolean {
+	return isWithinLimits(addResources(used, task, count), cap)
+		|| (isWithinLimits(addResources(noResources, task, count - 1), cap) && dimensions.every(dimension => cap[dimension] <= 0 || used[dimension] <= cap[dimension] * roundingShare));
+}
+
+/** Trims a demand to what a cap leaves beside what is used already. */
+export function trimDemand(demand: Resources, {cap, used}: Pick<CappedStart, 'cap' | 'used'>): Resources {
+	const limit = (dimension: keyof Resources) => cap[dimension] > 0 ? Math.max(0, Math.min(demand[dimension], cap[dimension] - used[dimension])) : demand[dimension];
+	return {cpu: limit('cpu'), memory: limit('memory'), gpu: limit('gpu')};
+}
+
+/** Reports whether an amount is within the limits that a cap sets. */
+function isWithinLimits(amount: Resources, cap: Resources): boolean {
+	const getLimit = (dimension: keyof Resources) => cap[dimension] > 0 ? cap[dimension] * (1 + roundingShare) : Number.POSITIVE_INFINITY;
+	return isWithin(amount, {cpu: getLimit('cpu'), memory: getLimit('memory'), gpu: getLimit('gpu')});
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,3 +5,4 @@
 export * from './evictions.js';
 export * from './sizing-plans.js';
 export * from './demand-trends.js';
+export * from './account-caps.js';
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -3,7 +3,7 @@
  * workers, with injected faults and one random seed.
  */
 import {
-	Log, SeededRandom, VerdictError, type JobId, type PoolName, type ServiceName, type VmId,
+	Log, SeededRandom, VerdictError, type AccountName, type JobId, type PoolName, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {
 	MemoryTableService, WatchableTableService, type CommitOutcome, type RangeOptions, type Row, type RowKey, type RowRange, type ScanOptions, type TableLimits, type Transaction, type WatchOptions,
@@ -11,7 +11,7 @@
 } from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {
-	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice, type Schedule,
+	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, type Bounds, type ClientAccount, type Configuration, type Declaration, type Job, type PlacementAdvice, type Schedule,
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
@@ -143,6 +143,9 @@
 export type SubmitOptions = Partial<Pick<EmulatedJob, 'failingTasks' | 'crashingTasks'>> & {
 	/** Recurrence of the job, with the first due time relative to the submission. */
 	readonly schedule?: Schedule;
+	readonly account?: AccountName;
+	/** Pool of the job; a random one by default. */
+	readonly pool?: string;
 };
 
 /** One emulated entry. */
@@ -152,6 +155,8 @@
 	readonly seed: number;
 	readonly entries?: number;
 	readonly pools?: ReadonlyArray<readonly [string, number]>;
+	/** Client accounts of the first configuration; none by default. */
+	readonly accounts?: readonly ClientAccount[];
 	/** Bounds of the deployment, which the workers enforce. */
 	readonly bounds?: Bounds;
 	/** Whether workers refuse starts for which they have no capacity; `true` by default. */
@@ -183,6 +188,8 @@
 	readonly #pools: ReadonlyArray<readonly [string, number]>;
 	#entries: EmulatedEntry[] = [];
 	#entryCount = 0;
+	/** Version of the configuration. */
+	#version = 0;
 
 	private constructor(options: EmulatedSystemOptions) {
 		this.#options = options;
@@ -256,9 +263,9 @@
 	}
 
 	/** Submits a job to random entries as a client does, in at most 5 attempts; marks it as refused if every attempt was refused. */
-	async submit(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set(), schedule}: SubmitOptions = {}): Promise<JobId> {
+	async submit(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set(), schedule, account, pool}: SubmitOptions = {}): Promise<JobId> {
 		const id = this.random.createToken().slice(0, 16) as JobId;
-		const service = this.random.pickItem(this.#pools.filter(([name]) => name !== sparePool))![0] as ServiceName;
+		const service = (pool ?? this.random.pickItem(this.#pools.filter(([name]) => name !== sparePool))![0]) as ServiceName;
 		const job: Job = {
 			id,
 			service,
@@ -267,6 +274,7 @@
 			steps,
 			...(schedule === undefined ? {} : {schedule: {...schedule, firstAt: this.clock.readWall() + schedule.firstAt}}),
 			submittedAt: this.clock.readWall(),
+			...(account === undefined ? {} : {account}),
 			policy: {
 				priority: 0, maxAttempts: 3, slackFactor: 2, targetLatencyMs: 600,
 			},
@@ -339,11 +347,22 @@
 			})()]);
 	}
 
-	async #start(): Promise<void> {
+	/** Declares the next version of the configuration, with the given accounts. */
+	async configureAccounts(accounts: readonly ClientAccount[] | undefined): Promise<void> {
+		this.#version++;
 		const configuration: Configuration = {
-			version: 1, queues: [], pools: this.#pools.map(([name]) => ({name: name as ServiceName, isSpare: name === sparePool})), limits: {maxBodyBytes: 1_000_000},
+			version: this.#version,
+			queues: [],
+			pools: this.#pools.map(([name]) => ({name: name as ServiceName, isSpare: name === sparePool})),
+			limits: {maxBodyBytes: 1_000_000},
+			...(accounts === undefined ? {} : {accounts}),
 		};
+		this.fleet.caps.setAccounts(accounts ?? [], this.clock.readMonotonic());
 		await this.tables.commit({checks: [], writes: [{table: 'op', key: 'config', value: configuration}]});
+	}
+
+	async #start(): Promise<void> {
+		await this.configureAccounts(this.#options.accounts);
 		for (let index = 0; index < (this.#options.entries ?? 3); index++) {
 			this.startEntry();
 		}
--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -2,7 +2,7 @@
  * Emulates VMs and their workers in simulated time, with leases, runs, fencing and maintenance, and records violated guarantees.
  */
 import {
-	VerdictError, type JobId, type PoolName, type RandomSource, type VmId, type ZoneName,
+	VerdictError, type AccountName, type JobId, type PoolName, type RandomSource, type VmId, type ZoneName,
 } from '@tamarackwind/core';
 import {
 	addResources, getReservation, isWithin, noResources, type Resources, type StepSpec,
@@ -11,6 +11,7 @@
 	defaultBounds, FleetControl, formatTask, type Bounds, WorkerControl, WorkerRegistry, type OrderFence, type FleetOrderOutcome, type FleetVm, type LeaseRenewal, type LeaseRenewalOutcome, type Job, type ListedEnd,
 	type OrderOutcome, type RunEnding, type RunKey, type StartOrder, type StartOutcome, type WorkerRecord,
 } from '@tamarackwind/workflows';
+import {CapCheck} from './cap-checks.js';
 import {type SimulatedClock} from './simulated-clocks.js';
 
 /** Step, duration and outcome of an emulated task. */
@@ -140,6 +141,7 @@
 	readonly cancelRequested = new Set<JobId>();
 	/** Jobs for which every submission was refused. */
 	readonly refused = new Set<JobId>();
+	readonly caps = CapCheck.create();
 	orderFaults: OrderFaults = {lostResponseRate: 0, lateRate: 0};
 	/** Fault of all orders to VMs. */
 	vmOrderFault: VmOrderFault | undefined;
@@ -448,6 +450,7 @@
 			key: order.key, startedAt: now, task, isStopping: false,
 		};
 		incarnation.runs.set(name, run);
+		this.#checkCap(run, now);
 		this.#scheduleEnd(incarnation, run);
 		if (this.jobs.get(order.key.job)!.crashingTasks.has(`${order.key.step}.${order.key.index}`)) {
 			this.#scheduleCrash(incarnation, name);
@@ -647,6 +650,36 @@
 		});
 	}
 
+	/** Computes what the runs of an account use, without those of one start of a gang. */
+	computeAccountUse(account: AccountName, gang: ReadonlySet<EmulatedRun> = new Set()): Resources {
+		let sum = noResources;
+		for (const {incarnation} of this.#vms) {
+			for (const run of incarnation?.runs.values() ?? []) {
+				const isCounted = !gang.has(run) && this.jobs.get(run.key.job)!.job.account === account;
+				sum = isCounted ? addResources(sum, run.task.step.resources) : sum;
+			}
+		}
+
+		return sum;
+	}
+
+	/** Checks that a start is within the cap of its job's account. */
+	#checkCap(run: EmulatedRun, now: number): void {
+		const {account} = this.jobs.get(run.key.job)!.job;
+		if (account === undefined) {
+			return;
+		}
+
+		const {step} = run.task;
+		const gang = new Set(step.isGang ? this.#listGang(run.key).map(member => member.run) : [run]);
+		const others = this.computeAccountUse(account, gang);
+		if (!this.caps.isAllowed({
+			account, step, others, count: gang.size,
+		}, now)) {
+			this.violations.push(`${Math.round(now)}: ${formatTask(run.key)} brings account ${account} over its cap, beside ${others.cpu} thousandths of a core and ${others.memory} MB`);
+		}
+	}
+
 	#checkStart(key: RunKey, now: number): void {
 		const name = formatTask(key);
 		const crashed = this.#crashes.get(name);
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -28,6 +28,7 @@
 export * from './worker-processes.js';
 export * from './fake-workers.js';
 export * from './emulated-systems.js';
+export * from './cap-checks.js';
 export * from './emulated-workers.js';
 export * from './system-histories.js';
 export * from './standing-checks.js';
--- a/packages/testing/src/standing-checks.ts
+++ b/packages/testing/src/standing-checks.ts
@@ -3,7 +3,7 @@
  */
 import {type JobId} from '@tamarackwind/core';
 import {
-	addResources, getReservation, isWithin, type Resources,
+	addResources, getReservation, isWithin, isWithinCap, type Resources,
 } from '@tamarackwind/scheduling';
 import {formatTask, type Job} from '@tamarackwind/workflows';
 import {type EmulatedFleet, type WorkerRoom} from './emulated-workers.js';
@@ -128,7 +128,11 @@
 
 	const standing: string[] = [];
 	for (const [step, spec] of job.steps.entries()) {
-		const isReady = spec.after.every(earlier => listTasks(job, earlier).every(task => fleet.isDone(task)));
+		const cap = fleet.caps.getCap(job.account);
+		const isCapFull = cap !== undefined && !isWithinCap({
+			cap, used: fleet.computeAccountUse(job.account!), task: spec.resources, count: 1,
+		});
+		const isReady = !isCapFull && spec.after.every(earlier => listTasks(job, earlier).every(task => fleet.isDone(task)));
 		const tasks = listTasks(job, step);
 		// A gang needs room for all of its tasks at once, so gangs are not judged.
 		if (isReady && !spec.isGang && hasRoom(getReservation(spec), workers, {tasks, limit: spec.antiAffinity ?? Number.POSITIVE_INFINITY})) {
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -2,9 +2,9 @@
  * Runs random histories of the emulated system: jobs, cancellations, waves and overlapping faults, followed by a phase without
  * faults, after which the guarantees are checked.
  */
-import {type JobId} from '@tamarackwind/core';
-import {type StepSpec} from '@tamarackwind/scheduling';
-import {type Bounds} from '@tamarackwind/workflows';
+import {type AccountName, type JobId} from '@tamarackwind/core';
+import {noResources, type StepSpec} from '@tamarackwind/scheduling';
+import {type Bounds, type ClientAccount} from '@tamarackwind/workflows';
 import {EmulatedSystem} from './emulated-systems.js';
 import {StandingCheck} from './standing-checks.js';
 
@@ -23,6 +23,8 @@
 	readonly faultCount?: number;
 	/** Kinds of faults to inject; all kinds by default. */
 	readonly kinds?: readonly FaultKind[];
+	/** Whether the configuration has accounts, to which the jobs belong; `false` by default. */
+	readonly hasAccounts?: boolean;
 	/** Bounds of the deployment. */
 	readonly bounds?: Bounds;
 	readonly write?: (line: string) => void;
@@ -56,7 +58,14 @@
 	'queue moved',
 ] as const;
 
-export type FaultKind = (typeof faultKinds)[number] | (typeof furtherFaultKinds)[number];
+/** Changes of the accounts in the configuration, for histories with accounts; listed apart for the same reason. */
+export const accountFaultKinds = [
+	'caps lowered',
+	'caps raised',
+	'accounts removed',
+] as const;
+
+export type FaultKind = (typeof faultKinds)[number] | (typeof furtherFaultKinds)[number] | (typeof accountFaultKinds)[number];
 
 const restartMs = {min: 20, range: 900};
 /** Faults of the VM control, by kind. */
@@ -89,15 +98,17 @@
 }
 
 /** Runs one history and checks it. */
-export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, bounds, write}: HistoryOptions): Promise<HistoryOutcome> {
-	const system = await EmulatedSystem.create({seed, bounds, write});
+export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, hasAccounts = false, bounds, write}: HistoryOptions): Promise<HistoryOutcome> {
+	const system = await EmulatedSystem.create({
+		seed, bounds, write, ...(hasAccounts ? {accounts: createAccounts(1)} : {}),
+	});
 	const {clock, random} = system;
 	const faults: Record<string, number> = {};
 	await clock.run(warmUpMs);
 	const check = StandingCheck.create({system});
 	for (let index = 0; index < jobs; index++) {
 		clock.schedule(random.readFraction() * faultPhaseMs, () => {
-			void submitRandomJob(system);
+			void submitRandomJob(system, hasAccounts);
 		});
 	}
 
@@ -118,7 +129,21 @@
 	};
 }
 
-async function submitRandomJob(system: EmulatedSystem): Promise<void> {
+/** Accounts of a history: one limited in CPU, one in CPU and memory, one not at all. Long-running jobs belong to the last or to none, so that all of them can run. */
+function createAccounts(capFactor: number): ClientAccount[] {
+	const caps = [{cpu: 4000, memory: 0, gpu: 0}, {cpu: 6000, memory: 5000, gpu: 0}, noResources];
+	return caps.map(({cpu, memory, gpu}, index) => ({
+		name: `account-${index}` as AccountName, weight: index + 1, cap: {cpu: cpu * capFactor, memory: memory * capFactor, gpu}, keyHashes: [],
+	}));
+}
+
+/** Draws the account of a job; `undefined` for one without. */
+function pickAccount(system: EmulatedSystem, isLongRunning: boolean): AccountName | undefined {
+	const index = system.random.pickIndex(isLongRunning ? 2 : 4) + (isLongRunning ? 2 : 0);
+	return createAccounts(1)[index]?.name;
+}
+
+async function submitRandomJob(system: EmulatedSystem, hasAccounts: boolean): Promise<void> {
 	const {random, clock} = system;
 	const isLongRunning = random.readFraction() < 0.2;
 	const steps = isLongRunning
@@ -129,7 +154,7 @@
 			count: 1 + random.pickIndex(4), after: index === 0 ? [] : [index - 1], isGang: random.readFraction() < 0.1,
 		}));
 	const failingTasks = new Set(random.readFraction() < 0.15 ? ['0.0.1'] : []);
-	const id = await system.submit(steps, 300 + random.pickIndex(1500), {failingTasks});
+	const id = await system.submit(steps, 300 + random.pickIndex(1500), {failingTasks, account: hasAccounts ? pickAccount(system, isLongRunning) : undefined});
 	if (random.readFraction() < 0.15) {
 		clock.schedule(random.readFraction() * 4000, () => {
 			void system.cancel(id);
@@ -257,6 +282,24 @@
 				fleet.orderFaults = {lostResponseRate: 0, lateRate: 0};
 			});
 		},
+		'caps lowered'() {
+			void system.configureAccounts(createAccounts(0.25));
+			scheduleRestore(() => {
+				void system.configureAccounts(createAccounts(1));
+			});
+		},
+		'caps raised'() {
+			void system.configureAccounts(createAccounts(2));
+			scheduleRestore(() => {
+				void system.configureAccounts(createAccounts(1));
+			});
+		},
+		'accounts removed'() {
+			void system.configureAccounts(undefined);
+			scheduleRestore(() => {
+				void system.configureAccounts(createAccounts(1));
+			});
+		},
 		wave() {
 			void system.startWave(`wave-${index}`, fleet.vms.map(({id}) => id), 2);
 		},
--- /dev/null
+++ b/packages/testing/tests/account-caps.test.ts
@@ -0,0 +1,121 @@
+import {type AccountName} from '@tamarackwind/core';
+import {noResources, type Resources} from '@tamarackwind/scheduling';
+import {getProgressPartition, type ClientAccount} from '@tamarackwind/workflows';
+import test from 'ava';
+import {
+	accountFaultKinds, createStep, EmulatedSystem, faultKinds, furtherFaultKinds, playHistory, type EmulatedEntry, type FaultKind,
+} from '../src/index.js';
+
+const capped = 'capped' as AccountName;
+const free = 'free' as AccountName;
+
+function createAccount(name: AccountName, cap: Partial<Resources>): ClientAccount {
+	return {
+		name, weight: 1, cap: {...noResources, ...cap}, keyHashes: [],
+	};
+}
+
+async function createSystem(cap: Partial<Resources>): Promise<EmulatedSystem> {
+	const system = await EmulatedSystem.create({seed: 3, accounts: [createAccount(capped, cap), createAccount(free, {})]});
+	await system.clock.run(4000);
+	return system;
+}
+
+/** Delays the transactions of one pool's progress by an entry, beginning with the one that fences off earlier holders. */
+function delayOpening({tables}: EmulatedEntry, system: EmulatedSystem, pool: string, ms: number): void {
+	const commit = tables.commit.bind(tables);
+	const partition = getProgressPartition(pool as Parameters<typeof getProgressPartition>[0]);
+	tables.commit = async transaction => {
+		if (transaction.writes.some(write => write.partition === partition)) {
+			await system.clock.sleep(ms);
+		}
+
+		return commit(transaction);
+	};
+}
+
+const readUse = (system: EmulatedSystem): number => system.fleet.computeAccountUse(capped).cpu;
+
+// Guards against a new holder that starts tasks of an account before it knows what earlier holders assigned in other pools.
+test('a new holder starts capped tasks only once it has read the tasks of earlier holders in all pools', async t => {
+	const system = await createSystem({cpu: 4000});
+	const {clock, fleet} = system;
+	void system.submit([createStep({count: 3})], 12_000, {account: capped, pool: 'south'});
+	await clock.run(1500);
+	t.is(readUse(system), 3000);
+	const holder = system.holder!;
+	for (const entry of system.entries.filter(other => other !== holder)) {
+		delayOpening(entry, system, 'south', 3000);
+	}
+
+	system.killEntry(holder);
+	void system.submit([createStep({count: 6})], 1000, {account: capped, pool: 'north'});
+	const other = system.submit([createStep({count: 2})], 3000, {account: free, pool: 'north'});
+	await clock.run(4500);
+	t.is(fleet.countRunning(await other), 2);
+	t.is(readUse(system), 3000);
+	const [north] = [...system.holder!.scheduler.pools];
+	t.is(north!.waits.summaries.get('account-cap')?.tasks, 6);
+	await clock.run(1000);
+	t.is(readUse(system), 4000);
+	await clock.run(25_000);
+	t.deepEqual(fleet.violations, []);
+	t.is(fleet.counts.done, 11);
+});
+
+// Guards against starts that follow from a cap that is no longer in force, and against runs that are stopped for a lowered one.
+test('a version that lowers a cap stops nothing, and the next starts wait for it', async t => {
+	const system = await createSystem({cpu: 6000});
+	const {clock, fleet} = system;
+	void system.submit([createStep({count: 12})], 5000, {account: capped});
+	await clock.run(1500);
+	t.is(readUse(system), 6000);
+	void system.configureAccounts([createAccount(capped, {cpu: 2000})]);
+	await clock.run(2000);
+	t.is(readUse(system), 6000);
+	t.is(fleet.counts.starts, 6);
+	await clock.run(4000);
+	t.is(readUse(system), 2000);
+	void system.configureAccounts([createAccount(capped, {cpu: 3000})]);
+	await clock.run(300);
+	t.is(readUse(system), 3000);
+	await clock.run(20_000);
+	t.is(fleet.counts.done, 12);
+	t.deepEqual(fleet.violations, []);
+});
+
+// Guards against a pool that waits for its own next event although the account has room again through another pool.
+test('a task that waits for a cap starts as soon as a task of the account ends in another pool', async t => {
+	const system = await createSystem({cpu: 2000});
+	const {clock} = system;
+	const first = system.submit([createStep({count: 2})], 2000, {account: capped, pool: 'south'});
+	await clock.run(1000);
+	const second = system.submit([createStep({count: 2})], 2000, {account: capped, pool: 'north'});
+	await clock.run(1000);
+	t.is(system.fleet.countRunning(await first), 2);
+	t.is(system.fleet.countRunning(await second), 0);
+	await clock.run(500);
+	t.is(system.fleet.countRunning(await second), 2);
+});
+
+const allKinds = [...faultKinds, ...furtherFaultKinds, ...accountFaultKinds];
+
+const histories: ReadonlyArray<readonly [number, string, readonly FaultKind[]]> = [
+	[6001, 'all kinds of faults', allKinds],
+	[6002, 'all kinds of faults', allKinds],
+	[6003, 'caps that change', accountFaultKinds],
+	[6004, 'caps that change beside takeovers', ['caps lowered', 'caps raised', 'kill holder', 'stop holder']],
+	[6005, 'lost answers and late starts', ['orders lost', 'orders late', 'answers lost', 'caps lowered']],
+	[6006, 'late writes and takeovers', ['writes late', 'answers lost', 'kill holder', 'cut holder from tables']],
+	[6007, 'workers that restart under their ids beside late starts', ['worker restart', 'orders late', 'worker crash', 'kill holder']],
+	[6008, 'outages of the store', ['tables down', 'tables silent', 'accounts removed']],
+];
+
+// Guards against starts over a cap, and against jobs that are left waiting for one.
+for (const [seed, title, kinds] of histories) {
+	test(`history ${seed} of jobs with accounts: ${title}`, async t => {
+		const {violations, accepted} = await playHistory({seed, kinds, hasAccounts: true});
+		t.deepEqual(violations, []);
+		t.true(accepted > 0);
+	});
+}
--- /dev/null
+++ b/packages/workflows/src/account-ledgers.ts
@@ -0,0 +1,246 @@
+/**
+ * Accounts for what the tasks of each client account use, on the entry that schedules. A task is charged from its assignment until its run
+ * is known to have ended, so that the sums are never below what runs.
+ */
+import {type AccountName, type ServiceName} from '@tamarackwind/core';
+import {
+	addResources, isCapped, isWithinCap, noResources, type Resources, type StepSpec,
+} from '@tamarackwind/scheduling';
+import {type ClientAccount} from './accounts.js';
+import {type ActiveJob} from './active-jobs.js';
+import {type Configuration} from './configurations.js';
+import {type WaitReason} from './wait-reasons.js';
+
+export type AccountLedgerOptions = {
+	/** Gives the configuration in force. */
+	readonly declarations: {readonly configuration: Configuration | undefined};
+};
+
+/** Tasks that an account wants to start: one at a time, or all of them for a gang. */
+export type AccountDemand = {readonly account: AccountName | undefined; readonly spec: StepSpec};
+
+/** What the assigned tasks of an account use. */
+export type AccountUse = {readonly tasks: number; readonly used: Resources};
+
+const noUse: AccountUse = {tasks: 0, used: noResources};
+
+/** Sums of what the assigned tasks of each account use; jobs without an account count together under `undefined`. */
+class AccountUses {
+	static create(): AccountUses {
+		return new AccountUses();
+	}
+
+	readonly #uses = new Map<AccountName | undefined, AccountUse>();
+
+	private constructor() {}
+
+	get entries(): Iterable<[AccountName | undefined, AccountUse]> {
+		return this.#uses;
+	}
+
+	get(account: AccountName | undefined): AccountUse {
+		return this.#uses.get(account) ?? noUse;
+	}
+
+	/** Adds a number of tasks, which is negative for released ones. A sum without tasks is dropped, so that no rounding error is left of it. */
+	add(account: AccountName | undefined, tasks: number, resources: Resources): void {
+		const use = this.get(account);
+		if (use.tasks + tasks === 0) {
+			this.#uses.delete(account);
+		} else {
+			this.#uses.set(account, {tasks: use.tasks + tasks, used: addResources(use.used, resources, tasks)});
+		}
+	}
+}
+
+/** Ledger of all pools for one term of a holder. */
+export class AccountLedger {
+	static create(options: AccountLedgerOptions): AccountLedger {
+		return new AccountLedger(options);
+	}
+
+	readonly #options: AccountLedgerOptions;
+	readonly #uses = AccountUses.create();
+	readonly #pools = new Map<ServiceName, PoolAccounts>();
+	/** Configuration from which the accounts were taken. */
+	#configuration: Configuration | undefined;
+	#accounts: ReadonlyMap<AccountName, ClientAccount> = new Map();
+	/** Whether the jobs of all pools are known; `undefined` while that has to be found anew. */
+	#isComplete: boolean | undefined;
+
+	private constructor(options: AccountLedgerOptions) {
+		this.#options = options;
+	}
+
+	/** Accounts of the configuration in force; none where it has no accounts. */
+	get accounts(): ReadonlyMap<AccountName, ClientAccount> {
+		this.#refresh();
+		return this.#accounts;
+	}
+
+	get pools(): Iterable<PoolAccounts> {
+		return this.#pools.values();
+	}
+
+	/** Whether the jobs of all pools of the configuration are known, and thus all that earlier holders assigned. */
+	get isComplete(): boolean {
+		this.#refresh();
+		this.#isComplete ??= this.#configuration?.pools.every(({name}) => this.#pools.get(name)?.isLoaded) ?? false;
+		return this.#isComplete;
+	}
+
+	/** Returns what an account uses over all pools. */
+	getUse(account: AccountName): Resources {
+		return this.#uses.get(account).used;
+	}
+
+	/** Returns the cap of an account; `undefined` for an account that has none or is not in the configuration. */
+	getCap(account: AccountName): Resources | undefined {
+		const cap = this.accounts.get(account)?.cap;
+		return cap !== undefined && isCapped(cap) ? cap : undefined;
+	}
+
+	/** Opens the part of one pool; `onRoom` is called when an account that waited for its cap in the pool uses less. */
+	openPool(service: ServiceName, onRoom: () => void): PoolAccounts {
+		const pool = PoolAccounts.create({ledger: this, service, onRoom});
+		this.#pools.set(service, pool);
+		this.#isComplete = undefined;
+		return pool;
+	}
+
+	/** Closes the part of a pool and releases what it has charged. */
+	closePool(pool: PoolAccounts): void {
+		for (const [account, {tasks, used}] of pool.uses) {
+			this.#uses.add(account, -tasks, addResources(noResources, used, 1 / tasks));
+		}
+
+		if (this.#pools.get(pool.service) === pool) {
+			this.#pools.delete(pool.service);
+		}
+
+		this.#isComplete = undefined;
+	}
+
+	/** Notes that the jobs of a pool are known. */
+	noteLoaded(): void {
+		this.#isComplete = undefined;
+	}
+
+	/** Charges tasks to an account, or releases them if their number is negative. */
+	addTasks(account: AccountName | undefined, tasks: number, resources: Resources): void {
+		this.#uses.add(account, tasks, resources);
+		if (tasks < 0 && account !== undefined) {
+			for (const pool of this.#pools.values()) {
+				pool.wakeBlocked(account);
+			}
+		}
+	}
+
+	/** Takes the accounts of a new version of the configuration. */
+	#refresh(): void {
+		const {configuration} = this.#options.declarations;
+		if (configuration !== this.#configuration) {
+			this.#configuration = configuration;
+			this.#accounts = new Map(configuration?.accounts?.map(account => [account.name, account]));
+			this.#isComplete = undefined;
+		}
+	}
+}
+
+type PoolAccountsOptions = {readonly ledger: AccountLedger; readonly service: ServiceName; readonly onRoom: () => void};
+
+/** Part of the ledger that the scheduler of one pool keeps. */
+export class PoolAccounts {
+	static create(options: PoolAccountsOptions): PoolAccounts {
+		return new PoolAccounts(options);
+	}
+
+	readonly service: ServiceName;
+	readonly #options: PoolAccountsOptions;
+	readonly #uses = AccountUses.create();
+	/** Accounts whose caps have kept a task of the pool waiting since their use last fell. */
+	readonly #blocked = new Set<AccountName>();
+	#isLoaded = false;
+	#isClosed = false;
+
+	private constructor(options: PoolAccountsOptions) {
+		this.#options = options;
+		this.service = options.service;
+	}
+
+	/** Whether the stored jobs of the pool are known. */
+	get isLoaded(): boolean {
+		return this.#isLoaded;
+	}
+
+	/** What each account uses in the pool. */
+	get uses(): Iterable<[AccountName | undefined, AccountUse]> {
+		return this.#uses.entries;
+	}
+
+	/** Returns what an account uses in the pool. */
+	getUse(account: AccountName | undefined): AccountUse {
+		return this.#uses.get(account);
+	}
+
+	/** Charges the tasks of a job that are assigned, and from then on follows its tasks. */
+	add({job: {account}, steps, hooks}: ActiveJob): void {
+		for (const {counts, spec} of steps) {
+			const assigned = counts.total - counts.get('waiting') - counts.get('done');
+			if (assigned > 0) {
+				this.#addTasks(account, assigned, spec.resources);
+			}
+		}
+
+		hooks.onAssigned = ({spec}, isAssigned) => {
+			this.#addTasks(account, isAssigned ? 1 : -1, spec.resources);
+		};
+	}
+
+	/** Notes that the stored jobs of the pool are known. */
+	markLoaded(): void {
+		this.#isLoaded = true;
+		this.#options.ledger.noteLoaded();
+	}
+
+	/** Tells why the cap of an account forbids the start of a task, or of a gang; `undefined` if it does not. */
+	explainStart(account: AccountName, spec: StepSpec): WaitReason | undefined {
+		const {ledger} = this.#options;
+		const cap = ledger.getCap(account);
+		if (cap === undefined) {
+			return undefined;
+		}
+
+		const isAllowed = ledger.isComplete && isWithinCap({
+			cap, used: ledger.getUse(account), task: spec.resources, count: spec.isGang ? spec.count : 1,
+		});
+		if (isAllowed) {
+			return undefined;
+		}
+
+		this.#blocked.add(account);
+		return 'account-cap';
+	}
+
+	/** Has the pool plan soon if the cap of an account keeps tasks of it waiting. */
+	wakeBlocked(account: AccountName): void {
+		if (this.#blocked.delete(account)) {
+			this.#options.onRoom();
+		}
+	}
+
+	/** Releases what the pool has charged; later changes of its tasks are ignored. */
+	close(): void {
+		if (!this.#isClosed) {
+			this.#isClosed = true;
+			this.#options.ledger.closePool(this);
+		}
+	}
+
+	#addTasks(account: AccountName | undefined, tasks: number, resources: Resources): void {
+		if (!this.#isClosed) {
+			this.#uses.add(account, tasks, resources);
+			this.#options.ledger.addTasks(account, tasks, resources);
+		}
+	}
+}
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -9,6 +9,7 @@
 export type * from './wait-reasons.js';
 export * from './crash-evidence.js';
 export * from './job-hooks.js';
+export * from './account-ledgers.js';
 export * from './tasks.js';
 export * from './active-jobs.js';
 export * from './rate-limited-logs.js';
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -5,6 +5,7 @@
 import {
 	addResources, chooseWorker, getReservation, hasRoom, planGang, type Candidate, type StepOccupancy, type StepSpec,
 } from '@tamarackwind/scheduling';
+import {type AccountDemand, type PoolAccounts} from './account-ledgers.js';
 import {type StepState, type Task} from './tasks.js';
 import {type AdviceCache} from './advice-caches.js';
 import {CandidateGroups, type CandidateGroup} from './candidate-groups.js';
@@ -19,9 +20,14 @@
 /** A worker that is considered, with its session. */
 export type PlanCandidate = Candidate & {readonly session: WorkerSession};
 
+/** What the steps ask for that wait in one queue. */
+export type WaitingDemand = AccountDemand & {readonly demand: Demand};
+
 export type PlacementPassOptions = {
 	readonly candidates: readonly PlanCandidate[];
 	readonly advice: AdviceCache;
+	/** Caps of the accounts; nothing is capped without. */
+	readonly accounts?: PoolAccounts;
 	/** Time of the pass, on the monotonic clock. */
 	readonly now: number;
 	/** Reports whether the pass has used up its time, so that the rest of the work is left to the next one. */
@@ -75,7 +81,7 @@
 	/** Assigns the waiting tasks of a step for which there is a place; returns them. */
 	placeStep(step: StepState): Task[] {
 		const {now} = this.#options;
-		step.waitReason = this.explainDemand(step.demand);
+		step.waitReason = this.explainWait(step);
 		step.suspectWaitReason = undefined;
 		if (step.waitReason !== undefined) {
 			return [];
@@ -90,6 +96,17 @@
 		return this.#placeTasks(step, waiting, allowed);
 	}
 
+	/** Tells why no step like the given one can have a place now, if that is known without looking at each worker. */
+	explainWait(waiting: WaitingDemand): WaitReason | undefined {
+		return this.#explainCap(waiting) ?? this.explainDemand(waiting.demand);
+	}
+
+	/** Tells why the cap of an account forbids a start; `undefined` if it does not. */
+	#explainCap(waiting: AccountDemand): WaitReason | undefined {
+		const {account} = waiting;
+		return account === undefined ? undefined : this.#options.accounts?.explainStart(account, waiting.spec);
+	}
+
 	/** Tells why a demand can have no place now, if that is known without looking at each worker. */
 	explainDemand(demand: Demand): WaitReason | undefined {
 		const {requirement, resources, count} = demand;
@@ -118,6 +135,11 @@
 				break;
 			}
 
+			step.waitReason = this.#explainCap(step);
+			if (step.waitReason !== undefined) {
+				break;
+			}
+
 			const isTested = isSuspect(task);
 			const choice = isTested ? this.#placeSuspect(task, allowed, occupancy) : this.#placeOrdinary(task, allowed, occupancy);
 			if (typeof choice !== 'string') {
--- a/packages/workflows/src/pool-planners.ts
+++ b/packages/workflows/src/pool-planners.ts
@@ -4,6 +4,7 @@
 import {
 	appendAll, readErrorMessage, waitAtMost, type Clock, type JobId, type ServiceName, type VmId,
 } from '@tamarackwind/core';
+import {type AccountLedger, type PoolAccounts} from './account-ledgers.js';
 import {type ActiveJob} from './active-jobs.js';
 import {type AdviceCache} from './advice-caches.js';
 import {type CrashHistory} from './crash-histories.js';
@@ -23,6 +24,8 @@
 	readonly log: RateLimitedLog;
 	readonly meter: LoadMeter;
 	readonly service: ServiceName;
+	/** Use and caps of the accounts over all pools. */
+	readonly ledger: AccountLedger;
 	/** Reports whether orders may be sent now. */
 	readonly canOrder: () => boolean;
 };
@@ -73,6 +76,7 @@
 	readonly #wake = Signal.create();
 	readonly #waitingSteps = WaitingSteps.create();
 	readonly #loads = JobLoads.create();
+	readonly #accounts: PoolAccounts;
 	#timeoutsHandledAt = Number.NEGATIVE_INFINITY;
 	/** Whether the last planning pass ran out of time. */
 	#isPassCut = false;
@@ -81,10 +85,14 @@
 	private constructor(options: PoolPlannerOptions) {
 		this.#options = options;
 		this.waits = WaitMonitor.create(options);
+		this.#accounts = options.ledger.openPool(options.service, () => {
+			this.wake();
+		});
 	}
 
 	/** Begins to plan, once the stored jobs of the pool are known. */
 	start(): void {
+		this.#accounts.markLoaded();
 		void this.#run();
 	}
 
@@ -95,6 +103,7 @@
 
 	/** Takes up a job, which may have ended already. */
 	add(active: ActiveJob): void {
+		this.#accounts.add(active);
 		if (!active.isTerminal) {
 			this.#waitingSteps.add(active);
 			this.#loads.add(active);
@@ -125,6 +134,7 @@
 	/** Stops planning. */
 	close(): void {
 		this.#isClosed = true;
+		this.#accounts.close();
 		this.#wake.set();
 	}
 
@@ -193,13 +203,13 @@
 		const endsAt = Math.max(now + maxPassMs, clock.readMonotonic() + minPlacementMs);
 		const isOverBudget = () => clock.readMonotonic() >= endsAt;
 		const pass = PlacementPass.create({
-			candidates, advice, now, isOverBudget,
+			candidates, advice, accounts: this.#accounts, now, isOverBudget,
 		});
 		const placed: Task[] = [];
 		const isComplete = this.#waitingSteps.visit({
 			now,
 			isOverBudget,
-			explain: demand => pass.explainDemand(demand),
+			explain: waiting => pass.explainWait(waiting),
 			place(step) {
 				const tasks = pass.placeStep(step);
 				appendAll(placed, tasks);
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -5,6 +5,7 @@
 	readErrorMessage, type Clock, type RandomSource, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {LeaderLease, type WatchableTableService} from '@tamarackwind/clients';
+import {AccountLedger} from './account-ledgers.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type Bounds} from './bounds.js';
 import {FleetMaintainer} from './fleet-maintainers.js';
@@ -12,7 +13,7 @@
 import {type LoadMeter} from './load-meters.js';
 import {schedulerRole} from './table-keys.js';
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
-import {PoolScheduler} from './pool-schedulers.js';
+import {PoolScheduler, type PoolSchedulerOptions} from './pool-schedulers.js';
 import {type Timings} from './timings.js';
 import {
 	type FleetControl, type PlacementAdvisor, type WorkerControl, type WorkerRegistry,
@@ -77,6 +78,8 @@
 	readonly #openingPools = new Set<ServiceName>();
 	#fleetMaintainer: FleetMaintainer | undefined;
 	#feed: JobFeed | undefined;
+	/** Use and caps of the accounts; one ledger for each term. */
+	#ledger: AccountLedger | undefined;
 	/** Epoch under which this entry schedules; `undefined` while it does not. */
 	#epoch: number | undefined;
 	#acquiredAt = 0;
@@ -162,6 +165,7 @@
 			this.#epoch = epoch;
 			this.#acquiredAt = clock.readMonotonic();
 			log.info('duty taken', {duty: schedulerRole, epoch, holder});
+			this.#ledger = AccountLedger.create(this.#options);
 			this.#feed = JobFeed.create(this.#options);
 			this.#fleetMaintainer = FleetMaintainer.create({
 				...this.#options,
@@ -178,25 +182,25 @@
 
 	#openPools(): void {
 		const {declarations} = this.#options;
-		if (this.#epoch === undefined || this.#feed === undefined || !this.#canOrder) {
+		if (this.#epoch === undefined || this.#feed === undefined || this.#ledger === undefined || !this.#canOrder) {
 			return;
 		}
 
 		for (const {name} of declarations.configuration?.pools ?? []) {
 			if (!this.#pools.has(name) && !this.#openingPools.has(name)) {
-				void this.#openPool(name, this.#epoch, this.#feed);
+				void this.#openPool(name, this.#epoch, {feed: this.#feed, ledger: this.#ledger});
 			}
 		}
 	}
 
-	async #openPool(service: ServiceName, epoch: number, feed: JobFeed): Promise<void> {
+	async #openPool(service: ServiceName, epoch: number, shared: Pick<PoolSchedulerOptions, 'feed' | 'ledger'>): Promise<void> {
 		const {log, bounds, timings} = this.#options;
 		this.#openingPools.add(service);
 		const pool = PoolScheduler.create({
 			...this.#options,
+			...shared,
 			service,
 			epoch,
-			feed,
 			canOrder: () => this.#canOrder && this.#epoch === epoch,
 			isRenewalAllowed: () => this.#isRenewalAllowed && this.#epoch === epoch,
 			earlierRunsEndBy: this.#acquiredAt + (leaseRenewalGraceMs - timings.schedulerTermMs) + (bounds.maxWorkerLeaseMs * clockSlackFactor),
@@ -226,6 +230,7 @@
 		this.#fleetMaintainer = undefined;
 		this.#feed?.close();
 		this.#feed = undefined;
+		this.#ledger = undefined;
 		for (const pool of this.#pools.values()) {
 			pool.close();
 		}
--- a/packages/workflows/src/task-phases.ts
+++ b/packages/workflows/src/task-phases.ts
@@ -12,6 +12,11 @@
  */
 export type TaskPhase = 'waiting' | 'recorded' | 'starting' | 'running' | 'stopping' | 'done';
 
+/** Reports whether a task in a phase is assigned to a worker, or its last run is not known to have ended. */
+export function isAssigned(phase: TaskPhase): boolean {
+	return phase !== 'waiting' && phase !== 'done';
+}
+
 /** Counts the tasks of a step or job in each phase. */
 export class PhaseCounts {
 	/** Creates the counts of a number of waiting tasks. */
--- a/packages/workflows/src/tasks.ts
+++ b/packages/workflows/src/tasks.ts
@@ -1,6 +1,7 @@
 /**
  * In-memory state of the tasks and steps of the jobs that the scheduler's holder runs.
  */
+import {type AccountName} from '@tamarackwind/core';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {type ActiveJob} from './active-jobs.js';
 import {priorGuilt, type CrashEvidence} from './crash-evidence.js';
@@ -8,7 +9,7 @@
 import {
 	formatTask, type RunKey, type TaskKey, type WorkerIncarnation,
 } from './jobs.js';
-import {PhaseCounts, type TaskPhase} from './task-phases.js';
+import {isAssigned, PhaseCounts, type TaskPhase} from './task-phases.js';
 import {type WaitQueue, type WaitReason} from './wait-reasons.js';
 
 /** One task of an active job. */
@@ -57,9 +58,14 @@
 	}
 
 	set phase(phase: TaskPhase) {
-		this.stepState.counts.replace(this.#phase, phase);
-		this.job.counts.replace(this.#phase, phase);
+		const before = this.#phase;
+		this.stepState.counts.replace(before, phase);
+		this.job.counts.replace(before, phase);
 		this.#phase = phase;
+		if (isAssigned(before) !== isAssigned(phase)) {
+			this.job.hooks.onAssigned?.(this.stepState, isAssigned(phase));
+		}
+
 		this.job.markChanged(this);
 		if (phase === 'done' && this.stepState.isDone) {
 			this.job.markStepsChanged();
@@ -169,6 +175,8 @@
 	}
 
 	readonly spec: StepSpec;
+	/** Account of the job. */
+	readonly account: AccountName | undefined;
 	/** Demand of one task under which no worker has crashed, or of the whole gang. */
 	readonly demand: Demand;
 	/** Number of tasks in each phase. */
@@ -187,6 +195,7 @@
 
 	private constructor(readonly job: ActiveJob, readonly occurrence: number, readonly step: number) {
 		this.spec = job.job.steps[step]!;
+		this.account = job.job.account;
 		this.demand = Demand.create(this.spec, {count: this.spec.isGang ? this.spec.count : 1});
 		this.counts = PhaseCounts.create(this.spec.count);
 	}
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -111,7 +111,8 @@
 		const fields = {
 			service, reason, tasks: loggedTasks, longestMs, usedCpu: Math.round(usedCpu), cpu: Math.round(cpu), jobs: longest.map(({id}) => id), jobCount: loggedJobs,
 		};
-		if (longestMs > standingLimitMs && usedCpu < cpu * freePoolShare) {
+		// A task that waits for the cap of its account is right to wait, however much room the pool has.
+		if (reason !== 'account-cap' && longestMs > standingLimitMs && usedCpu < cpu * freePoolShare) {
 			log.warn('tasks wait although the pool has room', fields);
 		} else {
 			log.info('tasks wait', fields);
--- a/packages/workflows/src/waiting-steps.ts
+++ b/packages/workflows/src/waiting-steps.ts
@@ -1,12 +1,14 @@
 /**
- * Keeps the steps of a pool that have waiting tasks in queues by demand. A planning pass costs by the demands and by the steps that it
+ * Keeps the steps of a pool that have waiting tasks in queues by account and demand. A planning pass costs by the demands and by the steps that it
  * places, not by the steps that wait: once a demand finds no place, the rest of its queue is left alone.
  */
-import {compareRanks, type Rank} from '@tamarackwind/scheduling';
+import {type AccountName} from '@tamarackwind/core';
+import {compareRanks, type Rank, type StepSpec} from '@tamarackwind/scheduling';
 import TinyQueue from 'tinyqueue';
 import {type ActiveJob} from './active-jobs.js';
 import {type StepState} from './tasks.js';
 import {type Demand} from './demands.js';
+import {type WaitingDemand} from './placement-passes.js';
 import {type WaitQueue, type WaitReason} from './wait-reasons.js';
 
 type Entry = {
@@ -19,12 +21,18 @@
 	isRemoved: boolean;
 };
 
-/** Waiting steps with one demand. */
+/** Waiting steps of one account, or without one, with one demand. */
 class DemandQueue implements WaitQueue {
 	static create(step: StepState, isShared: boolean): DemandQueue {
-		return new DemandQueue(formatQueue(step, isShared), step.demand, isShared);
+		return new DemandQueue(step, isShared);
 	}
 
+	readonly key: string;
+	readonly demand: Demand;
+	readonly account: AccountName | undefined;
+	/** Specification of one of the steps; those of the others ask for the same. */
+	readonly spec: StepSpec;
+
 	reason: WaitReason | undefined;
 	/** Round in which the queue was last visited to its end, or found without a place. */
 	visitedIn = 0;
@@ -37,11 +45,15 @@
 	#position = 0;
 
 	private constructor(
-		readonly key: string,
-		readonly demand: Demand,
+		step: StepState,
 		/** Whether a failure to place one of the steps holds for all of them. */
 		readonly isShared: boolean,
-	) {}
+	) {
+		this.key = formatQueue(step, isShared);
+		this.demand = step.demand;
+		this.account = step.account;
+		this.spec = step.spec;
+	}
 
 	get isEmpty(): boolean {
 		return this.#entries.size === 0;
@@ -127,8 +139,8 @@
 	readonly now: number;
 	/** Reports whether the rest of the steps is left to the next visit. */
 	readonly isOverBudget: () => boolean;
-	/** Tells why no step with a demand can have a place, if that is known. */
-	readonly explain: (demand: Demand) => WaitReason | undefined;
+	/** Tells why no step of a queue can have a place, if that is known. */
+	readonly explain: (waiting: WaitingDemand) => WaitReason | undefined;
 	/** Places tasks of a step and sets its wait reason; returns whether the step has to be visited again since the time was over. */
 	readonly place: (step: StepState) => boolean;
 };
@@ -218,6 +230,12 @@
 				return false;
 			}
 
+			if (step.hasWaitingTasks && step.waitReason === 'account-cap') {
+				// Holds for the whole queue until the account uses less, and then the round comes back to it.
+				queue.reason = step.waitReason;
+				continue;
+			}
+
 			entry.visitedIn = this.#round;
 			if (!step.hasWaitingTasks) {
 				this.#removeStep(step);
@@ -240,7 +258,7 @@
 		const visitable: DemandQueue[] = [];
 		for (const queue of this.#queues.values()) {
 			if (queue.visitedIn !== this.#round) {
-				queue.reason = explain(queue.demand);
+				queue.reason = explain(queue);
 				if (queue.reason === undefined) {
 					queue.begin(now, this.#round);
 				}
@@ -283,6 +301,8 @@
 	}
 }
 
-function formatQueue({demand: {key, requirement}}: StepState, isShared: boolean): string {
-	return `${isShared ? 'shared' : 'single'} ${key} ${requirement ?? ''}`;
+/** Names a queue. Accounts are charged the whole CPU of fillers, of which the demand has none. */
+function formatQueue({account, spec, demand: {key, requirement}}: StepState, isShared: boolean): string {
+	const charge = account === undefined ? '' : `${spec.resources.cpu} ${account}`;
+	return `${isShared ? 'shared' : 'single'} ${key} ${requirement?.length ?? ''} ${requirement ?? ''} ${charge}`;
 }
--- a/packages/workflows/tests/placement-properties.test.ts
+++ b/packages/workflows/tests/placement-properties.test.ts
@@ -110,7 +110,7 @@
 		});
 		waiting.update(now, () => false);
 		const isComplete = waiting.visit({
-			now, isOverBudget, explain: demand => pass.explainDemand(demand), place(step) {
+			now, isOverBudget, explain: waiting => pass.explainWait(waiting), place(step) {
 				visits++;
 				const tasks = pass.placeStep(step);
 				placed.push(...tasks);
--- a/packages/workflows/tests/wait-monitors.test.ts
+++ b/packages/workflows/tests/wait-monitors.test.ts
@@ -35,6 +35,9 @@
 	{
 		name: 'a suspect that waits longer than the limit while the pool has room', task: {crashes: 1}, step: {suspectWaitReason: 'suspect'}, seconds: 5, reason: 'suspect', level: 'warn',
 	},
+	{
+		name: 'a task that waits as long for the cap of its account while the pool has room', task: {}, step: {waitReason: 'account-cap'}, seconds: 5, reason: 'account-cap', level: 'info',
+	},
 	{
 		name: 'a task that waits as long in a full pool', task: {}, step: {waitReason: 'no-room'}, usedCpu: 900, seconds: 5, reason: 'no-room', level: 'info',
 	},
--- a/scripts/play-histories.js
+++ b/scripts/play-histories.js
@@ -1,17 +1,22 @@
 /**
- * `npm run histories [-- SEED [RUNS]]`: simulates random histories of the emulated system and prints those that violate a guarantee.
+ * `npm run histories [-- SEED [RUNS [accounts]]]`: simulates random histories of the emulated system and prints those that violate a guarantee;
+ * with `accounts`, jobs belong to client accounts with caps, which change.
  */
 import {randomInt} from 'node:crypto';
 import process from 'node:process';
-import {faultKinds, furtherFaultKinds, playHistory} from '../packages/testing/dist/src/index.js';
+import {
+	accountFaultKinds, faultKinds, furtherFaultKinds, playHistory,
+} from '../packages/testing/dist/src/index.js';
 
 const maxSeed = 2 ** 31;
 const defaultRuns = 100;
 const [first = randomInt(maxSeed), runs = defaultRuns] = process.argv.slice(2).map(Number);
+const hasAccounts = process.argv[4] === 'accounts';
+const kinds = [...faultKinds, ...furtherFaultKinds, ...(hasAccounts ? accountFaultKinds : [])];
 const faults = {};
 let broken = 0;
 for (let seed = first; seed < first + runs; seed++) {
-	const history = await playHistory({seed, kinds: [...faultKinds, ...furtherFaultKinds]});
+	const history = await playHistory({seed, kinds, hasAccounts});
 	for (const [kind, count] of Object.entries(history.faults)) {
 		faults[kind] = (faults[kind] ?? 0) + count;
 	}
