--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,3 +6,4 @@
 export * from './sizing-plans.js';
 export * from './demand-trends.js';
 export * from './submission-caps.js';
+export * from './account-caps.js';
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -2,7 +2,8 @@
  * Observes the tasks of a pool whose preceding steps are done and that no worker runs, and reports for each reason how many wait and for how long.
  */
 import {type ServiceName} from '@tamarackwind/core';
-import {type ActiveJob, type StepState} from './active-jobs.js';
+import {type ActiveJob} from './active-jobs.js';
+import {type StepState} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {StepWaits, WaitSums, type ReasonSum} from './wait-counts.js';
 import {type WaitReason} from './wait-reasons.js';
@@ -110,7 +111,8 @@
 		const fields = {
 			service, reason, tasks: loggedTasks, longestMs, usedCpu: Math.round(usedCpu), cpu: Math.round(cpu), jobs: longest.map(({id}) => id), jobCount: loggedJobs,
 		};
-		if (longestMs > standingLimitMs && usedCpu < cpu * freePoolShare) {
+		// A task that waits for the cap of its account is right to wait, however much room the pool has.
+		if (reason !== 'account-cap' && longestMs > standingLimitMs && usedCpu < cpu * freePoolShare) {
 			log.warn('tasks wait although the pool has room', fields);
 		} else {
 			log.info('tasks wait', fields);
