Decide order, refusal and rates under insufficient capacity

Cause: in bursts of 5 s queues ask for more than their pools hold. Jobs are then delayed by their deadlines alone, whatever capacity they take from other callers, and accepted although their results can have no value (docs/design/accounts-overload-limits.md, part 3).

Change, decisions without a network only; nothing calls them yet:

- `job-orders.ts`: `JobOrder` with `DeadlineOrder`, today's order, and `LeastCostOrder`, which defers by Moore and Hodgson on a fluid model.
- `deferred-jobs.ts`: a deferred job is overtaken at most 8 times by jobs that arrived later and precede it by neither priority nor deadline.
- `capacity-estimates.ts`: the backlog before a job that arrives now, by priority and by position within it; refusal and Retry-After.
- `arrival-rates.ts`: accounts above their rate, and the share of their submissions to accept.
Only accepted jobs are seen, so the rate is measured by those whose hash is below every share in force in the window.
- `rankings.ts`: ranks have a tier for deferred jobs between in time and late; those of today's order keep their sequence.

Measured: 125 tests of the package pass, with fast-check properties: as many jobs in time as any choice could keep (all subsets of up to 9 jobs), nothing deferred exactly while all can be in time, never more than 8 overtakes, no estimate later than the work before a job, an account gets its rate and less than 1.4 times of it at 2 to 20 times the submissions and shares applied up to 1.5 s late.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,3 +6,8 @@
 export * from './sizing-plans.js';
 export * from './demand-trends.js';
 export * from './submission-caps.js';
+export * from './hash-fractions.js';
+export * from './job-orders.js';
+export * from './deferred-jobs.js';
+export * from './capacity-estimates.js';
+export * from './arrival-rates.js';
--- a/packages/scheduling/src/rankings.ts
+++ b/packages/scheduling/src/rankings.ts
@@ -25,9 +25,18 @@
 /** A rank and the time until which it holds, on the scheduler's clock. */
 export type RankPeriod = {readonly rank: Rank; readonly until: number};
 
-const tiers = {
-	longRunning: 0, inTime: 1, late: 2, expired: 3,
-} as const;
+/** Tiers of ranks, in their order. Only an order for insufficient capacity defers jobs. */
+export const rankTiers = ['longRunning', 'inTime', 'deferred', 'late', 'expired'] as const;
+
+export type RankTier = (typeof rankTiers)[number];
+
+/** Timeliness of a job, and the time until which it lasts unless the job's remaining work changes. */
+export type Timeliness = {
+	readonly tier: RankTier;
+	/** Time by which the job must end for its tier. */
+	readonly deadline: number;
+	readonly until: number;
+};
 
 /** Difference between the ranks of two tiers; above any priority, so that a job in time goes before a late one of higher priority. */
 const tierWeight = 1000;
@@ -44,21 +53,32 @@
 
 /** Computes the rank of a job at the time `now` and how long it holds unless the job's remaining work changes. */
 export function rankForPeriod(job: RankedJob, now: number): RankPeriod {
+	const {tier, deadline, until} = computeTimeliness(job, now);
+	return {rank: createRank(tier, job.policy.priority, deadline), until};
+}
+
+/** Computes whether a job can be in time, and until when. */
+export function computeTimeliness(job: RankedJob, now: number): Timeliness {
 	if (job.isLongRunning) {
-		return {rank: [tiers.longRunning, job.submittedAt], until: Number.POSITIVE_INFINITY};
+		return {tier: 'longRunning', deadline: job.submittedAt, until: Number.POSITIVE_INFINITY};
 	}
 
 	const objectiveMs = computeObjectiveMs(job);
-	const {remainingMs, policy: {priority}} = job;
+	const {remainingMs} = job;
 	const deadline = job.submittedAt + objectiveMs;
 	if (now <= deadline - remainingMs) {
-		return {rank: [(tiers.inTime * tierWeight) + priority, deadline], until: deadline - remainingMs};
+		return {tier: 'inTime', deadline, until: deadline - remainingMs};
 	}
 
 	const lateDeadline = job.submittedAt + (lateFactor * objectiveMs);
 	return now <= lateDeadline - remainingMs
-		? {rank: [(tiers.late * tierWeight) + priority, lateDeadline], until: lateDeadline - remainingMs}
-		: {rank: [(tiers.expired * tierWeight) + priority, lateDeadline], until: Number.POSITIVE_INFINITY};
+		? {tier: 'late', deadline: lateDeadline, until: lateDeadline - remainingMs}
+		: {tier: 'expired', deadline: lateDeadline, until: Number.POSITIVE_INFINITY};
+}
+
+/** Creates a rank; long-running jobs have no priority. `position` orders the jobs of one tier and priority. */
+export function createRank(tier: RankTier, priority: number, position: number): Rank {
+	return [(rankTiers.indexOf(tier) * tierWeight) + (tier === 'longRunning' ? 0 : priority), position];
 }
 
 /** Compares two ranks for sorting. */
