Compare orders of jobs in bursts beyond a pool's capacity

Cause: which order serves the most callers in time has to be measured on the load that it answers, apart from a deployment.

--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -8,6 +8,7 @@
 export * from './attempt-checks.js';
 export * from './http-calls.js';
 export * from './job-simulations.js';
+export * from './order-simulations.js';
 export * from './league-checks.js';
 export * from './fleet-checkers.js';
 export * from './fleet-fakes.js';
