Check configurations and their differences by meaning

Cause: an operator learns only from entries that a configuration has a queue that no request reaches, limits that contradict each other, or a cap that is lower than before.

--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -16,6 +16,7 @@
 export * from './progress-layouts.js';
 export * from './progress-writers.js';
 export * from './configurations.js';
+export * from './configuration-checks.js';
 export * from './signals.js';
 export * from './worker-health.js';
 export * from './advice-caches.js';
