--- a/packages/workflows/src/configuration-checks.ts
+++ b/packages/workflows/src/configuration-checks.ts
@@ -82,11 +82,11 @@
 }
 
 function formatKey(key: string | number): string {
-	return typeof key === 'number' || plainKeyPattern.test(key) ? String(key) : formatName(key);
+	return typeof key === 'number' || plainKeyPattern.test(key) ? String(key) : formatItemName(key);
 }
 
 /** Quotes a name and escapes its control and format characters, which could change the terminal's state. */
-function formatName(name: string): string {
+export function formatItemName(name: string): string {
 	return JSON.stringify(name).replaceAll(/\p{C}/gv, character => String.raw`\u{${character.codePointAt(0)!.toString(16)}}`);
 }
 
@@ -115,23 +115,23 @@
 		if (first === undefined) {
 			firstQueues.set(place, queue);
 		} else {
-			findings.push(createWarning('unmatched', ['queues', index], `queue ${formatName(name)} is hidden by ${formatName(first.name)}, which has the same host and path prefix`));
+			findings.push(createWarning('unmatched', ['queues', index], `queue ${formatItemName(name)} is hidden by ${formatItemName(first.name)}, which has the same host and path prefix`));
 		}
 
 		if (pathPrefix !== '' && !pathPrefix.startsWith('/')) {
-			findings.push(createWarning('unmatched', ['queues', index, 'pathPrefix'], `no path begins with the prefix of queue ${formatName(name)}, as it does not begin with "/"`));
+			findings.push(createWarning('unmatched', ['queues', index, 'pathPrefix'], `no path begins with the prefix of queue ${formatItemName(name)}, as it does not begin with "/"`));
 		}
 
 		if (!poolNames.has(service)) {
-			findings.push(createWarning('unmatched', ['queues', index, 'service'], `queue ${formatName(name)} goes to pool ${formatName(service)}, which does not exist; its jobs never run`));
+			findings.push(createWarning('unmatched', ['queues', index, 'service'], `queue ${formatItemName(name)} goes to pool ${formatItemName(service)}, which does not exist; its jobs never run`));
 		}
 
 		if (timeoutMs > 0 && timeoutMs < targetLatencyMs) {
-			findings.push(createWarning('contradiction', ['queues', index, 'timeoutMs'], `deadline of queue ${formatName(name)}, ${timeoutMs} ms, is under its latency objective, ${targetLatencyMs} ms`));
+			findings.push(createWarning('contradiction', ['queues', index, 'timeoutMs'], `deadline of queue ${formatItemName(name)}, ${timeoutMs} ms, is under its latency objective, ${targetLatencyMs} ms`));
 		}
 
 		if (maxAttempts < 1) {
-			findings.push(createWarning('contradiction', ['queues', index, 'policy', 'maxAttempts'], `queue ${formatName(name)} allows ${maxAttempts} attempts; its jobs fail at the first failure, as with 1`));
+			findings.push(createWarning('contradiction', ['queues', index, 'policy', 'maxAttempts'], `queue ${formatItemName(name)} allows ${maxAttempts} attempts; its jobs fail at the first failure, as with 1`));
 		}
 	}
 
@@ -151,20 +151,20 @@
 
 	for (const [index, {name, keyHashes, weight, cap}] of accounts.entries()) {
 		if (keyHashes.length === 0 && !isAnyQueueOpen) {
-			findings.push(createWarning('unmatched', ['accounts', index, 'keyHashes'], `account ${formatName(name)} has no keys, and no queue is open; it can submit nothing`));
+			findings.push(createWarning('unmatched', ['accounts', index, 'keyHashes'], `account ${formatItemName(name)} has no keys, and no queue is open; it can submit nothing`));
 		}
 
 		if (!(weight >= minAccountWeight)) {
-			findings.push(createWarning('contradiction', ['accounts', index, 'weight'], `weight of account ${formatName(name)} is ${weight}; the smallest is ${minAccountWeight}`));
+			findings.push(createWarning('contradiction', ['accounts', index, 'weight'], `weight of account ${formatItemName(name)} is ${weight}; the smallest is ${minAccountWeight}`));
 		}
 
 		if (cap.cpu > 0 && cap.cpu < minUsefulCpuCap) {
-			findings.push(createWarning('contradiction', ['accounts', index, 'cap', 'cpu'], `cap of account ${formatName(name)} is ${cap.cpu} ${resourceUnits.cpu}, which is less than one core`));
+			findings.push(createWarning('contradiction', ['accounts', index, 'cap', 'cpu'], `cap of account ${formatItemName(name)} is ${cap.cpu} ${resourceUnits.cpu}, which is less than one core`));
 		}
 	}
 
 	for (const names of AccountDirectory.create(accounts).conflicts) {
-		findings.push(createWarning('unmatched', ['accounts'], `accounts ${names.map(name => formatName(name)).join(', ')} have a key in common, which counts for none of them`));
+		findings.push(createWarning('unmatched', ['accounts'], `accounts ${names.map(name => formatItemName(name)).join(', ')} have a key in common, which counts for none of them`));
 	}
 
 	return findings;
@@ -199,14 +199,14 @@
 	const findings: ConfigurationFinding[] = [];
 	for (const [id, {name}] of oldItems) {
 		if (!newItems.has(id)) {
-			findings.push(createDifference('removed', [key, name], `${noun} ${formatName(name)} is removed`));
+			findings.push(createDifference('removed', [key, name], `${noun} ${formatItemName(name)} is removed`));
 		}
 	}
 
 	for (const [id, item] of newItems) {
 		const oldItem = oldItems.get(id);
 		findings.push(...(oldItem === undefined
-			? [createDifference('added', [key, item.name], `${noun} ${formatName(item.name)} is added`)]
+			? [createDifference('added', [key, item.name], `${noun} ${formatItemName(item.name)} is added`)]
 			: diffItem([key, item.name], oldItem, item)));
 	}
 
@@ -226,7 +226,7 @@
 
 function diffAccounts(path: FindingPath, before: ClientAccount, after: ClientAccount): ConfigurationFinding[] {
 	const findings: ConfigurationFinding[] = [];
-	const account = `account ${formatName(after.name)}`;
+	const account = `account ${formatItemName(after.name)}`;
 	const oldKeys = new Set(before.keyHashes);
 	const newKeys = new Set(after.keyHashes);
 	for (const keyHash of [...oldKeys].filter(hash => !newKeys.has(hash))) {
@@ -271,10 +271,10 @@
 
 function diffQueues(path: FindingPath, before: Queue, after: Queue): ConfigurationFinding[] {
 	const findings: ConfigurationFinding[] = [];
-	const queue = `queue ${formatName(after.name)}`;
+	const queue = `queue ${formatItemName(after.name)}`;
 	for (const [field, noun] of [['service', 'pool'], ['host', 'host'], ['pathPrefix', 'path prefix']] as const) {
 		if (before[field] !== after[field]) {
-			findings.push(createDifference('moved', [...path, field], `${queue} moves from ${noun} ${formatName(before[field])} to ${formatName(after[field])}`));
+			findings.push(createDifference('moved', [...path, field], `${queue} moves from ${noun} ${formatItemName(before[field])} to ${formatItemName(after[field])}`));
 		}
 	}
 
@@ -295,7 +295,7 @@
 }
 
 function diffPools(path: FindingPath, before: Pool, after: Pool): ConfigurationFinding[] {
-	const pool = `pool ${formatName(after.name)}`;
+	const pool = `pool ${formatItemName(after.name)}`;
 	return before.isSpare === after.isSpare ? [] : [createDifference('changed', [...path, 'isSpare'], after.isSpare ? `${pool} becomes spare: its VMs are switched off` : `${pool} is no longer spare`)];
 }
 
@@ -305,5 +305,5 @@
 	const newFields = new Map(Object.entries(after));
 	return [...new Set([...oldFields.keys(), ...newFields.keys()])]
 		.filter(field => !isDeepStrictEqual(oldFields.get(field), newFields.get(field)))
-		.map(field => createDifference('changed', [...path, field], `${noun} ${formatName(field)} changes from ${formatValue(oldFields.get(field))} to ${formatValue(newFields.get(field))}`));
+		.map(field => createDifference('changed', [...path, field], `${noun} ${formatItemName(field)} changes from ${formatValue(oldFields.get(field))} to ${formatValue(newFields.get(field))}`));
 }
