Check configurations of the platform with settings check

Cause: settings check reads only settings trees, so a configuration is first checked by the entries that get it. The subcommand is in packages/cli, which may depend on platform: platform does not depend on it, and only platform/src/configuration-files.ts knows the names on the wire.

--- a/packages/cli/src/settings.ts
+++ b/packages/cli/src/settings.ts
@@ -1,12 +1,16 @@
 /**
- * `tamarackwind settings`: checks, applies, shows and explains the settings tree.
+ * `tamarackwind settings`: checks, applies, shows and explains the settings tree, and checks configurations of the platform.
  */
 import {randomUUID} from 'node:crypto';
+import {readFile, stat} from 'node:fs/promises';
 import process from 'node:process';
-import {VerdictError} from '@tamarackwind/core';
+import {createIssuesError, VerdictError} from '@tamarackwind/core';
+import {checkConfigurationText, isConfigurationText} from '@tamarackwind/platform/configuration-files';
 import {
 	diffTrees, formatTreePath, safeLoadTree, type LocatedTree, type TreeChange,
 } from '@tamarackwind/settings';
+import {formatFinding, type ConfigurationFinding} from '@tamarackwind/workflows';
+import wrapAnsi from 'wrap-ansi';
 import {type Argv, type CommandModule} from 'yargs';
 import {
 	callOperatorPort, printRows, runCommand, withOperatorOptions, type OperatorOptions,
@@ -19,10 +23,17 @@
 type HistoryRow = {readonly version: number; readonly at: number; readonly operator: string; readonly changeId: string; readonly paths: readonly string[]; readonly why?: string};
 type ChangeOptions = OperatorOptions & {readonly base: number; readonly change?: string; readonly why?: string; readonly dryRun?: boolean};
 
+type CheckOptions = {readonly target: string; readonly against?: string; readonly json?: boolean};
 type ApplyOptions = ChangeOptions & {readonly directory: string; readonly rebase?: boolean};
 type ShowOptions = OperatorOptions & {readonly atVersion?: number; readonly change?: string};
 type ExplainedValue = {readonly path: string; readonly value: unknown; readonly from: string; readonly file?: string; readonly line?: number; readonly operator?: string; readonly version?: number};
 
+const severities = ['error', 'warning', 'notice'] as const;
+/** Width of the output of findings, in columns. */
+const outputColumns = 100;
+/** Aligns further lines of a finding with its path, after the severity. */
+const continuationIndent = ' '.repeat('warning '.length);
+
 /** Attempts to send a change whose response was lost; all carry the same change id. */
 const maxAttempts = 3;
 
@@ -68,6 +79,45 @@
 	}
 }
 
+/** Reads a file that is meant as a configuration in the platform's format; returns `undefined` for settings files. */
+async function readConfigurationText(target: string, against: string | undefined): Promise<string | undefined> {
+	if ((await stat(target)).isDirectory()) {
+		if (against !== undefined) {
+			throw createIssuesError([{code: 'not_a_file', path: [], message: `"${target}" is a directory; --against compares two files`}]);
+		}
+
+		return undefined;
+	}
+
+	const text = await readFile(target, 'utf8');
+	return against !== undefined || isConfigurationText(text) ? text : undefined;
+}
+
+/** Prints findings; errors go to standard error, and to the JSON output as well. */
+function printFindings(findings: readonly ConfigurationFinding[], {json}: Pick<CheckOptions, 'json'>): void {
+	for (const finding of findings) {
+		const isError = finding.severity === 'error';
+		if (isError || !json) {
+			(isError ? process.stderr : process.stdout).write(`${wrapLine(formatFinding(finding))}\n`);
+		}
+	}
+
+	const counts = severities.map(severity => ({severity, count: findings.filter(finding => finding.severity === severity).length}));
+	if (json) {
+		printJson(findings);
+	} else {
+		process.stdout.write(`${counts.map(({severity, count}) => `${severity}s: ${count}`).join(', ')}\n`);
+	}
+
+	if (findings.some(({severity}) => severity === 'error')) {
+		process.exitCode = exitCodes.badInput;
+	}
+}
+
+function wrapLine(line: string): string {
+	return wrapAnsi(line, outputColumns - continuationIndent.length, {hard: true}).replaceAll('\n', `\n${continuationIndent}`);
+}
+
 /** Sends a change; retries it with the same id if the response was lost. */
 async function sendChange(options: ChangeOptions, method: 'PUT' | 'POST', path: string, body: Record<string, unknown>): Promise<void> {
 	const changeId = options.change ?? randomUUID();
@@ -87,15 +137,31 @@
 	}
 }
 
-const checkCommand: Command<{directory: string}> = {
-	command: 'check <directory>',
-	describe: 'Check settings files without an entry',
-	builder: yargs => withDirectory(yargs)
-		.example('$0 settings check settings', 'Check the schema, references, budgets and shares'),
-	async handler({directory}) {
+const checkCommand: Command<CheckOptions> = {
+	command: 'check <target>',
+	describe: 'Check settings files, or a configuration of the platform, without an entry',
+	builder: yargs => yargs
+		.positional('target', {type: 'string', demandOption: true, describe: 'Directory of settings files, one such file, or a file with a configuration in the platform\'s format'})
+		.option('against', {type: 'string', describe: 'File with another version of the configuration, such as the one in force, to list the differences to'})
+		.option('json', {type: 'boolean', describe: 'Print the output as JSON'})
+		.example('$0 settings check settings', 'Check the schema, references, budgets and shares')
+		.example('$0 settings check new.json --against current.json', 'Check a configuration and list its differences to the one in force') as unknown as Argv<CheckOptions>,
+	async handler({target, against, json}) {
 		await runCommand(async () => {
-			const {places} = await loadTree(directory);
-			process.stdout.write(`${Object.keys(places).length} keys are in order\n`);
+			const configurationText = await readConfigurationText(target, against);
+			if (configurationText !== undefined) {
+				const findings = checkConfigurationText(configurationText, against === undefined ? undefined : await readFile(against, 'utf8'));
+				printFindings(findings, {json});
+				return;
+			}
+
+			const {places} = await loadTree(target);
+			const keys = Object.keys(places).length;
+			if (json) {
+				printJson({keys});
+			} else {
+				process.stdout.write(`${keys} keys are in order\n`);
+			}
 		});
 	},
 };
