Estimate jobs that would be deferred as late, and plan only jobs that wait

Cause: under the order of least cost the jobs in time always fit into the pool, since the others are deferred. An estimate by the work in time alone therefore told almost every arriving job that it can be in time; in the emulated system with 15 times the demand that two workers serve, all 300 jobs were accepted after retries.

Change: an estimate has the least work of the deferred jobs of each priority, and a job that costs as much is estimated behind them. Shares are published with four digits. The simulation plans only jobs with waiting tasks, as the scheduler does.

Tests of the package pass.

--- a/packages/scheduling/src/arrival-rates.ts
+++ b/packages/scheduling/src/arrival-rates.ts
@@ -19,6 +19,8 @@
 const minShare = 0.01;
 /** Time for which entries may still apply an earlier share, in milliseconds: they use no status that is older. */
 const shareLagMs = 2000;
+/** Inverse of the precision of a share, which is published as text. */
+const sharePrecision = 10_000;
 const millisecondsPerSecond = 1000;
 
 type Arrival = {readonly at: number; readonly fraction: number};
@@ -117,7 +119,7 @@
 		for (const [account, arrivals] of this.#accounts) {
 			const submissions = arrivals.estimateSubmissions(now, this.limit.windowMs);
 			const allowed = computeAllowedJobs(getWeight(account), this.limit);
-			const share = submissions > allowed && isContended(account) ? Math.max(minShare, allowed / submissions) : 1;
+			const share = submissions > allowed && isContended(account) ? Math.max(minShare, Math.round((allowed / submissions) * sharePrecision) / sharePrecision) : 1;
 			arrivals.setShare(share, now);
 			if (share < 1) {
 				shares.set(account, share);
--- a/packages/scheduling/src/capacity-estimates.ts
+++ b/packages/scheduling/src/capacity-estimates.ts
@@ -11,6 +11,8 @@
 	readonly tier: RankTier;
 	/** Position among the jobs of its tier and priority; a time is relative to that of the estimate. */
 	readonly position: number;
+	/** Work of the tasks that are not done. */
+	readonly remainingWork: number;
 	/** Work of the tasks that wait. */
 	readonly waitingWork: number;
 	/** The part of it whose preceding steps are done. */
@@ -34,7 +36,13 @@
 export type TierBacklog = {readonly beforeMs: number; readonly points: readonly BacklogPoint[]};
 
 /** Work that goes before a job of one priority that arrives now: while it can be in time, and later. */
-export type PriorityEstimate = {readonly priority: number; readonly inTime: TierBacklog; readonly late: TierBacklog};
+export type PriorityEstimate = {
+	readonly priority: number;
+	readonly inTime: TierBacklog;
+	readonly late: TierBacklog;
+	/** Least work of the deferred jobs, in thousandths of a core times milliseconds; a job with as much work would be deferred too. Omitted if none is deferred. */
+	readonly deferredWork?: number;
+};
 
 /** When a job that arrives now would get capacity in a pool. */
 export type PoolEstimate = {
@@ -91,16 +99,32 @@
 		return undefined;
 	}
 
-	const byPriority = new Map<number, {readonly inTime: WorkPoint[]; readonly late: WorkPoint[]}>();
+	const byPriority = new Map<number, PriorityBacklog>();
 	let workBeforeLate = 0;
-	for (const {priority, tier, position, waitingWork, openWork} of jobs) {
-		const works = byPriority.get(priority) ?? {inTime: [], late: []};
-		byPriority.set(priority, works);
+	for (const {priority, tier, position, remainingWork, waitingWork, openWork} of jobs) {
+		const backlog = byPriority.get(priority) ?? {inTime: [], late: [], deferredWork: undefined};
+		byPriority.set(priority, backlog);
 		workBeforeLate += tier === 'inTime' || tier === 'deferred' ? waitingWork : 0;
-		if (tier === 'inTime') {
-			works.inTime.push([position, openWork]);
-		} else if (tier === 'late') {
-			works.late.push([position, waitingWork]);
+		switch (tier) {
+			case 'inTime': {
+				backlog.inTime.push([position, openWork]);
+				break;
+			}
+
+			case 'deferred': {
+				backlog.deferredWork = Math.min(remainingWork, backlog.deferredWork ?? Number.POSITIVE_INFINITY);
+				break;
+			}
+
+			case 'late': {
+				backlog.late.push([position, waitingWork]);
+				break;
+			}
+
+			case 'longRunning':
+			case 'expired': {
+				break;
+			}
 		}
 	}
 
@@ -108,10 +132,12 @@
 	let lateWork = workBeforeLate;
 	const priorities: PriorityEstimate[] = [];
 	for (const priority of [...byPriority.keys()].toSorted((a, b) => a - b)) {
-		const works = byPriority.get(priority)!;
-		priorities.push({priority, inTime: describeTier(works.inTime, inTimeWork, cpu), late: describeTier(works.late, lateWork, cpu)});
-		inTimeWork += sumWork(works.inTime);
-		lateWork += sumWork(works.late);
+		const {inTime, late, deferredWork} = byPriority.get(priority)!;
+		priorities.push({
+			priority, inTime: describeTier(inTime, inTimeWork, cpu), late: describeTier(late, lateWork, cpu), ...(deferredWork === undefined ? {} : {deferredWork: Math.round(deferredWork)}),
+		});
+		inTimeWork += sumWork(inTime);
+		lateWork += sumWork(late);
 	}
 
 	return {priorities, hasIdleVm, latePosition};
@@ -119,6 +145,8 @@
 
 type WorkPoint = readonly [position: number, work: number];
 
+type PriorityBacklog = {readonly inTime: WorkPoint[]; readonly late: WorkPoint[]; deferredWork: number | undefined};
+
 function sumWork(works: readonly WorkPoint[]): number {
 	return works.reduce((sum, [, work]) => sum + work, 0);
 }
@@ -142,7 +170,7 @@
 
 /**
  * Estimates when a job that arrives now would get capacity, in milliseconds: behind the jobs in time with earlier deadlines if it can be in
- * time itself, else behind all jobs in time and the late ones before it. A job of a higher priority than all unfinished ones gets capacity
+ * time itself and costs less than each deferred job, else behind all jobs in time and the late ones before it. A job of a higher priority than all unfinished ones gets capacity
  * at once.
  */
 export function estimateStartMs({priorities, latePosition}: PoolEstimate, {priority, criticalPathMs, objectiveMs, work}: Omit<ArrivingJob, 'id'>): number {
@@ -153,7 +181,8 @@
 
 	const isSame = known.priority === priority;
 	const inTimeMs = findBacklogMs(known.inTime, isSame ? objectiveMs : Number.POSITIVE_INFINITY);
-	if (inTimeMs + criticalPathMs <= objectiveMs) {
+	const isDeferred = isSame && work >= (known.deferredWork ?? Number.POSITIVE_INFINITY);
+	if (!isDeferred && inTimeMs + criticalPathMs <= objectiveMs) {
 		return inTimeMs;
 	}
 
--- a/packages/scheduling/src/job-orders.ts
+++ b/packages/scheduling/src/job-orders.ts
@@ -48,6 +48,9 @@
 	/** What orders the late jobs of one priority: the end of the time in which their results have a value, or their remaining work. */
 	abstract readonly latePosition: LatePosition;
 
+	/** Whether the order defers jobs, so that plans have to be made. */
+	abstract readonly isDeferring: boolean;
+
 	/** Chooses the jobs that go behind all others which can be in time. */
 	abstract chooseDeferred<T extends PlannedJob>(jobs: Iterable<T>, pool: PlannedPool): Set<T>;
 }
@@ -64,6 +67,7 @@
 	}
 
 	override readonly latePosition = 'deadline';
+	override readonly isDeferring = false;
 
 	override rank(job: OrderedJob, now: number): RankPeriod {
 		return rankForPeriod(job, now);
@@ -86,6 +90,7 @@
 	}
 
 	override readonly latePosition = 'work';
+	override readonly isDeferring = true;
 
 	override rank(job: OrderedJob, now: number): RankPeriod {
 		const {tier, deadline, until} = computeTimeliness(job, now);
--- a/packages/scheduling/src/rankings.ts
+++ b/packages/scheduling/src/rankings.ts
@@ -81,6 +81,11 @@
 	return [(rankTiers.indexOf(tier) * tierWeight) + (tier === 'longRunning' ? 0 : priority), position];
 }
 
+/** Finds the tier of a rank. */
+export function findTier(rank: Rank): RankTier {
+	return rankTiers[Math.floor(rank[0] / tierWeight)] ?? 'expired';
+}
+
 /** Compares two ranks for sorting. */
 export function compareRanks(a: Rank, b: Rank): number {
 	return a[0] - b[0] || a[1] - b[1];
--- a/packages/testing/src/order-simulations.ts
+++ b/packages/testing/src/order-simulations.ts
@@ -164,6 +164,7 @@
 /** The order of deadlines alone: a job that can't be in time any more keeps its place. */
 export class EarliestDeadlineOrder extends JobOrder {
 	override readonly latePosition = 'deadline';
+	override readonly isDeferring = false;
 
 	override rank(job: OrderedJob): RankPeriod {
 		return createPlainPeriod(job.submittedAt + computeObjectiveMs(job));
@@ -177,6 +178,7 @@
 /** The order of remaining work, whatever the deadlines. */
 export class ShortestWorkOrder extends JobOrder {
 	override readonly latePosition = 'deadline';
+	override readonly isDeferring = false;
 
 	override rank(job: OrderedJob): RankPeriod {
 		return createPlainPeriod(job.remainingWork);
@@ -190,6 +192,7 @@
 /** The order of the time that a job can still wait. */
 export class LeastSlackOrder extends JobOrder {
 	override readonly latePosition = 'deadline';
+	override readonly isDeferring = false;
 
 	override rank(job: OrderedJob): RankPeriod {
 		return createPlainPeriod(job.submittedAt + computeObjectiveMs(job) - job.remainingMs);
@@ -281,14 +284,14 @@
 		const backlog = [...this.#active].map((job): BacklogJob => {
 			const {tier, deadline} = computeTimeliness(job, now);
 			return {
-				priority: job.priority, tier: tier === 'inTime' && job.isDeferred ? 'deferred' : tier, position: tier === 'late' && latePosition === 'work' ? job.remainingWork : deadline - now, waitingWork: job.waitingWork, openWork: job.openWork,
+				priority: job.priority, tier: tier === 'inTime' && job.isDeferred ? 'deferred' : tier, position: tier === 'late' && latePosition === 'work' ? job.remainingWork : deadline - now, remainingWork: job.remainingWork, waitingWork: job.waitingWork, openWork: job.openWork,
 			};
 		});
 		this.#published.push({at: now, estimate: estimatePool(backlog, {cpu: this.#cpu, hasIdleVm: this.#freeCpu >= vmCpu, latePosition})});
 	}
 
 	#planDeferred(now: number): void {
-		const planned = [...this.#active].map(job => ({
+		const planned = [...this.#active].filter(job => job.hasWaitingTasks).map(job => ({
 			job, priority: job.priority, deadline: job.deadline, remainingMs: job.plannedMs, remainingWork: job.remainingWork, openWork: job.openWork, isKept: job.isKept,
 		}));
 		const chosen = this.order.chooseDeferred(planned, {now, cpu: this.#cpu});
