Defer and estimate jobs in the holder, and publish the overload of pools

Cause: the decisions for insufficient capacity have to reach the order of the holder's planning passes and, by its status, all entries.

- `OverloadPolicy` resolves settings and configuration: what the settings name holds; what they leave open is on where the configuration has accounts.
Without a policy, or with neither, ranks, passes and the row of the lease stay as they were.
- `JobRank`, extracted from `ActiveJob`, ranks a job by the order of its pool and is told when a plan defers it.
- `PoolBacklog` takes the place of `JobLoads` in `PoolScheduler`: it plans deferred jobs at most every 100 ms, only after a change and for at most a twentieth of the time, and estimates capacity.
A pass is cut when a deferred job has been overtaken 8 times, so that it comes next.
- `OverloadTerm` keeps the arrivals of accounts for one term and describes estimates and shares with the epoch; entries use none of an earlier epoch or of a released lease.
A status that is too large for its row leaves them out first.
- `SubmissionGate` decides at an entry.
A job that would be refused is looked up first; one that is known, being submitted, or whose lookup fails or takes 0.3 s is not refused.
- Wait reason `deferred`; log lines `jobs deferred`, `deferred jobs keep their place`, `order of jobs changed`; `explain` counts deferrals and refusals.

--- a/packages/testing/src/bench-planning.ts
+++ b/packages/testing/src/bench-planning.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run bench -- planning [--only NAME] [--seconds S]`: processor time of the planning passes and of the observation of waiting tasks,
+ * `npm run bench -- planning [--only NAME] [--seconds S] [--order least-cost] [--refusal]`: processor time of the planning passes and of the observation of waiting tasks,
  * with the real scheduler on emulated workers. Passes are not cut in simulated time, so that a figure is the work of a whole pass.
  */
 import {performance} from 'node:perf_hooks';
@@ -7,7 +7,7 @@
 import {parseArgs} from 'node:util';
 import {SeededRandom, SystemClock} from '@tamarackwind/core';
 import {type StepSpec} from '@tamarackwind/scheduling';
-import {LoadMeter} from '@tamarackwind/workflows';
+import {LoadMeter, type OverloadSettings} from '@tamarackwind/workflows';
 import {EmulatedSystem} from './emulated-systems.js';
 import {createStep} from './system-histories.js';
 
@@ -20,7 +20,7 @@
 
 const warmUpMs = 4000;
 const submissionMs = 6000;
-const activities = ['plan', 'observe waits', 'size pools', 'apply listing'] as const;
+const activities = ['plan', 'plan deferred jobs', 'observe waits', 'size pools', 'apply listing'] as const;
 
 const scenarios: readonly Scenario[] = [
 	...[500, 1500, 3000].map(count => ({
@@ -37,6 +37,12 @@
 			})),
 		],
 	})),
+	// All jobs can be in time by their own durations, so that a plan of deferred jobs looks at each.
+	...[1000, 5000].map(count => ({
+		name: `in-time-${count}`, workers: 40, createJobs: (random: SeededRandom) => Array.from({length: count}, () => ({
+			step: createStep({count: 8, estimatedMs: 60_000 + random.pickIndex(20_000), resources: {cpu: 500 + random.pickIndex(1500), memory: 10, gpu: 0}}), durationMs: 2000 + random.pickIndex(6000),
+		})),
+	})),
 ];
 
 /** Creates one of a number of demands that no worker can meet. */
@@ -52,7 +58,7 @@
 	return value.toFixed(2);
 }
 
-async function measure({name, workers, createJobs}: Scenario, seconds: number): Promise<void> {
+async function measure({name, workers, createJobs}: Scenario, seconds: number, overload: Partial<OverloadSettings>): Promise<void> {
 	const samples = new Map<string, number[]>();
 	const meter = LoadMeter.create(SystemClock.create(), (activity, elapsedMs) => {
 		const list = samples.get(activity) ?? [];
@@ -60,7 +66,7 @@
 		list.push(elapsedMs);
 	});
 	const system = await EmulatedSystem.create({
-		seed: 1, pools: [['north', workers], ['spare', 0]], meter,
+		seed: 1, pools: [['north', workers], ['spare', 0]], meter, overload,
 	});
 	const {clock} = system;
 	await clock.run(warmUpMs);
@@ -77,7 +83,7 @@
 	const startedAt = performance.now();
 	await clock.run(seconds * 1000);
 	const {user, system: kernel} = process.cpuUsage(before);
-	for (const activity of activities) {
+	for (const activity of activities.filter(other => samples.has(other))) {
 		const sorted = (samples.get(activity) ?? []).toSorted((a, b) => a - b);
 		const totalMs = sorted.reduce((sum, value) => sum + value, 0);
 		console.log([
@@ -90,8 +96,12 @@
 }
 
 export async function runBench(args: readonly string[]): Promise<void> {
-	const {values} = parseArgs({args: [...args], options: {only: {type: 'string'}, seconds: {type: 'string', default: '3'}}});
+	const {values} = parseArgs({
+		args: [...args], options: {
+			only: {type: 'string'}, seconds: {type: 'string', default: '3'}, order: {type: 'string', default: 'deadline'}, refusal: {type: 'boolean', default: false},
+		},
+	});
 	for (const scenario of scenarios.filter(({name}) => values.only === undefined || name.startsWith(values.only))) {
-		await measure(scenario, Number(values.seconds));
+		await measure(scenario, Number(values.seconds), {order: values.order === 'least-cost' ? values.order : 'deadline', isRefusing: values.refusal});
 	}
 }
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -11,7 +11,7 @@
 } from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {
-	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, UncheckedPrincipal, type Bounds, type Configuration, type Declaration, type Job, type PlacementAdvice, type Schedule,
+	defaultBounds, defaultOverloadSettings, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, OverloadPolicy, Scheduler, SubmissionGate, UncheckedPrincipal, type Bounds, type Configuration, type Declaration, type Job, type OverloadSettings, type PlacementAdvice, type RefusalReason, type Schedule,
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
@@ -142,13 +142,13 @@
 	}
 }
 
-export type SubmitOptions = Partial<Pick<EmulatedJob, 'failingTasks' | 'crashingTasks'>> & {
+export type SubmitOptions = Partial<Pick<EmulatedJob, 'failingTasks' | 'crashingTasks'>> & Partial<Pick<Job, 'account'>> & {
 	/** Recurrence of the job, with the first due time relative to the submission. */
 	readonly schedule?: Schedule;
 };
 
 /** One emulated entry. */
-export type EmulatedEntry = {readonly name: string; readonly tables: FaultyTables; readonly scheduler: Scheduler; readonly submitter: JobSubmitter; readonly queries: JobQueries; readonly watcher: DeclarationWatcher};
+export type EmulatedEntry = {readonly name: string; readonly tables: FaultyTables; readonly scheduler: Scheduler; readonly submitter: JobSubmitter; readonly queries: JobQueries; readonly gate: SubmissionGate; readonly watcher: DeclarationWatcher};
 
 export type EmulatedSystemOptions = {
 	readonly seed: number;
@@ -160,6 +160,10 @@
 	readonly enforcesCapacity?: boolean;
 	/** Measures the activities of all entries; by default in simulated time, in which they take none. */
 	readonly meter?: LoadMeter;
+	/** What entries do when the capacity of a pool is insufficient; by default nothing without accounts. */
+	readonly overload?: Partial<OverloadSettings>;
+	/** Parts of the configuration that differ from the default. */
+	readonly configuration?: Partial<Configuration>;
 	/** Receives the log lines; they are discarded by default. */
 	readonly write?: (line: string) => void;
 };
@@ -181,6 +185,10 @@
 	readonly tables: MemoryTableService;
 	readonly accepted = new Map<JobId, Job>();
 	readonly cancelled = new Set<JobId>();
+	/** Number of submissions that entries refused, by reason. */
+	readonly refusals = new Map<RefusalReason, number>();
+	/** Actual ends of jobs less their estimates. */
+	readonly estimateErrorsMs: number[] = [];
 	readonly #options: EmulatedSystemOptions;
 	readonly #pools: ReadonlyArray<readonly [string, number]>;
 	#entries: EmulatedEntry[] = [];
@@ -227,12 +235,18 @@
 		const watcher = DeclarationWatcher.create({
 			clock, tables, codec, log, timings,
 		});
-		const entry = {
+		const policy = OverloadPolicy.create({getSettings: () => ({...defaultOverloadSettings, ...this.#options.overload}), getConfiguration: () => watcher.configuration});
+		const submitter = JobSubmitter.create({clock, tables, log});
+		const queries = JobQueries.create(tables);
+		const entry: EmulatedEntry = {
 			name,
 			tables,
 			watcher,
-			submitter: JobSubmitter.create({clock, tables, log}),
-			queries: JobQueries.create(tables),
+			submitter,
+			queries,
+			gate: SubmissionGate.create({
+				clock, policy, submitter, queries, getOverload: () => entry.scheduler.overload,
+			}),
 			scheduler: Scheduler.create({
 				clock,
 				random: this.random,
@@ -251,6 +265,10 @@
 				fleetOrdersPerS: 32,
 				bounds,
 				timings,
+				overloadPolicy: policy,
+				onEstimateError: errorMs => {
+					this.estimateErrorsMs.push(errorMs);
+				},
 			}),
 		};
 		this.#entries.push(entry);
@@ -258,7 +276,7 @@
 	}
 
 	/** Submits a job to random entries as a client does, in at most 5 attempts; marks it as refused if every attempt was refused. */
-	async submit(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set(), schedule}: SubmitOptions = {}): Promise<JobId> {
+	async submit(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set(), schedule, account}: SubmitOptions = {}): Promise<JobId> {
 		const id = this.random.createToken().slice(0, 16) as JobId;
 		const service = this.random.pickItem(this.#pools.filter(([name]) => name !== sparePool))![0] as ServiceName;
 		const job: Job = {
@@ -267,6 +285,7 @@
 			queue: service,
 			payload: '',
 			steps,
+			...(account === undefined ? {} : {account}),
 			...(schedule === undefined ? {} : {schedule: {...schedule, firstAt: this.clock.readWall() + schedule.firstAt}}),
 			submittedAt: this.clock.readWall(),
 			policy: {
@@ -334,6 +353,10 @@
 
 	async #trySubmit(job: Job): Promise<string> {
 		const entry = this.random.pickItem(this.#entries);
+		if (entry !== undefined && this.#canRefuse && await this.#isRefused(entry, job)) {
+			return 'refused';
+		}
+
 		return entry === undefined
 			? 'unknown'
 			: Promise.race([entry.submitter.submit(job, unchecked), (async () => {
@@ -342,9 +365,23 @@
 			})()]);
 	}
 
+	get #canRefuse(): boolean {
+		const {overload, configuration} = this.#options;
+		return overload !== undefined || configuration?.accounts !== undefined;
+	}
+
+	async #isRefused({gate}: EmulatedEntry, job: Job): Promise<boolean> {
+		const refusal = await gate.findRefusal(job);
+		if (refusal !== undefined) {
+			this.refusals.set(refusal.reason, (this.refusals.get(refusal.reason) ?? 0) + 1);
+		}
+
+		return refusal !== undefined;
+	}
+
 	async #start(): Promise<void> {
 		const configuration: Configuration = {
-			version: 1, queues: [], pools: this.#pools.map(([name]) => ({name: name as ServiceName, isSpare: name === sparePool})), limits: {maxBodyBytes: 1_000_000},
+			version: 1, queues: [], pools: this.#pools.map(([name]) => ({name: name as ServiceName, isSpare: name === sparePool})), limits: {maxBodyBytes: 1_000_000}, ...this.#options.configuration,
 		};
 		await this.tables.commit({checks: [], writes: [{table: 'op', key: 'config', value: configuration}]});
 		for (let index = 0; index < (this.#options.entries ?? 3); index++) {
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -4,7 +4,7 @@
  */
 import {type JobId} from '@tamarackwind/core';
 import {type StepSpec} from '@tamarackwind/scheduling';
-import {type Bounds} from '@tamarackwind/workflows';
+import {type Bounds, type OverloadSettings} from '@tamarackwind/workflows';
 import {EmulatedSystem} from './emulated-systems.js';
 import {StandingCheck} from './standing-checks.js';
 
@@ -25,6 +25,8 @@
 	readonly kinds?: readonly FaultKind[];
 	/** Bounds of the deployment. */
 	readonly bounds?: Bounds;
+	/** What entries do when the capacity of a pool is insufficient; nothing by default. */
+	readonly overload?: Partial<OverloadSettings>;
 	readonly write?: (line: string) => void;
 };
 
@@ -89,8 +91,10 @@
 }
 
 /** Runs one history and checks it. */
-export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, bounds, write}: HistoryOptions): Promise<HistoryOutcome> {
-	const system = await EmulatedSystem.create({seed, bounds, write});
+export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, bounds, overload, write}: HistoryOptions): Promise<HistoryOutcome> {
+	const system = await EmulatedSystem.create({
+		seed, bounds, overload, write,
+	});
 	const {clock, random} = system;
 	const faults: Record<string, number> = {};
 	await clock.run(warmUpMs);
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -2,9 +2,7 @@
  * In-memory state of the jobs that the scheduler's holder runs: the phases of their tasks, and the encoding of progress rows.
  */
 import {type RowKey, type TableLimits, type Write} from '@tamarackwind/clients';
-import {
-	computeCriticalPathMs, rankForPeriod, type RankedJob, type RankPeriod, type StepSpec,
-} from '@tamarackwind/scheduling';
+import {type StepSpec} from '@tamarackwind/scheduling';
 import {priorGuilt, type CrashEvidence} from './crash-evidence.js';
 import {
 	formatTask, isTerminal, type Job, type JobState, type RunKey, type TaskKey, type WorkerIncarnation,
@@ -12,6 +10,7 @@
 import {headRow, maxCheckpointBytes, ProgressLayout} from './progress-layouts.js';
 import {type Progress, type ProgressPartRow, type ProgressRow} from './records.js';
 import {Demand} from './demands.js';
+import {JobRank} from './job-ranks.js';
 import {PhaseCounts, type TaskPhase} from './task-phases.js';
 import {type WaitQueue, type WaitReason} from './wait-reasons.js';
 
@@ -215,6 +214,11 @@
 		return this.counts.get('waiting') > 0;
 	}
 
+	/** Whether the step's job goes behind all others that can be in time. */
+	get isDeferred(): boolean {
+		return this.job.ranking.isDeferred;
+	}
+
 	/** Number of the step's tasks on each worker. */
 	get occupancy(): Map<string, number> {
 		const counts = new Map<string, number>();
@@ -256,6 +260,8 @@
 	hasBegun = false;
 	/** Submission time on the monotonic clock, from which the latency objective is measured. */
 	readonly submittedAt: number;
+	/** Place among the jobs of the pool. */
+	readonly ranking = JobRank.create(this);
 	/** Progress rows that have changed since they were taken for writing. */
 	readonly #changedRows = new Set<number>([headRow]);
 	/** Number of tasks of all opened occurrences in each phase. */
@@ -271,7 +277,6 @@
 	#unfinishedSteps: readonly StepState[] | undefined;
 	/** Those whose preceding steps are all done. */
 	#openSteps: readonly StepState[] | undefined;
-	#rankPeriod: RankPeriod | undefined;
 	readonly #occurrences = new Map<number, readonly StepState[]>();
 	/** Occurrences of which some step may not be done. */
 	readonly #openOccurrences = new Map<number, readonly StepState[]>();
@@ -349,26 +354,9 @@
 		return this.#occurrences.get(occurrence)?.[step]?.tasks[index];
 	}
 
-	/** Ranks the job at the time `now` on the monotonic clock; the rank is kept while it holds. */
-	rank(now: number): RankPeriod {
-		if (this.#rankPeriod === undefined || now > this.#rankPeriod.until) {
-			this.#rankPeriod = rankForPeriod(this.#describeRank(), now);
-		}
-
-		return this.#rankPeriod;
-	}
-
-	#describeRank(): RankedJob {
-		const newest = this.#occurrences.get(this.#occurrences.size - 1) ?? [];
-		const {policy, steps, schedule, submittedAt} = this.job;
-		const dueAt = schedule === undefined ? 0 : schedule.firstAt - submittedAt;
-		return {
-			policy,
-			isLongRunning: this.isLongRunning,
-			submittedAt: this.submittedAt + Math.max(0, dueAt),
-			criticalPathMs: computeCriticalPathMs(steps, step => step.estimatedMs),
-			remainingMs: computeCriticalPathMs(steps, (step, index) => newest[index]?.isDone ? 0 : step.estimatedMs),
-		};
+	/** Steps of the occurrence that was opened last. */
+	get newestSteps(): readonly StepState[] {
+		return this.#occurrences.get(this.#occurrences.size - 1) ?? [];
 	}
 
 	/** Recomputes the state from the tasks; a terminal state is final. */
@@ -414,7 +402,7 @@
 	markStepsChanged(): void {
 		this.#unfinishedSteps = undefined;
 		this.#openSteps = undefined;
-		this.#rankPeriod = undefined;
+		this.ranking.reset();
 		this.onChanged?.();
 		this.onWaiting?.();
 	}
--- a/packages/workflows/src/explanations.ts
+++ b/packages/workflows/src/explanations.ts
@@ -39,8 +39,12 @@
 const sharedLeadMs = 4000;
 /** Messages that name jobs whose tasks wait, and the reason. */
 const waitMessages = new Set(['tasks wait', 'tasks wait although the pool has room']);
+/** Message that names jobs which go behind all others that can be in time. */
+const deferralMessage = 'jobs deferred';
 /** Time between two lines on the same wait, in milliseconds: they are written each second. */
 const maxWaitGapMs = 2500;
+/** Status of a submission that was refused by the limits of its account or the capacity of its pool. */
+const tooManyRequests = 429;
 /** Messages that explain why a task needed another run. */
 const repeatMessages = new Set(['run ended', 'run stopped', 'run not found on worker', 'start refused', 'start not answered', 'task evicted', 'task preempted', 'run in doubt', 'run lost with its worker']);
 
@@ -98,10 +102,10 @@
 	const [from, to] = [readTime(first) - sharedLeadMs, readTime(last)];
 	return sorted
 		.filter(line => jobLines.includes(line) || (sharedMessages.has(line.message) && readTime(line) >= from && readTime(line) <= to))
-		.map(line => waitMessages.has(line.message) ? removeJobs(line) : line);
+		.map(line => waitMessages.has(line.message) || line.message === deferralMessage ? removeJobs(line) : line);
 }
 
-/** Leaves out the ids of the other jobs that wait for the same reason. */
+/** Leaves out the ids of the other jobs that wait for the same reason or were deferred together. */
 function removeJobs({jobs: _jobs, ...line}: LogLine): LogLine {
 	return line;
 }
@@ -155,7 +159,10 @@
 }
 
 function formatSummary(jobLines: readonly LogLine[], {stages, waits, repeats}: Pick<Explanation, 'stages' | 'waits' | 'repeats'>): string {
-	const refusal = jobLines.findLast(line => line.message === 'request not served' && line.method === 'POST');
+	const refusals = jobLines.filter(line => line.message === 'request not served' && line.method === 'POST');
+	const refusal = refusals.at(-1);
+	const limitRefusals = refusals.filter(({status}) => status === tooManyRequests).length;
+	const deferrals = jobLines.filter(({message}) => message === deferralMessage).length;
 	const isAccepted = jobLines.some(line => line.message.startsWith('job accepted') || line.message === 'job taken up');
 	if (jobLines.length === 0) {
 		return 'no line names it: it never reached an entry, or its lines were left out';
@@ -171,6 +178,8 @@
 	return [
 		state,
 		...(longest === undefined ? [] : [`longest part: ${longest.name}, ${longest.ms} ms`]),
+		...(limitRefusals === 0 ? [] : [`refused ${limitRefusals} times with ${tooManyRequests} before`]),
+		...(deferrals === 0 ? [] : [`deferred ${deferrals} times`]),
 		...waits.map(({reason, ms}) => `tasks waited ${ms} ms: ${reason}`),
 		...(repeats.length === 0 ? [] : [`${repeats.length} runs had to be repeated`]),
 	].join('; ');
--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -2,7 +2,7 @@
  * Runs maintenance waves and the sizing of pools on the entry that holds the scheduler lease, within each wave's cap and the disruption budgets of running tasks.
  */
 import {
-	readErrorMessage, type Clock, type VmId,
+	readErrorMessage, type Clock, type PoolName, type VmId,
 } from '@tamarackwind/core';
 import {type Check, type WatchableTableService} from '@tamarackwind/clients';
 import {planEviction, type EvictionPlan} from '@tamarackwind/scheduling';
@@ -87,6 +87,11 @@
 		this.#sizer = PoolSizer.create({...options, fence: {holder: options.holder, fencingToken: options.epoch}, orders: this.#orders});
 	}
 
+	/** Returns the CPU of the VMs that are moving to a pool, in thousandths of a core. */
+	getIncomingCpu(pool: PoolName): number {
+		return this.#sizer.getIncomingCpu(pool);
+	}
+
 	close(): void {
 		this.#isClosed = true;
 	}
--- a/packages/workflows/src/pool-loads.ts
+++ b/packages/workflows/src/pool-loads.ts
@@ -15,9 +15,16 @@
 	readonly antiAffinityVms: number;
 };
 
-type Contribution = JobLoad & {
+/** What one job adds to the demand of its pool. */
+export type Contribution = JobLoad & {
 	/** Whether no task of the job is known to have started. */
 	readonly isWaiting: boolean;
+	/** The part of `work` whose tasks wait. */
+	readonly waitingWork: number;
+	/** The part of `waitingWork` whose preceding steps are done. */
+	readonly openWork: number;
+	/** The part of `usedCpu` that long-running tasks use. */
+	readonly longRunningCpu: number;
 };
 
 /** The demand of one pool's jobs. */
@@ -29,19 +36,34 @@
 	readonly #contributions = new Map<ActiveJob, Contribution>();
 	readonly #changedJobs = new Set<ActiveJob>();
 
+	#changes = 0;
+
 	private constructor() {}
 
+	/** Number of changes so far. */
+	get changes(): number {
+		return this.#changes;
+	}
+
+	/** What each job adds to the demand. */
+	get contributions(): ReadonlyMap<ActiveJob, Contribution> {
+		this.#update();
+		return this.#contributions;
+	}
+
 	/** Takes up a job that has not ended. */
 	add(job: ActiveJob): void {
 		job.onChanged = () => {
+			this.#changes++;
 			this.#changedJobs.add(job);
 		};
 
-		this.#changedJobs.add(job);
+		job.onChanged();
 	}
 
 	/** Drops a job that has ended. */
 	remove(job: ActiveJob): void {
+		this.#changes++;
 		job.onChanged = undefined;
 		this.#changedJobs.delete(job);
 		this.#contributions.delete(job);
@@ -93,18 +115,25 @@
 	let usedCpu = 0;
 	let waitingCpu = 0;
 	let antiAffinityVms = 0;
+	let waitingWork = 0;
+	let openWork = 0;
+	let longRunningCpu = 0;
 	for (const {spec, counts, demand: {resources: {cpu}}} of job.listUnfinishedSteps()) {
 		const unfinished = counts.total - counts.get('done');
-		usedCpu += (unfinished - counts.get('waiting')) * cpu;
+		const waiting = counts.get('waiting');
+		usedCpu += (unfinished - waiting) * cpu;
+		longRunningCpu += spec.isLongRunning ? (unfinished - waiting) * cpu : 0;
+		waitingWork += spec.isLongRunning ? 0 : waiting * cpu * spec.estimatedMs;
 		antiAffinityVms = Math.max(antiAffinityVms, spec.isLongRunning && spec.antiAffinity !== undefined ? Math.ceil(spec.count / spec.antiAffinity) : 0);
 		work += spec.isLongRunning ? 0 : unfinished * cpu * spec.estimatedMs;
 	}
 
-	for (const {counts, demand: {resources: {cpu}}} of job.listOpenSteps()) {
+	for (const {spec, counts, demand: {resources: {cpu}}} of job.listOpenSteps()) {
 		waitingCpu += counts.get('waiting') * cpu;
+		openWork += spec.isLongRunning ? 0 : counts.get('waiting') * cpu * spec.estimatedMs;
 	}
 
 	return {
-		work, usedCpu, waitingCpu, antiAffinityVms, isWaiting: !job.hasBegun,
+		work, usedCpu, waitingCpu, antiAffinityVms, isWaiting: !job.hasBegun, waitingWork, openWork, longRunningCpu,
 	};
 }
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -16,16 +16,20 @@
 import {type CrashEvidence} from './crash-evidence.js';
 import {CrashHistory} from './crash-histories.js';
 import {PlacementPass, type PlanCandidate} from './placement-passes.js';
-import {JobLoads, type JobLoad} from './pool-loads.js';
+import {type JobLoad} from './pool-loads.js';
+import {computeWorkerCapacity} from './pool-capacities.js';
+import {PoolBacklog} from './pool-backlogs.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
 import {readProgress, restoreJobs, type SavedProgress} from './progress-readers.js';
+import {type OverloadTerm} from './overload-terms.js';
 import {ProgressWriter} from './progress-writers.js';
 import {DoubtfulRuns, type DoubtfulRun} from './doubtful-runs.js';
 import {FillerThrottler} from './filler-throttlers.js';
 import {RunStarter} from './starters.js';
+import {observeRun, saveCheckpoint} from './run-observations.js';
 import {Signal} from './signals.js';
 import {
-	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
+	type WorkerControl, type ListedEnd, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
 import {type Timings} from './timings.js';
 import {WaitMonitor} from './wait-monitors.js';
@@ -53,6 +57,8 @@
 	/** Submitted jobs of all services. */
 	readonly feed: JobFeed;
 	readonly timings: Timings;
+	/** Overload of all pools; without it jobs are neither deferred nor refused. */
+	readonly overload?: OverloadTerm;
 };
 
 /** Maximum interval between planning passes, in milliseconds: bounds the delay of time-driven work such as lease expiry and due times. */
@@ -106,9 +112,10 @@
 	readonly #endedIncarnations = new Map<string, number>();
 	/** Observes the tasks that wait. */
 	readonly waits: WaitMonitor;
+	/** Demand and order of the pool's jobs. */
+	readonly backlog: PoolBacklog;
 	readonly #wake = Signal.create();
 	readonly #waitingSteps = WaitingSteps.create();
-	readonly #loads = JobLoads.create();
 	readonly #subscriber: JobSubscriber = changes => {
 		this.#applyChanges(changes);
 	};
@@ -124,6 +131,7 @@
 		this.service = options.service;
 		this.fencingToken = options.epoch;
 		this.waits = WaitMonitor.create(options);
+		this.backlog = PoolBacklog.create(options);
 		this.#doubtfulRuns = DoubtfulRuns.create(options.timings.orderTimeoutMs);
 		this.#progressWriter = ProgressWriter.create({
 			...options,
@@ -173,17 +181,13 @@
 
 	/** Counts, by queue, the submitted jobs of which no task is known to have started. */
 	countWaitingJobs(): Map<string, number> {
-		return this.#loads.countWaiting();
+		return this.backlog.countWaiting();
 	}
 
 	/** Computes the demand of the pool's jobs and the available CPU. */
 	computeLoad(): PoolLoad {
-		let cpu = 0;
-		for (const session of this.#sessions.values()) {
-			cpu += session.isSchedulable ? session.record.capacity.cpu : 0;
-		}
-
-		return {...this.#loads.compute(), cpu};
+		const {cpu} = computeWorkerCapacity(this.#sessions.values());
+		return {...this.backlog.compute(), cpu};
 	}
 
 	/** Takes over the service: fences off earlier holders, loads the stored jobs and starts scheduling. */
@@ -455,7 +459,7 @@
 		this.#jobs.set(active.job.id, active);
 		if (!active.isTerminal) {
 			this.#waitingSteps.add(active);
-			this.#loads.add(active);
+			this.backlog.add(active);
 		}
 	}
 
@@ -492,7 +496,7 @@
 			const {clock, log} = this.#options;
 			active.endedAt = clock.readWall();
 			this.#waitingSteps.remove(active);
-			this.#loads.remove(active);
+			this.backlog.remove(active);
 			log.info('job ended', {
 				job: active.job.id, queue: active.job.queue, state: active.state, ageMs: Math.round(clock.readMonotonic() - active.submittedAt),
 			});
@@ -778,6 +782,7 @@
 	#plan(): void {
 		const {clock} = this.#options;
 		this.#isPassCut = false;
+		this.backlog.update(() => this.computeLoad().cpu);
 		const now = clock.readMonotonic();
 		const isUpdateOver = () => clock.readMonotonic() - now >= maxPassMs / 2;
 		if (!this.#waitingSteps.update(clock.readWall(), isUpdateOver)) {
@@ -800,10 +805,10 @@
 			now,
 			isOverBudget,
 			explain: demand => pass.explainDemand(demand),
-			place(step) {
+			place: step => {
 				const tasks = pass.placeStep(step);
 				appendAll(placed, tasks);
-				return pass.isCut && tasks.length > 0;
+				return (pass.isCut && tasks.length > 0) || this.backlog.noteStart(step.job, tasks);
 			},
 		});
 		this.#isPassCut = !isComplete || this.#waitingSteps.hasChanges;
@@ -860,37 +865,6 @@
 	return share.toFixed(shareDigits);
 }
 
-function observeRun(task: Task, run: ListedRun, now: number): void {
-	task.job.hasBegun = true;
-	task.isConfirmed = true;
-	task.isListed = true;
-	task.pendingCrash = undefined;
-	if (task.phase === 'starting') {
-		task.phase = 'running';
-	}
-
-	if (task.orderedAt === 0) {
-		task.orderedAt = now;
-	}
-
-	if (run.percent !== task.percent) {
-		task.percent = run.percent;
-		task.progressedAt = now;
-	}
-
-	task.load = run.load;
-	if (run.checkpoint !== '') {
-		saveCheckpoint(task, run.checkpoint);
-	}
-}
-
-/** Saves a checkpoint; a checkpoint of one gang member applies to all, and all must start from the same one. */
-function saveCheckpoint(task: Task, checkpoint: string): void {
-	for (const member of task.spec.isGang ? task.stepState.tasks : [task]) {
-		member.checkpoint = checkpoint;
-	}
-}
-
 function formatRun({job, occurrence, step, index, run}: RunKey): string {
 	return `${job}.${occurrence}.${step}.${index}#${run}`;
 }
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -58,12 +58,19 @@
 	readonly #moving = new Map<VmId, OrderedMove>();
 	#loggedAt = Number.NEGATIVE_INFINITY;
 	#plannedAt: number;
+	/** CPU of the VMs that were moving to each pool at the last update, in thousandths of a core. */
+	#incomingCpu: ReadonlyMap<PoolName, number> = new Map();
 
 	private constructor(options: PoolSizerOptions) {
 		this.#options = options;
 		this.#plannedAt = options.clock.readMonotonic();
 	}
 
+	/** Returns the CPU of the VMs that are moving to a pool, in thousandths of a core. */
+	getIncomingCpu(pool: PoolName): number {
+		return this.#incomingCpu.get(pool) ?? 0;
+	}
+
 	/** Plans and orders moves for the current fleet; `isReserved` reports the VMs that a wave drains or has taken down. */
 	async update(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): Promise<void> {
 		const {pools, moves} = this.#options.meter.track('size pools', () => this.#planMoves(vms, isReserved));
@@ -77,10 +84,23 @@
 
 	#planMoves(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): {readonly pools: SizedPool[]; readonly moves: SizingMove[]} {
 		this.#updateMoving(vms);
+		this.#incomingCpu = this.#sumIncomingCpu(vms);
 		const pools = this.#describePools(vms, isReserved);
 		return {pools, moves: planSizes(pools).slice(0, this.#countOrders())};
 	}
 
+	#sumIncomingCpu(vms: readonly FleetVm[]): Map<PoolName, number> {
+		const sums = new Map<PoolName, number>();
+		for (const {id, capacity} of vms) {
+			const pool = this.#moving.get(id)?.to;
+			if (pool !== undefined) {
+				sums.set(pool, (sums.get(pool) ?? 0) + capacity.cpu);
+			}
+		}
+
+		return sums;
+	}
+
 	/** Counts the orders that may be sent now without exceeding the rate limit; at least one. */
 	#countOrders(): number {
 		const now = this.#options.clock.readMonotonic();
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -2,7 +2,7 @@
  * Competes for the scheduler lease. The entry that holds it runs the schedulers of all pools and maintains the fleet.
  */
 import {
-	readErrorMessage, type Clock, type RandomSource, type ServiceName, type VmId,
+	readErrorMessage, type Clock, type PoolName, type RandomSource, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {LeaderLease, type WatchableTableService} from '@tamarackwind/clients';
 import {type RateLimitedLog} from './rate-limited-logs.js';
@@ -10,6 +10,8 @@
 import {FleetMaintainer} from './fleet-maintainers.js';
 import {JobFeed} from './job-feeds.js';
 import {type LoadMeter} from './load-meters.js';
+import {type OverloadPolicy} from './overload-policies.js';
+import {OverloadTerm, type KnownOverload, type OverloadStatus} from './overload-terms.js';
 import {schedulerRole} from './table-keys.js';
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
 import {PoolScheduler} from './pool-schedulers.js';
@@ -40,6 +42,10 @@
 	readonly fleetOrdersPerS: number;
 	readonly bounds: Bounds;
 	readonly timings: Timings;
+	/** What is done when the capacity of a pool is insufficient; nothing by default. */
+	readonly overloadPolicy?: OverloadPolicy;
+	/** Called with the actual end of a job less its estimate, in milliseconds. */
+	readonly onEstimateError?: (errorMs: number) => void;
 };
 
 /** Status that the holder publishes to all entries with each lease renewal. */
@@ -48,6 +54,8 @@
 	readonly waiting: Readonly<Record<ServiceName, Readonly<Record<string, number>>>>;
 	/** Outstanding work of each pool, as the time in milliseconds that the whole pool needs for it. */
 	readonly backlogMs: Readonly<Record<string, number>>;
+	/** Overload of the pools, by which entries refuse submissions; omitted while nothing is refused. */
+	readonly overload?: OverloadStatus;
 };
 
 /** Pause between two watches on the lease, in milliseconds: batches changes. */
@@ -77,6 +85,7 @@
 	readonly #openingPools = new Set<ServiceName>();
 	#fleetMaintainer: FleetMaintainer | undefined;
 	#feed: JobFeed | undefined;
+	#overload: OverloadTerm | undefined;
 	/** Epoch under which this entry schedules; `undefined` while it does not. */
 	#epoch: number | undefined;
 	#acquiredAt = 0;
@@ -115,6 +124,19 @@
 			: {status: known.holderState as SchedulerStatus, ageMs: this.#options.clock.readMonotonic() - known.changedAt};
 	}
 
+	/** Overload of the pools that the current holder published last; `undefined` while there is none. */
+	get overload(): KnownOverload | undefined {
+		if (this.#lease.isHeld) {
+			return this.#overload?.known;
+		}
+
+		const known = this.#lease.observedState;
+		const status = (known?.holderState as SchedulerStatus | undefined)?.overload;
+		return known === undefined || status === undefined || known.holder === '' || status.epoch !== known.epoch
+			? undefined
+			: {status, ageMs: this.#options.clock.readMonotonic() - known.changedAt};
+	}
+
 	/** Releases the scheduler lease, so that another entry can acquire it immediately. */
 	async close(): Promise<void> {
 		this.#isClosed = true;
@@ -152,7 +174,7 @@
 
 	/** Starts or stops scheduling after the lease was acquired or lost. */
 	#applyLease(): void {
-		const {log, clock, holder} = this.#options;
+		const {log, clock, holder, overloadPolicy} = this.#options;
 		const {epoch, renewedAt} = this.#lease;
 		if (renewedAt === undefined && this.#epoch !== undefined) {
 			log.warn('duty lost', {duty: schedulerRole, epoch: this.#epoch});
@@ -163,6 +185,7 @@
 			this.#acquiredAt = clock.readMonotonic();
 			log.info('duty taken', {duty: schedulerRole, epoch, holder});
 			this.#feed = JobFeed.create(this.#options);
+			this.#overload = overloadPolicy === undefined ? undefined : OverloadTerm.create({...this.#options, policy: overloadPolicy, epoch});
 			this.#fleetMaintainer = FleetMaintainer.create({
 				...this.#options,
 				epoch,
@@ -197,6 +220,7 @@
 			service,
 			epoch,
 			feed,
+			overload: this.#overload,
 			canOrder: () => this.#canOrder && this.#epoch === epoch,
 			isRenewalAllowed: () => this.#isRenewalAllowed && this.#epoch === epoch,
 			earlierRunsEndBy: this.#acquiredAt + (leaseRenewalGraceMs - timings.schedulerTermMs) + (bounds.maxWorkerLeaseMs * clockSlackFactor),
@@ -226,6 +250,7 @@
 		this.#fleetMaintainer = undefined;
 		this.#feed?.close();
 		this.#feed = undefined;
+		this.#overload = undefined;
 		for (const pool of this.#pools.values()) {
 			pool.close();
 		}
@@ -282,8 +307,15 @@
 			backlogMs[pool.service] = Math.round(work / Math.max(1, cpu));
 		}
 
-		const status = {waiting, backlogMs};
+		const overload = this.#overload?.describe([...this.#pools.values()], service => this.#fleetMaintainer?.getIncomingCpu(service as string as PoolName) ?? 0);
+		const status = {waiting, backlogMs, ...(overload === undefined ? {} : {overload})};
 		const {valueBytes} = this.#options.tables.limits;
+		if (overload !== undefined && JSON.stringify(status).length > valueBytes * maxStatusShare) {
+			this.#options.log.warn('overload of the pools is too large to publish', {pools: this.#pools.size, limit: valueBytes});
+			delete status.overload;
+			this.#overload?.revoke();
+		}
+
 		if (JSON.stringify(status).length > valueBytes * maxStatusShare) {
 			this.#options.log.warn('status of the holder is too large to publish', {pools: this.#pools.size, limit: valueBytes});
 			return {waiting: {}, backlogMs: {}};
--- a/packages/workflows/src/wait-counts.ts
+++ b/packages/workflows/src/wait-counts.ts
@@ -163,8 +163,12 @@
 	}
 }
 
-function resolveReason(category: WaitCategory, {waitReason, suspectWaitReason, queue}: StepState): WaitReason {
-	const placeReason = waitReason ?? queue?.reason ?? 'not-reached';
+/** Reasons of which the place of a job in the order is the cause. */
+const capacityReasons: ReadonlySet<WaitReason> = new Set(['no-room', 'gang-no-room', 'start-queued', 'not-reached']);
+
+function resolveReason(category: WaitCategory, {waitReason, suspectWaitReason, queue, isDeferred}: StepState): WaitReason {
+	const foundReason = waitReason ?? queue?.reason ?? 'not-reached';
+	const placeReason = isDeferred && capacityReasons.has(foundReason) ? 'deferred' : foundReason;
 	if (category === 'place') {
 		return placeReason;
 	}
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -5,6 +5,7 @@
  * - `suspect`: a worker has crashed under it, and those with room are testing other suspects.
  * - `gang-no-room`: its gang does not fit.
  * - `no-ticket`: the placement policy has allowed no worker with room yet.
+ * - `deferred`: the pool's capacity is not enough for all jobs that can be in time, and others are served before its own.
  * - `not-reached`: no planning pass has come to it.
  * - `restart-delay`: its last run failed a moment ago.
  * - `recording`: its assignment is being written.
@@ -12,7 +13,7 @@
  * - `unconfirmed`: its worker has not confirmed the start.
  * - `stopping`: its last run is not known to have ended.
  */
-export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'not-reached' | 'restart-delay' | 'recording' | 'start-queued' | 'unconfirmed' | 'stopping';
+export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'deferred' | 'not-reached' | 'restart-delay' | 'recording' | 'start-queued' | 'unconfirmed' | 'stopping';
 
 /** Waiting steps that are placed one after the other. */
 export type WaitQueue = {
--- a/packages/workflows/src/waiting-steps.ts
+++ b/packages/workflows/src/waiting-steps.ts
@@ -109,7 +109,7 @@
 		this.#until = Number.POSITIVE_INFINITY;
 		for (const entry of this.#sorted) {
 			if (now > entry.until) {
-				({rank: entry.rank, until: entry.until} = entry.step.job.rank(now));
+				({rank: entry.rank, until: entry.until} = entry.step.job.ranking.compute(now));
 			}
 
 			this.#until = Math.min(this.#until, entry.until);
--- a/packages/workflows/tests/explanations.test.ts
+++ b/packages/workflows/tests/explanations.test.ts
@@ -56,6 +56,29 @@
 		repeats: [`task ${id}.0.0.0 run 2: run ended (failed)`],
 		summary: 'not ended; last line "run ordered"; longest part: waited for a holder of the duty, 0 ms; 1 runs had to be repeated',
 	},
+	{
+		name: 'a job that was refused first and then deferred',
+		lines: [
+			write(10, 'request not served', {
+				method: 'POST', path: `/redraw/${id}`, status: 429, reason: 'no capacity in time',
+			}),
+			write(14, 'job accepted', {job: id}),
+			write(15, 'jobs deferred', {jobs: [id, 'fedcba9876543210']}),
+			write(16, 'tasks wait', {reason: 'deferred', jobs: [id]}),
+			write(17, 'tasks wait', {reason: 'deferred', jobs: [id]}),
+			write(18, 'jobs deferred', {jobs: ['fedcba9876543210']}),
+		],
+		messages: ['request not served', 'job accepted', 'jobs deferred', 'tasks wait', 'tasks wait'],
+		summary: 'not ended; last line "tasks wait"; refused 1 times with 429 before; deferred 1 times; tasks waited 2000 ms: deferred',
+	},
+	{
+		name: 'a job refused for lack of capacity',
+		lines: [write(10, 'request not served', {
+			method: 'POST', path: `/redraw/${id}`, status: 429, reason: 'no capacity in time: estimated end after 9000 ms, limit 6600 ms',
+		})],
+		messages: ['request not served'],
+		summary: 'refused with 429: no capacity in time: estimated end after 9000 ms, limit 6600 ms',
+	},
 	{
 		name: 'a job that stands after a crash',
 		lines: [
