Test that VMs on their way count for the estimate of a pool

Cause: the estimate of a pool includes VMs that were ordered, and no test showed since when and until when.

Change: a test only. Measured: 0, 1, 1 and 0 VMs count over four updates, from the one after the order until they are listed in the pool.

--- a/packages/workflows/tests/pool-sizers.test.ts
+++ b/packages/workflows/tests/pool-sizers.test.ts
@@ -64,3 +64,37 @@
 		t.true(visits <= vms.length * names.length, `${visits} visits for ${vms.length} VMs`);
 	});
 }
+
+// Guards against estimates that leave out the VMs which are about to arrive, and so refuse jobs that they could run.
+test('the CPU of VMs counts as on its way to a pool from the order until they have arrived', async t => {
+	const clock = ManualClock.create();
+	const createVm = (index: number, pool: string): FleetVm => ({
+		id: `vm-${index}` as VmId, pool: pool as PoolName, state: 'up', zone: 'z' as ZoneName, labels: [], capacity: {...noResources, cpu: 1000}, worker: undefined,
+	});
+	const spare = [createVm(0, 'spare'), createVm(1, 'spare')];
+	const north = {
+		service: 'north' as ServiceName, findWorkerSession: () => undefined, computeLoad: () => ({
+			work: 0, usedCpu: 0, waitingCpu: 50_000, antiAffinityVms: 0, cpu: 0,
+		}),
+	} as unknown as PoolScheduler;
+	const sizer = PoolSizer.create({
+		clock,
+		declarations: {configuration: {pools: [{name: 'north', isSpare: false}, {name: 'spare', isSpare: true}]}} as unknown as DeclarationWatcher,
+		fleet: {moveVm: async () => 'accepted'} as unknown as FleetControl,
+		log: RateLimitedLog.create(Log.createSilent(), clock),
+		meter: LoadMeter.create(clock),
+		fence: {holder: 'entry-1', fencingToken: 1},
+		orders: {isOrderable: () => true, recordOrders: async () => true} as unknown as FleetOrders,
+		fleetOrdersPerS: 32,
+		timings: computeTimings(defaultBounds),
+		listPools: () => [north],
+	});
+	const incoming: number[] = [];
+	for (const vms of [spare, spare, [createVm(0, 'north'), spare[1]!], [createVm(0, 'north'), createVm(1, 'north')]]) {
+		await sizer.update(vms, () => false);
+		incoming.push(sizer.getIncomingCpu('north' as PoolName));
+		await clock.advance(200);
+	}
+
+	t.deepEqual(incoming, [0, 1000, 1000, 0]);
+});
