--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -11,7 +11,7 @@
 } from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import {
-	defaultBounds, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, Scheduler, UncheckedPrincipal, type Bounds, type ClientAccount, type Configuration, type Declaration, type Job, type PlacementAdvice, type Schedule,
+	defaultBounds, defaultOverloadSettings, computeTimings, LoadMeter, RateLimitedLog, DeclarationCodec, JobSubmitter, JobQueries, DeclarationWatcher, PlacementAdvisor, progressTable, OverloadPolicy, Scheduler, SubmissionGate, UncheckedPrincipal, type Bounds, type ClientAccount, type Configuration, type Declaration, type Job, type OverloadSettings, type PlacementAdvice, type RefusalReason, type Schedule,
 	type WaveRequest,
 } from '@tamarackwind/workflows';
 import {
@@ -142,16 +142,15 @@
 	}
 }
 
-export type SubmitOptions = Partial<Pick<EmulatedJob, 'failingTasks' | 'crashingTasks'>> & {
+export type SubmitOptions = Partial<Pick<EmulatedJob, 'failingTasks' | 'crashingTasks'>> & Partial<Pick<Job, 'account'>> & {
 	/** Recurrence of the job, with the first due time relative to the submission. */
 	readonly schedule?: Schedule;
-	readonly account?: AccountName;
 	/** Pool of the job; a random one by default. */
 	readonly pool?: string;
 };
 
 /** One emulated entry. */
-export type EmulatedEntry = {readonly name: string; readonly tables: FaultyTables; readonly scheduler: Scheduler; readonly submitter: JobSubmitter; readonly queries: JobQueries; readonly watcher: DeclarationWatcher};
+export type EmulatedEntry = {readonly name: string; readonly tables: FaultyTables; readonly scheduler: Scheduler; readonly submitter: JobSubmitter; readonly queries: JobQueries; readonly gate: SubmissionGate; readonly watcher: DeclarationWatcher};
 
 export type EmulatedSystemOptions = {
 	readonly seed: number;
@@ -165,6 +164,10 @@
 	readonly enforcesCapacity?: boolean;
 	/** Measures the activities of all entries; by default in simulated time, in which they take none. */
 	readonly meter?: LoadMeter;
+	/** What entries do when the capacity of a pool is insufficient; by default nothing without accounts. */
+	readonly overload?: Partial<OverloadSettings>;
+	/** Parts of the configuration that differ from the default. */
+	readonly configuration?: Partial<Configuration>;
 	/** Receives the log lines; they are discarded by default. */
 	readonly write?: (line: string) => void;
 };
@@ -186,6 +189,10 @@
 	readonly tables: MemoryTableService;
 	readonly accepted = new Map<JobId, Job>();
 	readonly cancelled = new Set<JobId>();
+	/** Number of submissions that entries refused, by reason. */
+	readonly refusals = new Map<RefusalReason, number>();
+	/** Actual ends of jobs less their estimates. */
+	readonly estimateErrorsMs: number[] = [];
 	readonly #options: EmulatedSystemOptions;
 	readonly #pools: ReadonlyArray<readonly [string, number]>;
 	#entries: EmulatedEntry[] = [];
@@ -234,12 +241,18 @@
 		const watcher = DeclarationWatcher.create({
 			clock, tables, codec, log, timings,
 		});
-		const entry = {
+		const policy = OverloadPolicy.create({getSettings: () => ({...defaultOverloadSettings, ...this.#options.overload}), getConfiguration: () => watcher.configuration});
+		const submitter = JobSubmitter.create({clock, tables, log});
+		const queries = JobQueries.create(tables);
+		const entry: EmulatedEntry = {
 			name,
 			tables,
 			watcher,
-			submitter: JobSubmitter.create({clock, tables, log}),
-			queries: JobQueries.create(tables),
+			submitter,
+			queries,
+			gate: SubmissionGate.create({
+				clock, policy, submitter, queries, getOverload: () => entry.scheduler.overload,
+			}),
 			scheduler: Scheduler.create({
 				clock,
 				random: this.random,
@@ -258,6 +271,10 @@
 				fleetOrdersPerS: 32,
 				bounds,
 				timings,
+				overloadPolicy: policy,
+				onEstimateError: errorMs => {
+					this.estimateErrorsMs.push(errorMs);
+				},
 			}),
 		};
 		this.#entries.push(entry);
@@ -342,6 +359,10 @@
 
 	async #trySubmit(job: Job): Promise<string> {
 		const entry = this.random.pickItem(this.#entries);
+		if (entry !== undefined && this.#canRefuse && await this.#isRefused(entry, job)) {
+			return 'refused';
+		}
+
 		return entry === undefined
 			? 'unknown'
 			: Promise.race([entry.submitter.submit(job, unchecked), (async () => {
@@ -350,6 +371,20 @@
 			})()]);
 	}
 
+	get #canRefuse(): boolean {
+		const {overload, configuration} = this.#options;
+		return overload !== undefined || configuration?.accounts !== undefined;
+	}
+
+	async #isRefused({gate}: EmulatedEntry, job: Job): Promise<boolean> {
+		const refusal = await gate.findRefusal(job);
+		if (refusal !== undefined) {
+			this.refusals.set(refusal.reason, (this.refusals.get(refusal.reason) ?? 0) + 1);
+		}
+
+		return refusal !== undefined;
+	}
+
 	/** Declares the next version of the configuration, with the given accounts. */
 	async configureAccounts(accounts: readonly ClientAccount[] | undefined): Promise<void> {
 		this.#version++;
@@ -359,6 +394,7 @@
 			pools: this.#pools.map(([name]) => ({name: name as ServiceName, isSpare: name === sparePool})),
 			limits: {maxBodyBytes: 1_000_000},
 			...(accounts === undefined ? {} : {accounts}),
+			...this.#options.configuration,
 		};
 		this.fleet.caps.setAccounts(accounts ?? [], this.clock.readMonotonic());
 		await this.tables.commit({checks: [], writes: [{table: 'op', key: 'config', value: configuration}]});
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -4,7 +4,7 @@
  */
 import {type AccountName, type JobId} from '@tamarackwind/core';
 import {noResources, type StepSpec} from '@tamarackwind/scheduling';
-import {type Bounds, type ClientAccount} from '@tamarackwind/workflows';
+import {type Bounds, type ClientAccount, type OverloadSettings} from '@tamarackwind/workflows';
 import {EmulatedSystem} from './emulated-systems.js';
 import {StandingCheck} from './standing-checks.js';
 
@@ -27,6 +27,8 @@
 	readonly hasAccounts?: boolean;
 	/** Bounds of the deployment. */
 	readonly bounds?: Bounds;
+	/** What entries do when the capacity of a pool is insufficient; nothing by default. */
+	readonly overload?: Partial<OverloadSettings>;
 	readonly write?: (line: string) => void;
 };
 
@@ -98,9 +100,9 @@
 }
 
 /** Runs one history and checks it. */
-export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, hasAccounts = false, bounds, write}: HistoryOptions): Promise<HistoryOutcome> {
+export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, hasAccounts = false, bounds, overload, write}: HistoryOptions): Promise<HistoryOutcome> {
 	const system = await EmulatedSystem.create({
-		seed, bounds, write, ...(hasAccounts ? {accounts: createAccounts(1)} : {}),
+		seed, bounds, overload, write, ...(hasAccounts ? {accounts: createAccounts(1)} : {}),
 	});
 	const {clock, random} = system;
 	const faults: Record<string, number> = {};
--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -2,14 +2,12 @@
  * In-memory state of the jobs that the scheduler's holder runs: their steps and states, and the encoding of progress rows.
  */
 import {type RowKey, type TableLimits, type Write} from '@tamarackwind/clients';
-import {
-	computeCriticalPathMs, rankForPeriod, type RankedJob, type RankPeriod,
-} from '@tamarackwind/scheduling';
 import {priorGuilt} from './crash-evidence.js';
 import {
 	isTerminal, type Job, type JobState, type TaskKey,
 } from './jobs.js';
 import {JobHooks} from './job-hooks.js';
+import {JobRank} from './job-ranks.js';
 import {headRow, maxCheckpointBytes, ProgressLayout} from './progress-layouts.js';
 import {type Progress, type ProgressPartRow, type ProgressRow} from './records.js';
 import {PhaseCounts} from './task-phases.js';
@@ -34,6 +32,8 @@
 	hasBegun = false;
 	/** Submission time on the monotonic clock, from which the latency objective is measured. */
 	readonly submittedAt: number;
+	/** Place among the jobs of the pool. */
+	readonly ranking = JobRank.create(this);
 	/** Progress rows that have changed since they were taken for writing. */
 	readonly #changedRows = new Set<number>([headRow]);
 	/** Number of tasks of all opened occurrences in each phase. */
@@ -49,7 +49,6 @@
 	#unfinishedSteps: readonly StepState[] | undefined;
 	/** Those whose preceding steps are all done. */
 	#openSteps: readonly StepState[] | undefined;
-	#rankPeriod: RankPeriod | undefined;
 	readonly #occurrences = new Map<number, readonly StepState[]>();
 	/** Occurrences of which some step may not be done. */
 	readonly #openOccurrences = new Map<number, readonly StepState[]>();
@@ -127,26 +126,9 @@
 		return this.#occurrences.get(occurrence)?.[step]?.tasks[index];
 	}
 
-	/** Ranks the job at the time `now` on the monotonic clock; the rank is kept while it holds. */
-	rank(now: number): RankPeriod {
-		if (this.#rankPeriod === undefined || now > this.#rankPeriod.until) {
-			this.#rankPeriod = rankForPeriod(this.#describeRank(), now);
-		}
-
-		return this.#rankPeriod;
-	}
-
-	#describeRank(): RankedJob {
-		const newest = this.#occurrences.get(this.#occurrences.size - 1) ?? [];
-		const {policy, steps, schedule, submittedAt} = this.job;
-		const dueAt = schedule === undefined ? 0 : schedule.firstAt - submittedAt;
-		return {
-			policy,
-			isLongRunning: this.isLongRunning,
-			submittedAt: this.submittedAt + Math.max(0, dueAt),
-			criticalPathMs: computeCriticalPathMs(steps, step => step.estimatedMs),
-			remainingMs: computeCriticalPathMs(steps, (step, index) => newest[index]?.isDone ? 0 : step.estimatedMs),
-		};
+	/** Steps of the occurrence that was opened last. */
+	get newestSteps(): readonly StepState[] {
+		return this.#occurrences.get(this.#occurrences.size - 1) ?? [];
 	}
 
 	/** Recomputes the state from the tasks; a terminal state is final. */
@@ -192,7 +174,7 @@
 	markStepsChanged(): void {
 		this.#unfinishedSteps = undefined;
 		this.#openSteps = undefined;
-		this.#rankPeriod = undefined;
+		this.ranking.reset();
 		this.hooks.onChanged?.();
 		this.hooks.onWaiting?.();
 	}
--- a/packages/workflows/src/pool-planners.ts
+++ b/packages/workflows/src/pool-planners.ts
@@ -9,8 +9,11 @@
 import {type AdviceCache} from './advice-caches.js';
 import {type CrashHistory} from './crash-histories.js';
 import {type LoadMeter} from './load-meters.js';
+import {type OverloadTerm} from './overload-terms.js';
 import {PlacementPass, type PlanCandidate} from './placement-passes.js';
-import {JobLoads, type JobLoad} from './pool-loads.js';
+import {PoolBacklog} from './pool-backlogs.js';
+import {computeWorkerCapacity} from './pool-capacities.js';
+import {type JobLoad} from './pool-loads.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {Signal} from './signals.js';
 import {type Task} from './tasks.js';
@@ -28,6 +31,8 @@
 	readonly ledger: AccountLedger;
 	/** Reports whether orders may be sent now. */
 	readonly canOrder: () => boolean;
+	/** Overload of all pools; without it jobs are neither deferred nor refused. */
+	readonly overload?: OverloadTerm;
 };
 
 export type PoolPlannerOptions = PlanningEnvironment & {
@@ -72,10 +77,11 @@
 
 	/** Observes the tasks that wait. */
 	readonly waits: WaitMonitor;
+	/** Demand and order of the pool's jobs. */
+	readonly backlog: PoolBacklog;
 	readonly #options: PoolPlannerOptions;
 	readonly #wake = Signal.create();
 	readonly #waitingSteps = WaitingSteps.create();
-	readonly #loads = JobLoads.create();
 	readonly #accounts: PoolAccounts;
 	#timeoutsHandledAt = Number.NEGATIVE_INFINITY;
 	/** Whether the last planning pass ran out of time. */
@@ -85,6 +91,7 @@
 	private constructor(options: PoolPlannerOptions) {
 		this.#options = options;
 		this.waits = WaitMonitor.create(options);
+		this.backlog = PoolBacklog.create(options);
 		this.#accounts = options.ledger.openPool(options.service, () => {
 			this.wake();
 		});
@@ -106,29 +113,25 @@
 		this.#accounts.add(active);
 		if (!active.isTerminal) {
 			this.#waitingSteps.add(active);
-			this.#loads.add(active);
+			this.backlog.add(active);
 		}
 	}
 
 	/** Drops a job that has ended. */
 	remove(active: ActiveJob): void {
 		this.#waitingSteps.remove(active);
-		this.#loads.remove(active);
+		this.backlog.remove(active);
 	}
 
 	/** Counts, by queue, the submitted jobs of which no task is known to have started. */
 	countWaitingJobs(): Map<string, number> {
-		return this.#loads.countWaiting();
+		return this.backlog.countWaiting();
 	}
 
 	/** Computes the demand of the pool's jobs and the available CPU. */
 	computeLoad(): PoolLoad {
-		let cpu = 0;
-		for (const session of this.#options.sessions.values()) {
-			cpu += session.isSchedulable ? session.record.capacity.cpu : 0;
-		}
-
-		return {...this.#loads.compute(), cpu};
+		const {cpu} = computeWorkerCapacity(this.#options.sessions.values());
+		return {...this.backlog.compute(), cpu};
 	}
 
 	/** Stops planning. */
@@ -188,6 +191,7 @@
 	#plan(): void {
 		const {clock, advice} = this.#options;
 		this.#isPassCut = false;
+		this.backlog.update(() => this.computeLoad().cpu);
 		const now = clock.readMonotonic();
 		const isUpdateOver = () => clock.readMonotonic() - now >= maxPassMs / 2;
 		if (!this.#waitingSteps.update(clock.readWall(), isUpdateOver)) {
@@ -210,10 +214,10 @@
 			now,
 			isOverBudget,
 			explain: waiting => pass.explainWait(waiting),
-			place(step) {
+			place: step => {
 				const tasks = pass.placeStep(step);
 				appendAll(placed, tasks);
-				return pass.isCut && tasks.length > 0;
+				return (pass.isCut && tasks.length > 0) || this.backlog.noteStart(step.job, tasks);
 			},
 		});
 		this.#isPassCut = !isComplete || this.#waitingSteps.hasChanges;
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -17,12 +17,14 @@
 import {PoolPlanner, type PlanningEnvironment, type PoolLoad} from './pool-planners.js';
 import {formatIncarnation, type RunKey, type WorkerIncarnation} from './jobs.js';
 import {readProgress, restoreJobs, type SavedProgress} from './progress-readers.js';
+import {type PoolBacklog} from './pool-backlogs.js';
 import {ProgressWriter} from './progress-writers.js';
 import {DoubtfulRuns, type DoubtfulRun} from './doubtful-runs.js';
 import {FillerThrottler} from './filler-throttlers.js';
+import {observeRun, saveCheckpoint} from './run-observations.js';
 import {RunStarter} from './starters.js';
 import {
-	type WorkerControl, type ListedEnd, type ListedRun, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
+	type WorkerControl, type ListedEnd, type PlacementAdvisor, type WorkerListing, type WorkerRecord,
 } from './workers.js';
 import {type Timings} from './timings.js';
 import {type WaitMonitor} from './wait-monitors.js';
@@ -138,6 +140,11 @@
 		return this.#planner.waits;
 	}
 
+	/** Demand and order of the pool's jobs. */
+	get backlog(): PoolBacklog {
+		return this.#planner.backlog;
+	}
+
 	get jobs(): Iterable<ActiveJob> {
 		return this.#jobs.values();
 	}
@@ -728,37 +735,6 @@
 	return share.toFixed(shareDigits);
 }
 
-function observeRun(task: Task, run: ListedRun, now: number): void {
-	task.job.hasBegun = true;
-	task.isConfirmed = true;
-	task.isListed = true;
-	task.pendingCrash = undefined;
-	if (task.phase === 'starting') {
-		task.phase = 'running';
-	}
-
-	if (task.orderedAt === 0) {
-		task.orderedAt = now;
-	}
-
-	if (run.percent !== task.percent) {
-		task.percent = run.percent;
-		task.progressedAt = now;
-	}
-
-	task.load = run.load;
-	if (run.checkpoint !== '') {
-		saveCheckpoint(task, run.checkpoint);
-	}
-}
-
-/** Saves a checkpoint; a checkpoint of one gang member applies to all, and all must start from the same one. */
-function saveCheckpoint(task: Task, checkpoint: string): void {
-	for (const member of task.spec.isGang ? task.stepState.tasks : [task]) {
-		member.checkpoint = checkpoint;
-	}
-}
-
 function formatRun({job, occurrence, step, index, run}: RunKey): string {
 	return `${job}.${occurrence}.${step}.${index}#${run}`;
 }
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -2,7 +2,7 @@
  * Competes for the scheduler lease. The entry that holds it runs the schedulers of all pools and maintains the fleet.
  */
 import {
-	readErrorMessage, type Clock, type RandomSource, type ServiceName, type VmId,
+	readErrorMessage, type Clock, type PoolName, type RandomSource, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {LeaderLease, type WatchableTableService} from '@tamarackwind/clients';
 import {AccountLedger} from './account-ledgers.js';
@@ -11,6 +11,8 @@
 import {FleetMaintainer} from './fleet-maintainers.js';
 import {JobFeed} from './job-feeds.js';
 import {type LoadMeter} from './load-meters.js';
+import {type OverloadPolicy} from './overload-policies.js';
+import {OverloadTerm, type KnownOverload, type OverloadStatus} from './overload-terms.js';
 import {schedulerRole} from './table-keys.js';
 import {type DeclarationCodec, type DeclarationWatcher} from './declaration-watchers.js';
 import {PoolScheduler, type PoolSchedulerOptions} from './pool-schedulers.js';
@@ -41,6 +43,10 @@
 	readonly fleetOrdersPerS: number;
 	readonly bounds: Bounds;
 	readonly timings: Timings;
+	/** What is done when the capacity of a pool is insufficient; nothing by default. */
+	readonly overloadPolicy?: OverloadPolicy;
+	/** Called with the actual end of a job less its estimate, in milliseconds. */
+	readonly onEstimateError?: (errorMs: number) => void;
 };
 
 /** Status that the holder publishes to all entries with each lease renewal. */
@@ -49,6 +55,8 @@
 	readonly waiting: Readonly<Record<ServiceName, Readonly<Record<string, number>>>>;
 	/** Outstanding work of each pool, as the time in milliseconds that the whole pool needs for it. */
 	readonly backlogMs: Readonly<Record<string, number>>;
+	/** Overload of the pools, by which entries refuse submissions; omitted while nothing is refused. */
+	readonly overload?: OverloadStatus;
 };
 
 /** Pause between two watches on the lease, in milliseconds: batches changes. */
@@ -80,6 +88,7 @@
 	#feed: JobFeed | undefined;
 	/** Use and caps of the accounts; one ledger for each term. */
 	#ledger: AccountLedger | undefined;
+	#overload: OverloadTerm | undefined;
 	/** Epoch under which this entry schedules; `undefined` while it does not. */
 	#epoch: number | undefined;
 	#acquiredAt = 0;
@@ -118,6 +127,19 @@
 			: {status: known.holderState as SchedulerStatus, ageMs: this.#options.clock.readMonotonic() - known.changedAt};
 	}
 
+	/** Overload of the pools that the current holder published last; `undefined` while there is none. */
+	get overload(): KnownOverload | undefined {
+		if (this.#lease.isHeld) {
+			return this.#overload?.known;
+		}
+
+		const known = this.#lease.observedState;
+		const status = (known?.holderState as SchedulerStatus | undefined)?.overload;
+		return known === undefined || status === undefined || known.holder === '' || status.epoch !== known.epoch
+			? undefined
+			: {status, ageMs: this.#options.clock.readMonotonic() - known.changedAt};
+	}
+
 	/** Releases the scheduler lease, so that another entry can acquire it immediately. */
 	async close(): Promise<void> {
 		this.#isClosed = true;
@@ -155,7 +177,7 @@
 
 	/** Starts or stops scheduling after the lease was acquired or lost. */
 	#applyLease(): void {
-		const {log, clock, holder} = this.#options;
+		const {log, clock, holder, overloadPolicy} = this.#options;
 		const {epoch, renewedAt} = this.#lease;
 		if (renewedAt === undefined && this.#epoch !== undefined) {
 			log.warn('duty lost', {duty: schedulerRole, epoch: this.#epoch});
@@ -167,6 +189,7 @@
 			log.info('duty taken', {duty: schedulerRole, epoch, holder});
 			this.#ledger = AccountLedger.create(this.#options);
 			this.#feed = JobFeed.create(this.#options);
+			this.#overload = overloadPolicy === undefined ? undefined : OverloadTerm.create({...this.#options, policy: overloadPolicy, epoch});
 			this.#fleetMaintainer = FleetMaintainer.create({
 				...this.#options,
 				epoch,
@@ -201,6 +224,7 @@
 			...shared,
 			service,
 			epoch,
+			overload: this.#overload,
 			canOrder: () => this.#canOrder && this.#epoch === epoch,
 			isRenewalAllowed: () => this.#isRenewalAllowed && this.#epoch === epoch,
 			earlierRunsEndBy: this.#acquiredAt + (leaseRenewalGraceMs - timings.schedulerTermMs) + (bounds.maxWorkerLeaseMs * clockSlackFactor),
@@ -231,6 +255,7 @@
 		this.#feed?.close();
 		this.#feed = undefined;
 		this.#ledger = undefined;
+		this.#overload = undefined;
 		for (const pool of this.#pools.values()) {
 			pool.close();
 		}
@@ -287,8 +312,15 @@
 			backlogMs[pool.service] = Math.round(work / Math.max(1, cpu));
 		}
 
-		const status = {waiting, backlogMs};
+		const overload = this.#overload?.describe([...this.#pools.values()], service => this.#fleetMaintainer?.getIncomingCpu(service as string as PoolName) ?? 0);
+		const status = {waiting, backlogMs, ...(overload === undefined ? {} : {overload})};
 		const {valueBytes} = this.#options.tables.limits;
+		if (overload !== undefined && JSON.stringify(status).length > valueBytes * maxStatusShare) {
+			this.#options.log.warn('overload of the pools is too large to publish', {pools: this.#pools.size, limit: valueBytes});
+			delete status.overload;
+			this.#overload?.revoke();
+		}
+
 		if (JSON.stringify(status).length > valueBytes * maxStatusShare) {
 			this.#options.log.warn('status of the holder is too large to publish', {pools: this.#pools.size, limit: valueBytes});
 			return {waiting: {}, backlogMs: {}};
--- a/packages/workflows/src/tasks.ts
+++ b/packages/workflows/src/tasks.ts
@@ -220,6 +220,11 @@
 		return this.counts.get('waiting') > 0;
 	}
 
+	/** Whether the step's job goes behind all others that can be in time. */
+	get isDeferred(): boolean {
+		return this.job.ranking.isDeferred;
+	}
+
 	/** Number of the step's tasks on each worker. */
 	get occupancy(): Map<string, number> {
 		const counts = new Map<string, number>();
