Limit what callers hold in an entry

Cause: bodies were read whole before their size was looked at, each chunk kept its own buffer, pipelined requests were served at once with their answers unread, and nothing limited times, sizes or the number of connections.

Change: callers are served by CallerServer, whose connections pass their input to Node's HTTP parser only while no request of the connection is served and no answer is unread. Bodies are copied into compact buffers and refused as soon as they are too large; a memory budget from memoryMb closes the connection that holds most for longest without progress; limits on connections (maxFds), header fields, times and bodies come from the configuration and the settings. The listeners for readiness and metrics have limits of their own. Each limit has a metric and a rate-limited log line.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './clocks.js';
+export * from './compact-buffers.js';
 export * from './errors.js';
 export * from './ids.js';
 export * from './line-writers.js';
--- a/packages/workflows/src/configurations.ts
+++ b/packages/workflows/src/configurations.ts
@@ -25,7 +25,17 @@
 	readonly isSpare: boolean;
 };
 
-export type RequestLimits = {readonly maxBodyBytes: number};
+/** Limits on requests; those of connections have defaults of their own where the configuration names none. */
+export type RequestLimits = {
+	/** Maximum size of a body, in bytes. */
+	readonly maxBodyBytes: number;
+	/** Maximum size of the header fields, in bytes. */
+	readonly maxHeaderBytes?: number;
+	/** Maximum time until the end of the header fields, in milliseconds. */
+	readonly headerTimeoutMs?: number;
+	/** Maximum time of a connection without a request, in milliseconds. */
+	readonly idleTimeoutMs?: number;
+};
 
 /** One version of the declared queues, pools and limits. */
 export type Configuration = {
