Share the capacity of a pool among accounts

Cause: when the waiting work of a pool exceeds its capacity, the account that sends the most got the most; caps bound it only over all pools.

Change: within one tier and priority, accounts take turns by weighted max-min fairness of their dominant shares (account-shares.ts, computed once a pass from what each uses and waits for); past use counts with a decay of a few seconds. Capacity that others leave goes to whoever waits. The queues of demands move to demand-queues.ts. Waiting for a share is reported as account-share. Without accounts the order is as before.

--- a/packages/scheduling/src/account-caps.ts
+++ b/packages/scheduling/src/account-caps.ts
@@ -1,9 +1,7 @@
 /**
  * Decides whether an account's cap allows a start. The cap is compared with what the account has assigned over all pools.
  */
-import {
-	addResources, isWithin, noResources, type Resources,
-} from './models.js';
+import {noResources, type Resources} from './models.js';
 
 /** A start of one task or of a whole gang, and what its account may use. */
 export type CappedStart = {
@@ -37,8 +35,7 @@
  * isWithinCap({cap: {cpu: 4000, memory: 0, gpu: 0}, used: {cpu: 3500, memory: 500, gpu: 0}, task, count: 1}); // false
  */
 export function isWithinCap({cap, used, task, count}: CappedStart): boolean {
-	return isWithinLimits(addResources(used, task, count), cap)
-		|| (isWithinLimits(addResources(noResources, task, count - 1), cap) && dimensions.every(dimension => cap[dimension] <= 0 || used[dimension] <= cap[dimension] * roundingShare));
+	return hasCapRoom(cap, used, task, count) || (hasCapRoom(cap, noResources, task, count - 1) && isUnused(cap, used));
 }
 
 /** Trims a demand to what a cap leaves beside what is used already. */
@@ -47,8 +44,18 @@
 	return {cpu: limit('cpu'), memory: limit('memory'), gpu: limit('gpu')};
 }
 
-/** Reports whether an amount is within the limits that a cap sets. */
-function isWithinLimits(amount: Resources, cap: Resources): boolean {
-	const getLimit = (dimension: keyof Resources) => cap[dimension] > 0 ? cap[dimension] * (1 + roundingShare) : Number.POSITIVE_INFINITY;
-	return isWithin(amount, {cpu: getLimit('cpu'), memory: getLimit('memory'), gpu: getLimit('gpu')});
+/** Reports whether a cap has room for a number of tasks beside what is used; written without allocations, as passes ask for each queue. */
+function hasCapRoom(cap: Resources, used: Resources, task: Resources, count: number): boolean {
+	return hasRoomInDimension(cap.cpu, used.cpu + (task.cpu * count))
+		&& hasRoomInDimension(cap.memory, used.memory + (task.memory * count))
+		&& hasRoomInDimension(cap.gpu, used.gpu + (task.gpu * count));
+}
+
+function hasRoomInDimension(limit: number, amount: number): boolean {
+	return limit <= 0 || amount <= limit * (1 + roundingShare);
+}
+
+/** Reports whether nothing is used in any capped dimension. */
+function isUnused(cap: Resources, used: Resources): boolean {
+	return dimensions.every(dimension => cap[dimension] <= 0 || used[dimension] <= cap[dimension] * roundingShare);
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -7,6 +7,7 @@
 export * from './demand-trends.js';
 export * from './submission-caps.js';
 export * from './account-caps.js';
+export * from './account-shares.js';
 export * from './hash-fractions.js';
 export * from './job-orders.js';
 export * from './deferred-jobs.js';
--- a/packages/testing/src/bench-planning.ts
+++ b/packages/testing/src/bench-planning.ts
@@ -5,21 +5,27 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {SeededRandom, SystemClock} from '@tamarackwind/core';
-import {type StepSpec} from '@tamarackwind/scheduling';
-import {LoadMeter, type OverloadSettings} from '@tamarackwind/workflows';
+import {SeededRandom, SystemClock, type AccountName} from '@tamarackwind/core';
+import {noResources, type StepSpec} from '@tamarackwind/scheduling';
+import {LoadMeter, type ClientAccount, type OverloadSettings} from '@tamarackwind/workflows';
 import {EmulatedSystem} from './emulated-systems.js';
 import {createStep} from './system-histories.js';
 
 type Scenario = {
 	readonly name: string;
 	readonly workers: number;
+	/** Number of client accounts, to which the jobs belong in turn; every fourth has a cap. Without accounts by default. */
+	readonly accounts?: number;
 	/** Steps of the jobs, one each, with the duration of their tasks in milliseconds. */
 	readonly createJobs: (random: SeededRandom) => Array<{readonly step: StepSpec; readonly durationMs: number}>;
 };
 
 const warmUpMs = 4000;
 const submissionMs = 6000;
+/** Number of demands of the impossible jobs in a full pool. */
+const fullDemands = 1000;
+/** Cap of an account that has one, in thousandths of a core: a twentieth of 400 workers. */
+const cappedCpu = 160_000;
 const activities = ['plan', 'plan deferred jobs', 'observe waits', 'size pools', 'apply listing'] as const;
 
 const scenarios: readonly Scenario[] = [
@@ -29,9 +35,9 @@
 	...[40, 100].map(count => ({
 		name: `wide-${count}`, workers: 8, createJobs: () => Array.from({length: count}, () => ({step: createStep({count: 2000, requirement: 'missing'}), durationMs: 500})),
 	})),
-	...([[5000, 1000, 1000], [10_000, 5000, 1000]] as const).map(([waiting, impossible, demands]) => ({
-		name: `full-${waiting}-${impossible}`, workers: 400, createJobs: (random: SeededRandom) => [
-			...Array.from({length: impossible}, (_, index) => createImpossible(index, demands)),
+	...([[5000, 1000, 0], [10_000, 5000, 0], [5000, 1000, 20], [10_000, 5000, 20]] as const).map(([waiting, impossible, accounts]) => ({
+		name: `${accounts === 0 ? 'full' : 'accounts'}-${waiting}-${impossible}`, workers: 400, accounts, createJobs: (random: SeededRandom) => [
+			...Array.from({length: impossible}, (_, index) => createImpossible(index, fullDemands)),
 			...Array.from({length: (waiting - impossible) / 2}, () => ({
 				step: createStep({count: 3, resources: {cpu: 500 + random.pickIndex(1500), memory: 500 + random.pickIndex(1500), gpu: 0}}), durationMs: 2000 + random.pickIndex(6000),
 			})),
@@ -58,22 +64,29 @@
 	return value.toFixed(2);
 }
 
-async function measure({name, workers, createJobs}: Scenario, seconds: number, overload: Partial<OverloadSettings>): Promise<void> {
+function createAccounts(count: number): ClientAccount[] {
+	return Array.from({length: count}, (_, index) => ({
+		name: `account-${index}` as AccountName, weight: 1 + (index % 5), cap: {...noResources, cpu: index % 4 === 0 ? cappedCpu : 0}, keyHashes: [],
+	}));
+}
+
+async function measure({name, workers, accounts: accountCount = 0, createJobs}: Scenario, seconds: number, overload: Partial<OverloadSettings>): Promise<void> {
 	const samples = new Map<string, number[]>();
 	const meter = LoadMeter.create(SystemClock.create(), (activity, elapsedMs) => {
 		const list = samples.get(activity) ?? [];
 		samples.set(activity, list);
 		list.push(elapsedMs);
 	});
+	const accounts = createAccounts(accountCount);
 	const system = await EmulatedSystem.create({
-		seed: 1, pools: [['north', workers], ['spare', 0]], meter, overload,
+		seed: 1, pools: [['north', workers], ['spare', 0]], meter, overload, ...(accountCount === 0 ? {} : {accounts}),
 	});
 	const {clock} = system;
 	await clock.run(warmUpMs);
 	const jobs = createJobs(SeededRandom.create(1));
 	for (const [index, {step, durationMs}] of jobs.entries()) {
 		clock.schedule((index * submissionMs) / jobs.length, () => {
-			void system.submit([step], durationMs);
+			void system.submit([step], durationMs, {account: accounts[index % Math.max(1, accountCount)]?.name});
 		});
 	}
 
--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -2,18 +2,21 @@
  * Accounts for what the tasks of each client account use, on the entry that schedules. A task is charged from its assignment until its run
  * is known to have ended, so that the sums are never below what runs.
  */
-import {type AccountName, type ServiceName} from '@tamarackwind/core';
+import {type AccountName, type Clock, type ServiceName} from '@tamarackwind/core';
 import {
-	addResources, isCapped, isWithinCap, noResources, type Resources, type StepSpec,
+	addResources, isCapped, isWithinCap, noResources, trimDemand, type Resources, type ShareClaim, type StepSpec,
 } from '@tamarackwind/scheduling';
-import {type ClientAccount} from './accounts.js';
+import {minAccountWeight, type ClientAccount} from './accounts.js';
 import {type ActiveJob} from './active-jobs.js';
 import {type Configuration} from './configurations.js';
+import {PastUses} from './past-uses.js';
+import {PoolShares} from './pool-shares.js';
 import {type WaitReason} from './wait-reasons.js';
 
 export type AccountLedgerOptions = {
 	/** Gives the configuration in force. */
 	readonly declarations: {readonly configuration: Configuration | undefined};
+	readonly clock: Pick<Clock, 'readMonotonic'>;
 };
 
 /** Tasks that an account wants to start: one at a time, or all of them for a gang. */
@@ -34,6 +37,10 @@
 
 	private constructor() {}
 
+	get names(): Iterable<AccountName | undefined> {
+		return this.#uses.keys();
+	}
+
 	get entries(): Iterable<[AccountName | undefined, AccountUse]> {
 		return this.#uses;
 	}
@@ -65,6 +72,8 @@
 	/** Configuration from which the accounts were taken. */
 	#configuration: Configuration | undefined;
 	#accounts: ReadonlyMap<AccountName, ClientAccount> = new Map();
+	/** Caps of the accounts that have one. */
+	#caps: ReadonlyMap<AccountName, Resources> = new Map();
 	/** Whether the jobs of all pools are known; `undefined` while that has to be found anew. */
 	#isComplete: boolean | undefined;
 
@@ -78,6 +87,12 @@
 		return this.#accounts;
 	}
 
+	/** Whether the configuration in force has accounts, so that pools are shared among them. */
+	get hasAccounts(): boolean {
+		this.#refresh();
+		return this.#configuration?.accounts !== undefined;
+	}
+
 	get pools(): Iterable<PoolAccounts> {
 		return this.#pools.values();
 	}
@@ -94,15 +109,27 @@
 		return this.#uses.get(account).used;
 	}
 
+	/** Caps in force, of the accounts that have one. */
+	get caps(): ReadonlyMap<AccountName, Resources> {
+		this.#refresh();
+		return this.#caps;
+	}
+
 	/** Returns the cap of an account; `undefined` for an account that has none or is not in the configuration. */
 	getCap(account: AccountName): Resources | undefined {
-		const cap = this.accounts.get(account)?.cap;
-		return cap !== undefined && isCapped(cap) ? cap : undefined;
+		return this.caps.get(account);
+	}
+
+	/** Returns the weight of an account, or of the jobs without one. */
+	getWeight(account: AccountName | undefined): number {
+		return Math.max(minAccountWeight, account === undefined ? 0 : this.accounts.get(account)?.weight ?? 0);
 	}
 
 	/** Opens the part of one pool; `onRoom` is called when an account that waited for its cap in the pool uses less. */
 	openPool(service: ServiceName, onRoom: () => void): PoolAccounts {
-		const pool = PoolAccounts.create({ledger: this, service, onRoom});
+		const pool = PoolAccounts.create({
+			ledger: this, service, onRoom, clock: this.#options.clock,
+		});
 		this.#pools.set(service, pool);
 		this.#isComplete = undefined;
 		return pool;
@@ -142,12 +169,13 @@
 		if (configuration !== this.#configuration) {
 			this.#configuration = configuration;
 			this.#accounts = new Map(configuration?.accounts?.map(account => [account.name, account]));
+			this.#caps = new Map(configuration?.accounts?.filter(({cap}) => isCapped(cap)).map(({name, cap}) => [name, cap]));
 			this.#isComplete = undefined;
 		}
 	}
 }
 
-type PoolAccountsOptions = {readonly ledger: AccountLedger; readonly service: ServiceName; readonly onRoom: () => void};
+type PoolAccountsOptions = {readonly ledger: AccountLedger; readonly service: ServiceName; readonly onRoom: () => void; readonly clock: Pick<Clock, 'readMonotonic'>};
 
 /** Part of the ledger that the scheduler of one pool keeps. */
 export class PoolAccounts {
@@ -158,6 +186,7 @@
 	readonly service: ServiceName;
 	readonly #options: PoolAccountsOptions;
 	readonly #uses = AccountUses.create();
+	readonly #pastUses: PastUses;
 	/** Accounts whose caps have kept a task of the pool waiting since their use last fell. */
 	readonly #blocked = new Set<AccountName>();
 	#isLoaded = false;
@@ -166,6 +195,7 @@
 	private constructor(options: PoolAccountsOptions) {
 		this.#options = options;
 		this.service = options.service;
+		this.#pastUses = PastUses.create(options.clock);
 	}
 
 	/** Whether the stored jobs of the pool are known. */
@@ -178,6 +208,35 @@
 		return this.#uses.entries;
 	}
 
+	/** Caps in force, of the accounts that have one. */
+	get caps(): ReadonlyMap<AccountName, Resources> {
+		return this.#options.ledger.caps;
+	}
+
+	/** Accounts that use the pool. */
+	get names(): Iterable<AccountName | undefined> {
+		return this.#uses.names;
+	}
+
+	/** Opens the shares of the accounts for one pass; `undefined` where the configuration has no accounts. */
+	openShares(capacity: Resources): PoolShares | undefined {
+		return this.#options.ledger.hasAccounts ? PoolShares.create({accounts: this, capacity}) : undefined;
+	}
+
+	/** Describes the claim of an account to a share of the pool, without what its cap forbids to start. */
+	describeClaim(account: AccountName | undefined, waiting: Resources): ShareClaim {
+		const {ledger} = this.#options;
+		const cap = account === undefined ? undefined : ledger.getCap(account);
+		const {used} = this.getUse(account);
+		const startable = account === undefined || cap === undefined ? waiting : trimDemand(waiting, {cap, used: ledger.isComplete ? ledger.getUse(account) : cap});
+		return {demand: addResources(used, startable), weight: ledger.getWeight(account)};
+	}
+
+	/** Returns what an account has used in the pool on average over the last seconds. */
+	getPastUse(account: AccountName | undefined): Resources {
+		return this.#pastUses.get(account);
+	}
+
 	/** Returns what an account uses in the pool. */
 	getUse(account: AccountName | undefined): AccountUse {
 		return this.#uses.get(account);
@@ -241,6 +300,9 @@
 		if (!this.#isClosed) {
 			this.#uses.add(account, tasks, resources);
 			this.#options.ledger.addTasks(account, tasks, resources);
+			if (this.#options.ledger.hasAccounts) {
+				this.#pastUses.record(account, this.#uses.get(account).used);
+			}
 		}
 	}
 }
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -1,9 +1,9 @@
 /**
  * One pass over the steps of a pool that are ready, which places their waiting tasks on workers.
  */
-import {findMaximum} from '@tamarackwind/core';
+import {findMaximum, type AccountName} from '@tamarackwind/core';
 import {
-	addResources, chooseWorker, getReservation, hasRoom, planGang, type Candidate, type StepOccupancy, type StepSpec,
+	addResources, chooseWorker, getReservation, hasRoom, planGang, type Candidate, type Resources, type StepOccupancy, type StepSpec,
 } from '@tamarackwind/scheduling';
 import {type AccountDemand, type PoolAccounts} from './account-ledgers.js';
 import {type StepState, type Task} from './tasks.js';
@@ -56,6 +56,8 @@
 	readonly #candidates: readonly PassCandidate[];
 	readonly #groups: CandidateGroups<PassCandidate>;
 	readonly #failedDemands = FailedDemands.create();
+	/** Caps at the start of the pass. */
+	readonly #caps: ReadonlyMap<AccountName, Resources>;
 	readonly #unprovenSessions = new Map<WorkerSession, boolean>();
 	/** Number of workers that may still be reserved for suspects that start alone. */
 	#reservableWorkers: number;
@@ -65,6 +67,7 @@
 
 	private constructor(options: PlacementPassOptions) {
 		this.#options = options;
+		this.#caps = options.accounts?.caps ?? new Map<AccountName, Resources>();
 		// The only worker of a pool takes other tasks beside a suspect.
 		const isOnly = options.candidates.length === 1;
 		this.#candidates = options.candidates.map(candidate => ({...candidate, isReserved: candidate.isReserved && !isOnly}));
@@ -78,8 +81,8 @@
 		return this.#isCut;
 	}
 
-	/** Assigns the waiting tasks of a step for which there is a place; returns them. */
-	placeStep(step: StepState): Task[] {
+	/** Assigns the waiting tasks of a step for which there is a place, until the turn of its account is over; returns them. */
+	placeStep(step: StepState, isTurnOver?: () => boolean): Task[] {
 		const {now} = this.#options;
 		step.waitReason = this.explainWait(step);
 		step.suspectWaitReason = undefined;
@@ -93,7 +96,7 @@
 			return waiting.length === step.tasks.length ? this.#placeGang(step, waiting, allowed) : [];
 		}
 
-		return this.#placeTasks(step, waiting, allowed);
+		return this.#placeTasks(step, waiting, {allowed, isTurnOver});
 	}
 
 	/** Tells why no step like the given one can have a place now, if that is known without looking at each worker. */
@@ -104,7 +107,7 @@
 	/** Tells why the cap of an account forbids a start; `undefined` if it does not. */
 	#explainCap(waiting: AccountDemand): WaitReason | undefined {
 		const {account} = waiting;
-		return account === undefined ? undefined : this.#options.accounts?.explainStart(account, waiting.spec);
+		return account === undefined || !this.#caps.has(account) ? undefined : this.#options.accounts?.explainStart(account, waiting.spec);
 	}
 
 	/** Tells why a demand can have no place now, if that is known without looking at each worker. */
@@ -126,7 +129,7 @@
 		return this.#failedDemands.getReason(demand);
 	}
 
-	#placeTasks(step: StepState, waiting: readonly Task[], allowed: readonly PassCandidate[]): Task[] {
+	#placeTasks(step: StepState, waiting: readonly Task[], {allowed, isTurnOver = () => false}: {readonly allowed: readonly PassCandidate[]; readonly isTurnOver?: () => boolean}): Task[] {
 		const occupancy = isSpread(step.spec) ? step.occupancy : new Map<string, number>();
 		const placed: Task[] = [];
 		for (const [index, task] of waiting.entries()) {
@@ -135,6 +138,10 @@
 				break;
 			}
 
+			if (placed.length > 0 && isTurnOver()) {
+				break;
+			}
+
 			step.waitReason = this.#explainCap(step);
 			if (step.waitReason !== undefined) {
 				break;
--- a/packages/workflows/src/pool-planners.ts
+++ b/packages/workflows/src/pool-planners.ts
@@ -4,6 +4,7 @@
 import {
 	appendAll, readErrorMessage, waitAtMost, type Clock, type JobId, type ServiceName, type VmId,
 } from '@tamarackwind/core';
+import {addResources, noResources, type Resources} from '@tamarackwind/scheduling';
 import {type AccountLedger, type PoolAccounts} from './account-ledgers.js';
 import {type ActiveJob} from './active-jobs.js';
 import {type AdviceCache} from './advice-caches.js';
@@ -210,14 +211,20 @@
 			candidates, advice, accounts: this.#accounts, now, isOverBudget,
 		});
 		const placed: Task[] = [];
+		const shares = this.#accounts.openShares(sumCapacities(candidates));
 		const isComplete = this.#waitingSteps.visit({
 			now,
 			isOverBudget,
 			explain: waiting => pass.explainWait(waiting),
-			place: step => {
-				const tasks = pass.placeStep(step);
+			shares,
+			place: (step, isTurnOver) => {
+				let isOver = false;
+				const tasks = pass.placeStep(step, () => {
+					isOver = isTurnOver();
+					return isOver;
+				});
 				appendAll(placed, tasks);
-				return (pass.isCut && tasks.length > 0) || this.backlog.noteStart(step.job, tasks);
+				return this.backlog.noteStart(step.job, tasks) || isOver || (pass.isCut && tasks.length > 0);
 			},
 		});
 		this.#isPassCut = !isComplete || this.#waitingSteps.hasChanges;
@@ -250,3 +257,13 @@
 		}
 	}
 }
+
+/** Sums up the capacities of workers. */
+function sumCapacities(candidates: readonly PlanCandidate[]): Resources {
+	let sum = noResources;
+	for (const {capacity} of candidates) {
+		sum = addResources(sum, capacity);
+	}
+
+	return sum;
+}
--- a/packages/workflows/src/wait-counts.ts
+++ b/packages/workflows/src/wait-counts.ts
@@ -4,7 +4,7 @@
 import {type JobId} from '@tamarackwind/core';
 import {type StepState, type Task} from './tasks.js';
 import {isSuspect} from './crash-budgets.js';
-import {type WaitReason} from './wait-reasons.js';
+import {type WaitQueue, type WaitReason} from './wait-reasons.js';
 
 /** Why a task has no run, as far as its own state tells; the step tells why a task has no place. */
 type WaitCategory = 'recording' | 'start-queued' | 'unconfirmed' | 'stopping' | 'restart-delay' | 'place' | 'suspect-place';
@@ -166,9 +166,18 @@
 /** Reasons of which the place of a job in the order is the cause. */
 const capacityReasons: ReadonlySet<WaitReason> = new Set(['no-room', 'gang-no-room', 'start-queued', 'not-reached']);
 
-function resolveReason(category: WaitCategory, {waitReason, suspectWaitReason, queue, isDeferred}: StepState): WaitReason {
-	const foundReason = waitReason ?? queue?.reason ?? 'not-reached';
-	const placeReason = isDeferred && capacityReasons.has(foundReason) ? 'deferred' : foundReason;
+/** Names the share of the account, or the place of the job in the order, as the reason for which a task finds no room. */
+function resolvePlaceReason(reason: WaitReason, {queue, isDeferred}: StepState): WaitReason {
+	if ((reason === 'no-room' || reason === 'gang-no-room') && (queue?.isOverShare ?? false)) {
+		return 'account-share';
+	}
+
+	return isDeferred && capacityReasons.has(reason) ? 'deferred' : reason;
+}
+
+function resolveReason(category: WaitCategory, step: StepState): WaitReason {
+	const {waitReason, suspectWaitReason, queue} = step;
+	const placeReason = resolvePlaceReason(waitReason ?? queue?.reason ?? 'not-reached', step);
 	if (category === 'place') {
 		return placeReason;
 	}
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -3,6 +3,7 @@
  * - `no-matching-worker`: no worker that accepts work has the label and the size that it needs.
  * - `no-room`: the workers that could run it are full.
  * - `suspect`: a worker has crashed under it, and those with room are testing other suspects.
+ * - `account-share`: the workers that could run it are full, and its account uses its share of the pool.
  * - `gang-no-room`: its gang does not fit.
  * - `no-ticket`: the placement policy has allowed no worker with room yet.
  * - `account-cap`: its account uses all that it may have running, or the holder does not know yet what the account uses.
@@ -14,10 +15,12 @@
  * - `unconfirmed`: its worker has not confirmed the start.
  * - `stopping`: its last run is not known to have ended.
  */
-export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'account-cap' | 'deferred' | 'not-reached' | 'restart-delay' | 'recording' | 'start-queued' | 'unconfirmed' | 'stopping';
+export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'account-cap' | 'account-share' | 'deferred' | 'not-reached' | 'restart-delay' | 'recording' | 'start-queued' | 'unconfirmed' | 'stopping';
 
 /** Waiting steps that are placed one after the other. */
 export type WaitQueue = {
 	/** Why the last planning pass left the rest of the queue alone. */
 	readonly reason: WaitReason | undefined;
+	/** Whether the account of the steps uses its share of the pool. */
+	readonly isOverShare: boolean;
 };
--- a/packages/workflows/src/waiting-steps.ts
+++ b/packages/workflows/src/waiting-steps.ts
@@ -3,136 +3,13 @@
  * places, not by the steps that wait: once a demand finds no place, the rest of its queue is left alone.
  */
 import {type AccountName} from '@tamarackwind/core';
-import {compareRanks, type Rank, type StepSpec} from '@tamarackwind/scheduling';
-import TinyQueue from 'tinyqueue';
+import {AccountGroup, AccountTurns} from './account-turns.js';
 import {type ActiveJob} from './active-jobs.js';
-import {type StepState} from './tasks.js';
-import {type Demand} from './demands.js';
+import {DemandQueue, formatQueue} from './demand-queues.js';
 import {type WaitingDemand} from './placement-passes.js';
-import {type WaitQueue, type WaitReason} from './wait-reasons.js';
-
-type Entry = {
-	readonly step: StepState;
-	rank: Rank;
-	/** Time until which the rank holds, on the monotonic clock. */
-	until: number;
-	/** Round in which the step was last visited. */
-	visitedIn: number;
-	isRemoved: boolean;
-};
-
-/** Waiting steps of one account, or without one, with one demand. */
-class DemandQueue implements WaitQueue {
-	static create(step: StepState, isShared: boolean): DemandQueue {
-		return new DemandQueue(step, isShared);
-	}
-
-	readonly key: string;
-	readonly demand: Demand;
-	readonly account: AccountName | undefined;
-	/** Specification of one of the steps; those of the others ask for the same. */
-	readonly spec: StepSpec;
-
-	reason: WaitReason | undefined;
-	/** Round in which the queue was last visited to its end, or found without a place. */
-	visitedIn = 0;
-	readonly #entries = new Map<StepState, Entry>();
-	/** Entries by rank, but for those added since the last visit. */
-	#sorted: Entry[] = [];
-	#isSorted = true;
-	/** Time until which all ranks hold, on the monotonic clock. */
-	#until = Number.POSITIVE_INFINITY;
-	#position = 0;
-
-	private constructor(
-		step: StepState,
-		/** Whether a failure to place one of the steps holds for all of them. */
-		readonly isShared: boolean,
-	) {
-		this.key = formatQueue(step, isShared);
-		this.demand = step.demand;
-		this.account = step.account;
-		this.spec = step.spec;
-	}
-
-	get isEmpty(): boolean {
-		return this.#entries.size === 0;
-	}
-
-	/** The entry to visit next; `undefined` after the last one. */
-	get current(): Entry | undefined {
-		return this.#sorted[this.#position];
-	}
-
-	add(step: StepState): void {
-		if (!this.#entries.has(step)) {
-			const entry: Entry = {
-				step, rank: [0, 0], until: Number.NEGATIVE_INFINITY, visitedIn: 0, isRemoved: false,
-			};
-			this.#entries.set(step, entry);
-			this.#sorted.push(entry);
-		}
-
-		this.resetRank(step);
-	}
-
-	/** Ranks a step anew at the next visit. */
-	resetRank(step: StepState): void {
-		const entry = this.#entries.get(step);
-		if (entry !== undefined) {
-			entry.until = Number.NEGATIVE_INFINITY;
-			this.#until = Number.NEGATIVE_INFINITY;
-		}
-	}
-
-	remove(step: StepState): void {
-		const entry = this.#entries.get(step);
-		if (entry !== undefined) {
-			entry.isRemoved = true;
-			this.#entries.delete(step);
-			this.#isSorted = false;
-		}
-	}
-
-	/** Moves to the entry of the best rank that the round has not visited. */
-	begin(now: number, round: number): void {
-		this.#position = 0;
-		this.#sort(now);
-		this.#moveToUnvisited(round);
-	}
-
-	/** Moves to the next entry that the round has not visited. */
-	advance(round: number): void {
-		this.#position++;
-		this.#moveToUnvisited(round);
-	}
-
-	#moveToUnvisited(round: number): void {
-		for (let entry = this.current; entry !== undefined && (entry.isRemoved || entry.visitedIn === round); entry = this.current) {
-			this.#position++;
-		}
-	}
-
-	#sort(now: number): void {
-		if (this.#isSorted && now <= this.#until) {
-			return;
-		}
-
-		this.#sorted = this.#sorted.filter(({isRemoved}) => !isRemoved);
-		this.#until = Number.POSITIVE_INFINITY;
-		for (const entry of this.#sorted) {
-			if (now > entry.until) {
-				({rank: entry.rank, until: entry.until} = entry.step.job.ranking.compute(now));
-			}
-
-			this.#until = Math.min(this.#until, entry.until);
-		}
-
-		// Takes linear time, since the order has hardly changed.
-		this.#sorted.sort((a, b) => compareRanks(a.rank, b.rank));
-		this.#isSorted = true;
-	}
-}
+import {type PoolShares} from './pool-shares.js';
+import {type StepState} from './tasks.js';
+import {type WaitReason} from './wait-reasons.js';
 
 export type VisitOptions = {
 	/** Time of the visit, on the monotonic clock. */
@@ -141,17 +18,28 @@
 	readonly isOverBudget: () => boolean;
 	/** Tells why no step of a queue can have a place, if that is known. */
 	readonly explain: (waiting: WaitingDemand) => WaitReason | undefined;
-	/** Places tasks of a step and sets its wait reason; returns whether the step has to be visited again since the time was over. */
-	readonly place: (step: StepState) => boolean;
+	/**
+	 * Places tasks of a step and sets its wait reason, until there is no place for more, the time is over or the turn of the account is;
+	 * returns whether the step has to be visited again for one of the latter.
+	 */
+	readonly place: (step: StepState, isTurnOver: () => boolean) => boolean;
+	/** Shares of the accounts, by which they take turns; without them, steps are visited in the order of their ranks. */
+	readonly shares?: PoolShares;
 };
 
+/** Queues of one account. All of them hold the same text as its name, which makes comparisons cheap. */
+type AccountQueues = {readonly account: AccountName | undefined; readonly byKey: Map<string, DemandQueue>};
+
 /** The waiting steps of one pool. */
 export class WaitingSteps {
 	static create(): WaitingSteps {
 		return new WaitingSteps();
 	}
 
-	readonly #queues = new Map<string, DemandQueue>();
+	/** Queues by account and key. */
+	readonly #queues = new Map<AccountName | undefined, AccountQueues>();
+	/** Accounts that had their share of the pool at the last visit. */
+	readonly #overAccounts = new Set<AccountName | undefined>();
 	readonly #queueByStep = new Map<StepState, DemandQueue>();
 	/** Jobs that may have waiting steps without an entry, or with another rank. */
 	readonly #changedJobs = new Set<ActiveJob>();
@@ -213,63 +101,127 @@
 	}
 
 	/**
-	 * Visits the steps in the order of their jobs' ranks, without those that the round has visited. A queue is left when one of its steps
-	 * finds no place for a reason that holds for all. Returns `false` if the time was over; the next visit then continues the round.
+	 * Visits the steps in the order of their jobs' ranks, and by shares among accounts, without those that the round has visited. A queue is
+	 * left when one of its steps finds no place for a reason that holds for all. Returns `false` if the time was over; the next visit then
+	 * continues the round.
 	 */
 	visit(options: VisitOptions): boolean {
-		const {now, isOverBudget, place} = options;
-		const queues = new TinyQueue(this.#listVisitable(options), (a, b) => compareRanks(a.current!.rank, b.current!.rank));
-		for (let queue = queues.pop(); queue !== undefined; queue = queues.pop()) {
-			if (isOverBudget()) {
-				return false;
-			}
+		const {isOverBudget, shares} = options;
+		const turns = AccountTurns.create(this.#listGroups(options), shares);
+		for (let group = turns.takeNext(); group !== undefined; group = turns.takeNext()) {
+			do {
+				if (isOverBudget()) {
+					return false;
+				}
 
-			const entry = queue.current!;
-			const {step} = entry;
-			if (step.hasWaitingTasks && place(step)) {
-				return false;
-			}
+				// What comes next has to be found anew once a queue is left.
+				if (!this.#removeFailing(group, options) && !this.#visitNext(group, turns, options)) {
+					return false;
+				}
+			} while (turns.isFirst(group));
 
-			if (step.hasWaitingTasks && step.waitReason === 'account-cap') {
-				// Holds for the whole queue until the account uses less, and then the round comes back to it.
-				queue.reason = step.waitReason;
-				continue;
-			}
+			turns.add(group);
+		}
 
-			entry.visitedIn = this.#round;
-			if (!step.hasWaitingTasks) {
-				this.#removeStep(step);
-			}
+		this.#round++;
+		return true;
+	}
 
-			queue.reason = queue.isShared ? step.waitReason : undefined;
-			queue.advance(this.#round);
-			if (queue.reason === undefined && queue.current !== undefined) {
-				queues.push(queue);
-			} else {
-				queue.visitedIn = this.#round;
+	/** Leaves the next queues of an account of which no step can have a place; returns whether there were any. */
+	#removeFailing(group: AccountGroup, {explain}: VisitOptions): boolean {
+		let isAnyLeft = false;
+		for (let queue = group.next; queue !== undefined; queue = group.next) {
+			queue.reason = explain(queue);
+			if (queue.reason === undefined) {
+				break;
 			}
+
+			isAnyLeft = true;
+			queue.visitedIn = queue.reason === 'account-cap' ? queue.visitedIn : this.#round;
+			group.takeQueue();
+		}
+
+		return isAnyLeft;
+	}
+
+	/** Visits the next step of an account; returns `false` if the time was over. */
+	#visitNext(group: AccountGroup, turns: AccountTurns, {place}: VisitOptions): boolean {
+		const queue = group.takeQueue()!;
+		const entry = queue.current!;
+		const {step} = entry;
+		let isTurnOver = false;
+		const isUnfinished = step.hasWaitingTasks && place(step, () => {
+			isTurnOver = turns.isTurnOver(group, queue);
+			return isTurnOver;
+		});
+		queue.updateWaiting(entry);
+		if (isUnfinished && !isTurnOver) {
+			return false;
+		}
+
+		if (isUnfinished || this.#finishStep(queue)) {
+			group.addQueue(queue);
 		}
 
-		this.#round++;
 		return true;
 	}
 
-	#listVisitable({now, explain}: VisitOptions): DemandQueue[] {
-		const visitable: DemandQueue[] = [];
-		for (const queue of this.#queues.values()) {
-			if (queue.visitedIn !== this.#round) {
-				queue.reason = explain(queue);
-				if (queue.reason === undefined) {
-					queue.begin(now, this.#round);
+	/** Moves a queue behind its current step, which was tried; returns whether the next one is to be tried. */
+	#finishStep(queue: DemandQueue): boolean {
+		const entry = queue.current!;
+		const {step} = entry;
+		if (step.hasWaitingTasks && step.waitReason === 'account-cap') {
+			// Holds for the whole queue until the account uses less, and then the round comes back to the step.
+			queue.reason = step.waitReason;
+			return false;
+		}
+
+		entry.visitedIn = this.#round;
+		if (!step.hasWaitingTasks) {
+			this.#removeStep(step);
+		}
+
+		queue.reason = queue.isShared ? step.waitReason : undefined;
+		queue.advance(this.#round);
+		if (queue.reason === undefined && queue.current !== undefined) {
+			return true;
+		}
+
+		queue.visitedIn = this.#round;
+		return false;
+	}
+
+	/** Groups the queues by account, and notes the accounts that have their share; without shares, all of them are one group. */
+	#listGroups({now, explain, shares}: VisitOptions): Iterable<AccountGroup> {
+		const groups = new Map<AccountName | undefined, AccountGroup>();
+		const all = AccountGroup.create(undefined);
+		for (const {account, byKey} of this.#queues.values()) {
+			const group = shares === undefined ? all : AccountGroup.create(account);
+			groups.set(group.account, group);
+			for (const queue of byKey.values()) {
+				if (queue.visitedIn !== this.#round) {
+					queue.reason = explain(queue);
+					if (queue.reason === undefined) {
+						queue.begin(now, this.#round);
+					}
+
+					if (queue.reason === undefined && queue.current !== undefined) {
+						group.addQueue(queue);
+					}
 				}
 
-				if (queue.reason === undefined && queue.current !== undefined) {
-					visitable.push(queue);
+				if (shares !== undefined && queue.reason !== 'no-matching-worker') {
+					group.addDemand(queue);
 				}
 			}
 		}
 
-		return visitable;
+		this.#overAccounts.clear();
+		for (const account of shares?.computeShares(groups) ?? []) {
+			this.#overAccounts.add(account);
+		}
+
+		return groups.values();
 	}
 
 	#findQueue(step: StepState): DemandQueue {
@@ -279,8 +231,13 @@
 		}
 
 		const isShared = step.spec.antiAffinity === undefined && step.job.job.policy.advice === undefined;
-		const queue = this.#queues.get(formatQueue(step, isShared)) ?? DemandQueue.create(step, isShared);
-		this.#queues.set(queue.key, queue);
+		const own = this.#queues.get(step.account) ?? {account: step.account, byKey: new Map<string, DemandQueue>()};
+		this.#queues.set(own.account, own);
+		const key = formatQueue(step, isShared);
+		const queue = own.byKey.get(key) ?? DemandQueue.create(step, {
+			key, account: own.account, isShared, overAccounts: this.#overAccounts,
+		});
+		own.byKey.set(key, queue);
 		this.#queueByStep.set(step, queue);
 		step.queue = queue;
 		return queue;
@@ -296,13 +253,11 @@
 		this.#queueByStep.delete(step);
 		step.queue = undefined;
 		if (queue.isEmpty) {
-			this.#queues.delete(queue.key);
+			const {byKey} = this.#queues.get(queue.account)!;
+			byKey.delete(queue.key);
+			if (byKey.size === 0) {
+				this.#queues.delete(queue.account);
+			}
 		}
 	}
 }
-
-/** Names a queue. Accounts are charged the whole CPU of fillers, of which the demand has none. */
-function formatQueue({account, spec, demand: {key, requirement}}: StepState, isShared: boolean): string {
-	const charge = account === undefined ? '' : `${spec.resources.cpu} ${account}`;
-	return `${isShared ? 'shared' : 'single'} ${key} ${requirement?.length ?? ''} ${requirement ?? ''} ${charge}`;
-}
--- a/packages/workflows/tests/account-ledgers.test.ts
+++ b/packages/workflows/tests/account-ledgers.test.ts
@@ -50,7 +50,7 @@
 /** Opens the ledger of both pools. */
 function openLedger(accounts: readonly ClientAccount[] | undefined, loaded: readonly ServiceName[] = pools): Setting {
 	const declarations = {configuration: createConfiguration(accounts)};
-	const ledger = AccountLedger.create({declarations});
+	const ledger = AccountLedger.create({declarations, clock: {readMonotonic: () => now}});
 	const woken: ServiceName[] = [];
 	const parts = pools.map(service => ledger.openPool(service, () => {
 		woken.push(service);
