Report the workers that get no new work, by reason

Cause: a task that waits with no-room beside workers that are up cannot be told from one in a full pool. The CPU in the line tasks wait is that of the workers that get work, so that the warning of a pool with room never comes while all of its workers are left out. Ruled out: the existing lines (worker not listed) end with the last call, and a worker that is no longer called has none.

--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -45,6 +45,7 @@
 export * from './order-queues.js';
 export * from './starters.js';
 export * from './worker-leases.js';
+export * from './worker-availability.js';
 export * from './worker-sessions.js';
 export * from './doubtful-runs.js';
 export * from './job-removers.js';
--- a/packages/workflows/src/pool-planners.ts
+++ b/packages/workflows/src/pool-planners.ts
@@ -20,6 +20,7 @@
 import {type Task} from './tasks.js';
 import {WaitMonitor} from './wait-monitors.js';
 import {WaitingSteps} from './waiting-steps.js';
+import {AvailabilityMonitor} from './worker-availability.js';
 import {type WorkerSession} from './worker-sessions.js';
 
 /** What the planner takes over from the scheduler of its pool as it is. */
@@ -78,6 +79,8 @@
 
 	/** Observes the tasks that wait. */
 	readonly waits: WaitMonitor;
+	/** Observes the workers that get no new work. */
+	readonly availability: AvailabilityMonitor;
 	/** Demand and order of the pool's jobs. */
 	readonly backlog: PoolBacklog;
 	readonly #options: PoolPlannerOptions;
@@ -92,6 +95,7 @@
 	private constructor(options: PoolPlannerOptions) {
 		this.#options = options;
 		this.waits = WaitMonitor.create(options);
+		this.availability = AvailabilityMonitor.create(options);
 		this.backlog = PoolBacklog.create(options);
 		this.#accounts = options.ledger.openPool(options.service, () => {
 			this.wake();
@@ -166,14 +170,15 @@
 		}
 	}
 
-	/** Observes the tasks that wait; a failure is logged, since nothing depends on the observation. */
+	/** Observes the tasks that wait and the workers that get no work; a failure is logged, since nothing depends on the observation. */
 	#observeWaits(): void {
-		const {clock, log, meter, jobs} = this.#options;
+		const {clock, log, meter, jobs, sessions} = this.#options;
 		try {
 			meter.track('observe waits', () => {
 				const now = clock.readMonotonic();
+				this.availability.observe(sessions.values(), now);
 				this.waits.observe({
-					jobs: jobs.values(), now, readUse: () => this.computeLoad(), isOverBudget: () => clock.readMonotonic() - now >= maxObservationMs,
+					jobs: jobs.values(), now, readUse: () => ({...this.computeLoad(), unavailableCpu: this.availability.unavailableCpu}), isOverBudget: () => clock.readMonotonic() - now >= maxObservationMs,
 				});
 			});
 		} catch (error) {
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -28,6 +28,7 @@
 } from './workers.js';
 import {type Timings} from './timings.js';
 import {type WaitMonitor} from './wait-monitors.js';
+import {type AvailabilityMonitor} from './worker-availability.js';
 import {SessionOwner, WorkerSession, type IncarnationEnd} from './worker-sessions.js';
 
 export type PoolSchedulerOptions = PlanningEnvironment & {
@@ -140,6 +141,11 @@
 		return this.#planner.waits;
 	}
 
+	/** Observes the workers that get no new work. */
+	get availability(): AvailabilityMonitor {
+		return this.#planner.availability;
+	}
+
 	/** Demand and order of the pool's jobs. */
 	get backlog(): PoolBacklog {
 		return this.#planner.backlog;
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -14,7 +14,13 @@
 export type WaitMonitorOptions = {readonly log: RateLimitedLog; readonly service: ServiceName};
 
 /** Capacity of a pool and what is in use of it, in thousandths of a core. */
-export type PoolUse = {readonly usedCpu: number; readonly cpu: number};
+export type PoolUse = {
+	readonly usedCpu: number;
+	/** CPU of the workers that accept new work. */
+	readonly cpu: number;
+	/** CPU of the workers that get no new work although they stay. */
+	readonly unavailableCpu: number;
+};
 
 export type ObservationOptions = {
 	readonly jobs: Iterable<ActiveJob>;
@@ -105,14 +111,14 @@
 		}
 	}
 
-	#logWaits(reason: WaitReason, {since, loggedTasks, loggedJobs, longest}: ReasonSum, now: number, {usedCpu, cpu}: PoolUse): void {
+	#logWaits(reason: WaitReason, {since, loggedTasks, loggedJobs, longest}: ReasonSum, now: number, {usedCpu, cpu, unavailableCpu}: PoolUse): void {
 		const {log, service} = this.options;
 		const longestMs = Math.round(now - since);
 		const fields = {
-			service, reason, tasks: loggedTasks, longestMs, usedCpu: Math.round(usedCpu), cpu: Math.round(cpu), jobs: longest.map(({id}) => id), jobCount: loggedJobs,
+			service, reason, tasks: loggedTasks, longestMs, usedCpu: Math.round(usedCpu), cpu: Math.round(cpu), unavailableCpu: Math.round(unavailableCpu), jobs: longest.map(({id}) => id), jobCount: loggedJobs,
 		};
 		// A task that waits for the cap of its account is right to wait, however much room the pool has.
-		if (reason !== 'account-cap' && longestMs > standingLimitMs && usedCpu < cpu * freePoolShare) {
+		if (reason !== 'account-cap' && longestMs > standingLimitMs && usedCpu < (cpu + unavailableCpu) * freePoolShare) {
 			log.warn('tasks wait although the pool has room', fields);
 		} else {
 			log.info('tasks wait', fields);
--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -17,6 +17,7 @@
 import {formatIncarnation, type RunKey} from './jobs.js';
 import {OrderQueue} from './order-queues.js';
 import {Signal} from './signals.js';
+import {type UnavailabilityReason} from './worker-availability.js';
 import {WorkerHealth} from './worker-health.js';
 import {workerRetryMs, type Timings} from './timings.js';
 import {WorkerLease} from './worker-leases.js';
@@ -182,7 +183,28 @@
 
 	/** Whether the worker may get new work. */
 	get isSchedulable(): boolean {
-		return this.#isListed && this.isReachable && this.isRegistered && !this.record.isDraining && !this.cordons.isActive;
+		return this.unavailability === undefined;
+	}
+
+	/** Why the worker gets no new work; `undefined` if it does. */
+	get unavailability(): UnavailabilityReason | undefined {
+		if (!this.isRegistered) {
+			return 'unregistered';
+		}
+
+		if (this.record.isDraining) {
+			return 'draining';
+		}
+
+		if (!this.isReachable) {
+			return 'unreachable';
+		}
+
+		if (!this.#isListed) {
+			return 'unlisted';
+		}
+
+		return this.cordons.isActive ? 'cordoned' : undefined;
 	}
 
 	/** Returns the time by which the run of a task has ended if the lease is not renewed, on the monotonic clock. A run that was never listed may have begun on a later incarnation. */
--- a/packages/workflows/tests/wait-monitors.test.ts
+++ b/packages/workflows/tests/wait-monitors.test.ts
@@ -12,6 +12,7 @@
 	readonly step?: Partial<Pick<StepState, 'waitReason' | 'suspectWaitReason'>>;
 	/** CPU in use of the pool's 1000. */
 	readonly usedCpu?: number;
+	readonly unavailableCpu?: number;
 	/** Seconds for which the task is observed. */
 	readonly seconds?: number;
 	readonly reason: string | undefined;
@@ -41,6 +42,9 @@
 	{
 		name: 'a task that waits as long in a full pool', task: {}, step: {waitReason: 'no-room'}, usedCpu: 900, seconds: 5, reason: 'no-room', level: 'info',
 	},
+	{
+		name: 'a task that waits as long beside workers that get no new work', task: {}, step: {waitReason: 'no-room'}, unavailableCpu: 1000, seconds: 5, reason: 'no-room', level: 'warn',
+	},
 	{
 		name: 'a task whose assignment is not durable', task: {phase: 'recorded'}, reason: 'recording', level: 'info',
 	},
@@ -60,7 +64,7 @@
 	},
 ];
 
-for (const {name, task: fields, step = {}, usedCpu = 100, seconds = 2, reason, level} of cases) {
+for (const {name, task: fields, step = {}, usedCpu = 100, unavailableCpu = 0, seconds = 2, reason, level} of cases) {
 	test(`wait: ${name}`, t => {
 		const lines: Line[] = [];
 		const write = (lineLevel: string) => (message: string, lineFields: Record<string, unknown>) => {
@@ -75,7 +79,7 @@
 		const monitor = WaitMonitor.create({log, service: 'north' as ServiceName});
 		for (let second = 0; second <= seconds; second++) {
 			monitor.observe({
-				jobs: [job], now: second * 1000, readUse: () => ({usedCpu, cpu: 1000}), isOverBudget: () => false,
+				jobs: [job], now: second * 1000, readUse: () => ({usedCpu, cpu: 1000 - unavailableCpu, unavailableCpu}), isOverBudget: () => false,
 			});
 		}
 
@@ -96,7 +100,7 @@
 		const monitor = WaitMonitor.create({log, service: 'north' as ServiceName});
 		for (const now of [0, 4000]) {
 			monitor.observe({
-				jobs: [job], now, readUse: () => ({usedCpu: 0, cpu: 1000}), isOverBudget: () => false,
+				jobs: [job], now, readUse: () => ({usedCpu: 0, cpu: 1000, unavailableCpu: 0}), isOverBudget: () => false,
 			});
 		}
 
