Reproduce jobs that stand beside idle workers after an outage of their calls

What callers see: accepted jobs and long-running tasks wait to the end of the term, with no-room, while all workers of the pool are up, idle and listed.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -83,7 +83,7 @@
 }
 
 type EmulatedVm = {
-	readonly id: VmId; pool: PoolName; incarnation: EmulatedIncarnation | undefined; state: FleetVm['state']; isUnreachable: boolean; isSilent: boolean; maintenances: Set<string>; lastOrder: (OrderFence & {readonly at: number}) | undefined;
+	readonly id: VmId; pool: PoolName; incarnation: EmulatedIncarnation | undefined; state: FleetVm['state']; isUnreachable: boolean; isPathCut: boolean; isShedding: boolean; isSilent: boolean; maintenances: Set<string>; lastOrder: (OrderFence & {readonly at: number}) | undefined;
 };
 
 /** Fault probabilities of an order, each from 0 to 1. */
@@ -168,7 +168,7 @@
 		for (const [pool, count] of options.pools) {
 			for (let index = 0; index < count; index++) {
 				const vm: EmulatedVm = {
-					id: `vm-${pool}-${index}` as VmId, pool, incarnation: undefined, state: 'up', isUnreachable: false, isSilent: false, maintenances: new Set(), lastOrder: undefined,
+					id: `vm-${pool}-${index}` as VmId, pool, incarnation: undefined, state: 'up', isUnreachable: false, isPathCut: false, isShedding: false, isSilent: false, maintenances: new Set(), lastOrder: undefined,
 				};
 				this.#vms.push(vm);
 				this.#startIncarnation(vm);
@@ -251,6 +251,24 @@
 		});
 	}
 
+	/** Lets no connection from the entries to a VM be opened for `durationMs` milliseconds; its worker keeps running and reaches the registry. */
+	cutPath(id: VmId, durationMs: number): void {
+		const vm = this.#findVm(id);
+		vm.isPathCut = true;
+		this.#options.clock.schedule(durationMs, () => {
+			vm.isPathCut = false;
+		});
+	}
+
+	/** Lets the worker of a VM turn away all calls for `durationMs` milliseconds without an effect, as an overloaded one does. */
+	shedCalls(id: VmId, durationMs: number): void {
+		const vm = this.#findVm(id);
+		vm.isShedding = true;
+		this.#options.clock.schedule(durationMs, () => {
+			vm.isShedding = false;
+		});
+	}
+
 	/** Changes the capacity of a VM's worker to a share of its full one, without notice. */
 	resizeVm(id: VmId, share: number): void {
 		const {incarnation} = this.#findVm(id);
@@ -377,10 +395,19 @@
 			throw new VerdictError('worker does not answer', {verdict: 'may-have-run', code: 'worker_unavailable'});
 		}
 
+		if (vm?.isPathCut) {
+			await clock.sleep(timeoutMs);
+			throw new VerdictError('connection not opened', {verdict: 'not-run', code: 'worker_unavailable'});
+		}
+
 		if (vm === undefined) {
 			throw new VerdictError('connection refused', {verdict: 'not-run', code: 'worker_unavailable'});
 		}
 
+		if (vm.isShedding) {
+			throw new VerdictError('worker turns calls away', {verdict: 'not-run', code: 'worker_unavailable'});
+		}
+
 		if (vm.isSilent) {
 			if (vm.incarnation!.record.id === record.id) {
 				execute(vm.incarnation!);
