Keep calling unreachable workers that have no tasks

What callers see: LOST. Accepted jobs and long-running tasks stand beside idle workers that are up and listed by the registry, until the holder changes. Cause: the session of a worker calls it only while tasks are assigned there. Two failed calls in a row make it unreachable, so that it gets no new work. If its tasks are then released without a listing (a start that was not sent, or that the worker turned away, or leases that lapsed), the session waits for a start to wake it, which never comes. The registry does not help, since the worker keeps its entry there. The pool is still sized with the worker, so no VM comes in its place. Class: a state that is entered on evidence and left only by an event which the state itself prevents. Ruled out: a worker whose start may have run recovers, as the task stays assigned; a worker that crashed comes with another life, which gets a session of its own. Change: a session whose last call failed goes on calling, every 0.6 s at most, until the worker answers or the registry drops it.

--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -431,8 +431,9 @@
 		this.#fillerTasks += spec.isFiller ? sign : 0;
 	}
 
+	/** Whether the worker has to be called: it has runs, or it is not known to take new work. */
 	get #isBusy(): boolean {
-		return !this.#isListed || this.tasks.size > 0 || this.unknownRuns.size > 0;
+		return !this.#isListed || this.#failures > 0 || this.tasks.size > 0 || this.unknownRuns.size > 0;
 	}
 
 	async #run(): Promise<void> {
