--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -509,7 +509,8 @@
 	#applyRunEnd(session: WorkerSession, {key, ending, checkpoint}: ListedEnd, changed: Set<ActiveJob>): void {
 		session.unknownRuns.delete(formatRun(key));
 		const task = this.#findTask(key);
-		if (task === undefined || !task.isInFlight || task.run !== key.run || !session.tasks.has(task)) {
+		const isAssigned = task !== undefined && task.isInFlight && task.run === key.run && session.tasks.has(task);
+		if (task === undefined || !(isAssigned || (ending === 'done' && isUnstarted(task)))) {
 			return;
 		}
 
@@ -720,6 +721,12 @@
 	}
 }
 
+/** Reports whether no run of a task is on its way or active, nor one of its gang, so that the end of an earlier run counts, such as one whose lease has lapsed. */
+function isUnstarted({spec, stepState, phase}: Task): boolean {
+	const members = spec.isGang ? stepState.tasks.map(member => member.phase) : [phase];
+	return !spec.isLongRunning && members.every(memberPhase => memberPhase === 'waiting' || memberPhase === 'recorded');
+}
+
 /** Finds the session with a worker of any pool. */
 export function findWorkerSession(pools: Iterable<PoolScheduler>, worker: VmId | undefined): WorkerSession | undefined {
 	if (worker === undefined) {
