--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -28,6 +28,9 @@
 
 type EmulatedRun = {readonly key: RunKey; readonly startedAt: number; readonly task: EmulatedTask; isStopping: boolean};
 
+/** A run of a cancelled job that a worker began late and that was not stopped in time; times are on the monotonic clock. */
+export type OverdueRun = {readonly name: string; readonly startedAt: number; readonly until: number};
+
 /** Maximum number of ends in a listing; the others follow once these are acknowledged. */
 const maxListedEnds = 500;
 const fullCapacity: Resources = {cpu: 8000, memory: 32_000, gpu: 0};
@@ -130,6 +133,8 @@
 	}
 
 	readonly violations: string[] = [];
+	/** Runs that are violations if nothing else was disturbed while they were active. */
+	readonly overdueRuns: OverdueRun[] = [];
 	readonly counts = {
 		starts: 0, done: 0, failed: 0, lapsed: 0, lateOrders: 0, lostResponses: 0, maintenances: 0, moves: 0, crashes: 0,
 	};
@@ -316,17 +321,21 @@
 	}
 
 	/** Sends an order to a VM, subject to the current fault. */
-	async sendVmOrder(execute: () => Promise<FleetOrderOutcome>): Promise<FleetOrderOutcome> {
+	async sendVmOrder(id: VmId, fence: OrderFence, execute: (isLate: boolean) => FleetOrderOutcome): Promise<FleetOrderOutcome> {
 		const {clock} = this.#options;
 		const fault = this.vmOrderFault;
+		if (fault !== 'lost') {
+			this.#checkFence(this.#findVm(id), fence);
+		}
+
 		if (fault === 'refused' || fault === 'busy') {
 			return fault;
 		}
 
-		const outcome = fault === 'lost' || fault === 'late' ? undefined : await execute();
+		const outcome = fault === 'lost' || fault === 'late' ? undefined : execute(false);
 		if (fault === 'late' || fault === 'repeated') {
 			clock.schedule(lateVmOrderMs, () => {
-				void execute();
+				execute(true);
 			});
 		}
 
@@ -338,9 +347,9 @@
 		return outcome;
 	}
 
-	async maintainVm(id: VmId, wave: string, fence: OrderFence): Promise<FleetOrderOutcome> {
+	/** Executes an order for the maintenance of a VM; disruption budgets don't hold for orders that were held up. */
+	maintainVm(id: VmId, wave: string, isLate = false): FleetOrderOutcome {
 		const vm = this.#findVm(id);
-		this.#checkFence(vm, fence);
 		if (vm.maintenances.has(wave)) {
 			return 'accepted';
 		}
@@ -349,7 +358,10 @@
 			return 'busy';
 		}
 
-		this.#checkBudget(vm);
+		if (!isLate) {
+			this.#checkBudget(vm);
+		}
+
 		vm.maintenances.add(wave);
 		this.counts.maintenances++;
 		this.#endIncarnation(vm, true);
@@ -361,10 +373,9 @@
 		return 'accepted';
 	}
 
-	/** Moves a VM to another pool; no worker runs on a VM of the spare pool. */
-	async moveVm(id: VmId, pool: PoolName, fence: OrderFence): Promise<FleetOrderOutcome> {
+	/** Executes an order to move a VM to another pool; no worker runs on a VM of the spare pool. */
+	moveVm(id: VmId, pool: PoolName, isLate = false): FleetOrderOutcome {
 		const vm = this.#findVm(id);
-		this.#checkFence(vm, fence);
 		if (vm.pool === pool) {
 			return 'accepted';
 		}
@@ -373,7 +384,10 @@
 			return 'busy';
 		}
 
-		this.#checkBudget(vm);
+		if (!isLate) {
+			this.#checkBudget(vm);
+		}
+
 		this.counts.moves++;
 		this.#endIncarnation(vm, true);
 		vm.pool = pool;
@@ -386,7 +400,7 @@
 	}
 
 	/** Executes an order on the worker that a record describes, subject to the current faults. */
-	async runOrder<T>(record: WorkerRecord, isRead: boolean, execute: (incarnation: EmulatedIncarnation) => T): Promise<T | undefined> {
+	async runOrder<T>(record: WorkerRecord, isRead: boolean, execute: (incarnation: EmulatedIncarnation, isLate?: boolean) => T): Promise<T | undefined> {
 		const {clock, random} = this.#options;
 		await clock.sleep(networkDelayMs);
 		const vm = this.#vms.find(other => other.incarnation?.record.address === record.address);
@@ -424,7 +438,7 @@
 			clock.schedule(1000 + (random.readFraction() * 8000), () => {
 				// The order is lost with the incarnation that has received it.
 				if (!incarnation.isEnded && incarnation.record.id === record.id) {
-					execute(incarnation);
+					execute(incarnation, true);
 				}
 			});
 			await clock.sleep(1200);
@@ -442,7 +456,7 @@
 		return outcome;
 	}
 
-	startRun(incarnation: EmulatedIncarnation, order: StartOrder): StartOutcome {
+	startRun(incarnation: EmulatedIncarnation, order: StartOrder, isLate = false): StartOutcome {
 		const now = this.#options.clock.readMonotonic();
 		const name = formatTask(order.key);
 		if (order.fencingToken < incarnation.fencingToken) {
@@ -471,12 +485,16 @@
 
 		this.#checkCapacity(incarnation, order.key, addResources(used, getReservation(task.step)), now);
 
-		this.#checkStart(order.key, now);
+		this.#checkStart(order.key, now, isLate);
 		this.counts.starts++;
 		const run: EmulatedRun = {
 			key: order.key, startedAt: now, task, isStopping: false,
 		};
 		incarnation.runs.set(name, run);
+		if (isLate) {
+			this.#checkLateStart(incarnation, run);
+		}
+
 		this.#checkCap(run, now);
 		this.#scheduleEnd(incarnation, run);
 		if (this.jobs.get(order.key.job)!.crashingTasks.has(`${order.key.step}.${order.key.index}`)) {
@@ -707,7 +725,20 @@
 		}
 	}
 
-	#checkStart(key: RunKey, now: number): void {
+	/** Checks that a late start of a cancelled job is stopped: the run has to be gone once the entries have had contact with the worker and the stop has taken its time. */
+	#checkLateStart(incarnation: EmulatedIncarnation, run: EmulatedRun): void {
+		const {clock} = this.#options;
+		const name = formatTask(run.key);
+		clock.schedule(this.#bounds.contactMs + stopDelayMs, () => {
+			const now = clock.readMonotonic();
+			const isCancelled = now - (this.cancelledAt.get(run.key.job) ?? Number.POSITIVE_INFINITY) > this.#bounds.cancellationMs + stopDelayMs;
+			if (isCancelled && !incarnation.isEnded && incarnation.runs.get(name) === run) {
+				this.overdueRuns.push({name, startedAt: run.startedAt, until: now});
+			}
+		});
+	}
+
+	#checkStart(key: RunKey, now: number, isLate: boolean): void {
 		const name = formatTask(key);
 		const crashed = this.#crashes.get(name);
 		if (crashed !== undefined && crashed.crashes >= crashBudget.crashes) {
@@ -733,7 +764,7 @@
 			}
 		}
 
-		if (now - (this.cancelledAt.get(key.job) ?? Number.POSITIVE_INFINITY) > 3000) {
+		if (!isLate && now - (this.cancelledAt.get(key.job) ?? Number.POSITIVE_INFINITY) > 3000) {
 			this.violations.push(`${Math.round(now)}: ${name} starts after its job was cancelled`);
 		}
 
@@ -837,7 +868,7 @@
 	}
 
 	override async startRun(worker: WorkerRecord, order: StartOrder): Promise<StartOutcome> {
-		return await this.fleet.runOrder(worker, false, incarnation => this.fleet.startRun(incarnation, order)) ?? {status: 'refused', reason: 'other-life'};
+		return await this.fleet.runOrder(worker, false, (incarnation, isLate) => this.fleet.startRun(incarnation, order, isLate)) ?? {status: 'refused', reason: 'other-life'};
 	}
 
 	override async stopRun(worker: WorkerRecord, {key, fencingToken}: {readonly key: RunKey; readonly fencingToken: number}): Promise<OrderOutcome> {
@@ -912,10 +943,10 @@
 	}
 
 	override async moveVm(vm: VmId, pool: PoolName, fence: OrderFence): Promise<FleetOrderOutcome> {
-		return this.fleet.sendVmOrder(async () => this.fleet.moveVm(vm, pool, fence));
+		return this.fleet.sendVmOrder(vm, fence, isLate => this.fleet.moveVm(vm, pool, isLate));
 	}
 
 	override async maintainVm(vm: VmId, wave: string, fence: OrderFence): Promise<FleetOrderOutcome> {
-		return this.fleet.sendVmOrder(async () => this.fleet.maintainVm(vm, wave, fence));
+		return this.fleet.sendVmOrder(vm, fence, isLate => this.fleet.maintainVm(vm, wave, isLate));
 	}
 }
