Report what accounts are charged for, what is confirmed to run, and services that are not loaded

Cause: the lines tasks wait and explain say account-cap for all three, without amounts. Ruled out: deriving it from phases by job: a run on a worker out of touch counts as running there. Change: ChargeMonitor observes the charged tasks of a pool once a second (by assigned tasks, not by those that wait). account waits for its cap has the cap, what is charged and confirmed over all services and for each, and the age of the oldest unconfirmed charge; it is a warning if less than half of the cap is confirmed and a charge has been in doubt for 3 s. starts of capped accounts wait for services that are not loaded, from 3 s on. The hook onAssigned passes the task.

--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -8,9 +8,12 @@
 } from '@tamarackwind/scheduling';
 import {minAccountWeight, type ClientAccount} from './accounts.js';
 import {type ActiveJob} from './active-jobs.js';
+import {ChargeMonitor, noCharges, type ChargeSummary} from './charge-monitors.js';
 import {type Configuration} from './configurations.js';
 import {PastUses} from './past-uses.js';
 import {PoolShares} from './pool-shares.js';
+import {isAssigned} from './task-phases.js';
+import {type Task} from './tasks.js';
 import {type WaitReason} from './wait-reasons.js';
 
 export type AccountLedgerOptions = {
@@ -25,6 +28,9 @@
 /** What the assigned tasks of an account use. */
 export type AccountUse = {readonly tasks: number; readonly used: Resources};
 
+/** Services whose jobs are not known, for which the starts of capped accounts wait. */
+export type UnloadedServices = {readonly services: readonly ServiceName[]; readonly ms: number};
+
 const noUse: AccountUse = {tasks: 0, used: noResources};
 
 /** Sums of what the assigned tasks of each account use; jobs without an account count together under `undefined`. */
@@ -76,9 +82,12 @@
 	#caps: ReadonlyMap<AccountName, Resources> = new Map();
 	/** Whether the jobs of all pools are known; `undefined` while that has to be found anew. */
 	#isComplete: boolean | undefined;
+	/** Time since which the jobs of some pool are not known, on the monotonic clock. */
+	#incompleteSince: number | undefined;
 
 	private constructor(options: AccountLedgerOptions) {
 		this.#options = options;
+		this.#incompleteSince = options.clock.readMonotonic();
 	}
 
 	/** Accounts of the configuration in force; none where it has no accounts. */
@@ -100,10 +109,24 @@
 	/** Whether the jobs of all pools of the configuration are known, and thus all that earlier holders assigned. */
 	get isComplete(): boolean {
 		this.#refresh();
-		this.#isComplete ??= this.#configuration?.pools.every(({name}) => this.#pools.get(name)?.isLoaded) ?? false;
+		if (this.#isComplete === undefined) {
+			this.#isComplete = this.#configuration?.pools.every(({name}) => this.#pools.get(name)?.isLoaded) ?? false;
+			this.#incompleteSince = this.#isComplete ? undefined : this.#incompleteSince ?? this.#options.clock.readMonotonic();
+		}
+
 		return this.#isComplete;
 	}
 
+	/** Services whose jobs are not known while some account has a cap; `undefined` if there are none. */
+	get unloaded(): UnloadedServices | undefined {
+		if (this.isComplete || this.#incompleteSince === undefined || this.caps.size === 0) {
+			return undefined;
+		}
+
+		const services = (this.#configuration?.pools ?? []).map(({name}) => name).filter(name => !this.#pools.get(name)?.isLoaded);
+		return {services, ms: this.#options.clock.readMonotonic() - this.#incompleteSince};
+	}
+
 	/** Returns what an account uses over all pools. */
 	getUse(account: AccountName): Resources {
 		return this.#uses.get(account).used;
@@ -135,6 +158,11 @@
 		return pool;
 	}
 
+	/** Returns what an account was charged for at the last observation, by service. */
+	listCharges(account: AccountName): ReadonlyMap<ServiceName, ChargeSummary> {
+		return new Map([...this.#pools].map(([service, {charges}]) => [service, charges.summaries.get(account) ?? noCharges]));
+	}
+
 	/** Closes the part of a pool and releases what it has charged. */
 	closePool(pool: PoolAccounts): void {
 		for (const [account, {tasks, used}] of pool.uses) {
@@ -185,6 +213,8 @@
 
 	readonly service: ServiceName;
 	readonly #options: PoolAccountsOptions;
+	/** Observes which of the charged tasks are confirmed to run. */
+	readonly charges = ChargeMonitor.create();
 	readonly #uses = AccountUses.create();
 	readonly #pastUses: PastUses;
 	/** Accounts whose caps have kept a task of the pool waiting since their use last fell. */
@@ -243,16 +273,19 @@
 	}
 
 	/** Charges the tasks of a job that are assigned, and from then on follows its tasks. */
-	add({job: {account}, steps, hooks}: ActiveJob): void {
-		for (const {counts, spec} of steps) {
-			const assigned = counts.total - counts.get('waiting') - counts.get('done');
-			if (assigned > 0) {
-				this.#addTasks(account, assigned, spec.resources);
+	add({job: {account}, touchedTasks, hooks}: ActiveJob): void {
+		for (const task of touchedTasks) {
+			if (isAssigned(task.phase)) {
+				this.#addTask(account, task);
 			}
 		}
 
-		hooks.onAssigned = ({spec}, isAssigned) => {
-			this.#addTasks(account, isAssigned ? 1 : -1, spec.resources);
+		hooks.onAssigned = (task, isCharged) => {
+			if (isCharged) {
+				this.#addTask(account, task);
+			} else {
+				this.#removeTask(account, task);
+			}
 		};
 	}
 
@@ -278,6 +311,7 @@
 		}
 
 		this.#blocked.add(account);
+		this.charges.recordWait(account);
 		return 'account-cap';
 	}
 
@@ -296,6 +330,16 @@
 		}
 	}
 
+	#addTask(account: AccountName | undefined, task: Task): void {
+		this.charges.add(task);
+		this.#addTasks(account, 1, task.spec.resources);
+	}
+
+	#removeTask(account: AccountName | undefined, task: Task): void {
+		this.charges.remove(task);
+		this.#addTasks(account, -1, task.spec.resources);
+	}
+
 	#addTasks(account: AccountName | undefined, tasks: number, resources: Resources): void {
 		if (!this.#isClosed) {
 			this.#uses.add(account, tasks, resources);
--- a/packages/workflows/src/job-hooks.ts
+++ b/packages/workflows/src/job-hooks.ts
@@ -2,7 +2,7 @@
  * Callbacks by which the parts of a pool's scheduler learn that a job has changed.
  */
 
-import {type StepState} from './tasks.js';
+import {type Task} from './tasks.js';
 
 /** The callbacks of one job; each has one owner, which sets and clears it. */
 export class JobHooks {
@@ -15,8 +15,8 @@
 	/** Called when a task waits again, and when a step is done or was opened. */
 	onWaiting: (() => void) | undefined;
 
-	/** Called when a task of a step is assigned to a worker, and when its run is known to have ended. */
-	onAssigned: ((step: StepState, isAssigned: boolean) => void) | undefined;
+	/** Called when a task is assigned to a worker, and when its run is known to have ended. */
+	onAssigned: ((task: Task, isAssigned: boolean) => void) | undefined;
 
 	private constructor() {}
 }
--- a/packages/workflows/src/pool-planners.ts
+++ b/packages/workflows/src/pool-planners.ts
@@ -8,6 +8,7 @@
 import {type AccountLedger, type PoolAccounts} from './account-ledgers.js';
 import {type ActiveJob} from './active-jobs.js';
 import {type AdviceCache} from './advice-caches.js';
+import {logCapWait, type ChargeMonitor} from './charge-monitors.js';
 import {type CrashHistory} from './crash-histories.js';
 import {type LoadMeter} from './load-meters.js';
 import {type OverloadTerm} from './overload-terms.js';
@@ -113,6 +114,11 @@
 		this.#wake.set();
 	}
 
+	/** What the accounts are charged for in the pool. */
+	get charges(): ChargeMonitor {
+		return this.#accounts.charges;
+	}
+
 	/** Takes up a job, which may have ended already. */
 	add(active: ActiveJob): void {
 		this.#accounts.add(active);
@@ -177,6 +183,7 @@
 			meter.track('observe waits', () => {
 				const now = clock.readMonotonic();
 				this.availability.observe(sessions.values(), now);
+				this.#observeCharges(now);
 				this.waits.observe({
 					jobs: jobs.values(), now, readUse: () => ({...this.computeLoad(), unavailableCpu: this.availability.unavailableCpu}), isOverBudget: () => clock.readMonotonic() - now >= maxObservationMs,
 				});
@@ -186,6 +193,20 @@
 		}
 	}
 
+	/** Observes what the accounts are charged for, and logs those whose caps keep tasks waiting. */
+	#observeCharges(now: number): void {
+		const {ledger, log, service, sessions} = this.#options;
+		const waiting = this.#accounts.charges.observe({now, isInTouch: ({incarnation}) => incarnation !== undefined && (sessions.get(incarnation.id)?.isReachable ?? false)});
+		for (const account of waiting) {
+			const cap = ledger.getCap(account);
+			if (cap !== undefined && ledger.isComplete) {
+				logCapWait(log, {
+					service, account, cap, byService: ledger.listCharges(account),
+				});
+			}
+		}
+	}
+
 	#handleTimeoutsIfDue(): void {
 		const now = this.#options.clock.readMonotonic();
 		if (now - this.#timeoutsHandledAt >= timeoutIntervalMs) {
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -8,6 +8,7 @@
 import {ActiveJob} from './active-jobs.js';
 import {type Task} from './tasks.js';
 import {AdviceCache} from './advice-caches.js';
+import {type ChargeMonitor} from './charge-monitors.js';
 import {type JobChange, type JobFeed, type JobSubscriber} from './job-feeds.js';
 import {
 	computeEvidence, isSuspect, isUnobserved, recordCrash, unobservedCrash,
@@ -146,6 +147,11 @@
 		return this.#planner.availability;
 	}
 
+	/** What the accounts are charged for. */
+	get charges(): ChargeMonitor {
+		return this.#planner.charges;
+	}
+
 	/** Demand and order of the pool's jobs. */
 	get backlog(): PoolBacklog {
 		return this.#planner.backlog;
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -5,7 +5,7 @@
 	readErrorMessage, type Clock, type PoolName, type RandomSource, type ServiceName, type VmId,
 } from '@tamarackwind/core';
 import {LeaderLease, type WatchableTableService} from '@tamarackwind/clients';
-import {AccountLedger} from './account-ledgers.js';
+import {AccountLedger, type UnloadedServices} from './account-ledgers.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type Bounds} from './bounds.js';
 import {FleetMaintainer} from './fleet-maintainers.js';
@@ -69,6 +69,8 @@
 const registryPauseMs = 20;
 /** Share of a row's maximum size that the status may take; the rest is left to the renewal around it. */
 const maxStatusShare = 0.75;
+/** Time from which services that are not loaded are logged while they hold back accounts, in milliseconds: the users' limit for accepted work. */
+const loggedUnloadedMs = 3000;
 const clockSlackFactor = 1.03;
 
 /** Competes for the scheduler lease and schedules jobs while this entry holds it. */
@@ -107,6 +109,11 @@
 		return this.#lease.isHeld;
 	}
 
+	/** Services whose jobs this holder has not read, for which the starts of capped accounts wait; `undefined` if there are none. */
+	get unloaded(): UnloadedServices | undefined {
+		return this.#ledger?.unloaded;
+	}
+
 	get takeovers(): number {
 		return this.#lease.takeovers;
 	}
@@ -167,6 +174,7 @@
 			try {
 				const isHeld = await this.#lease.watch(tables, schedulerWatchMs);
 				this.#applyLease();
+				this.#logUnloaded();
 				await clock.sleep(isHeld ? schedulerRefreshMs : watchPauseMs);
 			} catch (error) {
 				log.warn('duty not refreshed', {duty: schedulerRole, isHeld: this.#lease.isHeld, error: readErrorMessage(error)});
@@ -203,6 +211,14 @@
 		this.#openPools();
 	}
 
+	/** Logs the services for which the starts of capped accounts have waited for long. */
+	#logUnloaded(): void {
+		const {unloaded} = this;
+		if (unloaded !== undefined && unloaded.ms >= loggedUnloadedMs) {
+			this.#options.log.warn('starts of capped accounts wait for services that are not loaded', {services: unloaded.services, epoch: this.#epoch, ms: Math.round(unloaded.ms)});
+		}
+	}
+
 	#openPools(): void {
 		const {declarations} = this.#options;
 		if (this.#epoch === undefined || this.#feed === undefined || this.#ledger === undefined || !this.#canOrder) {
--- a/packages/workflows/src/tasks.ts
+++ b/packages/workflows/src/tasks.ts
@@ -63,7 +63,7 @@
 		this.job.counts.replace(before, phase);
 		this.#phase = phase;
 		if (isAssigned(before) !== isAssigned(phase)) {
-			this.job.hooks.onAssigned?.(this.stepState, isAssigned(phase));
+			this.job.hooks.onAssigned?.(this, isAssigned(phase));
 		}
 
 		this.job.markChanged(this);
--- a/packages/workflows/tests/account-ledgers.test.ts
+++ b/packages/workflows/tests/account-ledgers.test.ts
@@ -311,3 +311,16 @@
 		}), {numRuns: 300, seed: 11});
 	});
 });
+
+// Guards against capped accounts that are held up without a word of the services for which they wait.
+test('the ledger tells which services are not loaded while an account has a cap', t => {
+	const {ledger, parts, configure} = openLedger(capped, [pools[0]!]);
+	t.deepEqual(ledger.unloaded, {services: [pools[1]!], ms: 0});
+	configure([createAccount(two, {})]);
+	t.is(ledger.unloaded, undefined);
+	configure(capped);
+	parts[1]!.markLoaded();
+	t.is(ledger.unloaded, undefined);
+	parts[0]!.close();
+	t.deepEqual(ledger.unloaded, {services: [pools[0]!], ms: 0});
+});
