Lend the reserve of a pool to tasks of another one that have waited for room for 3 s

What callers see: accepted jobs wait without end, and long-running tasks stand, in a pool that is full while VMs of other pools are idle. Cause: a pool keeps at least five VMs, half of an even split, two beyond its demand and one more than its widest step, and gives none of them away whatever waits elsewhere; and a pool whose tasks find no place (anti-affinity, pieces of room) asks for nothing while the sum of its CPU is large enough. Class: a precaution for work to come that holds back accepted work without a bound. Change: a pool whose tasks have waited for room for 3 s, with no idle VM of its own and none on its way, gets one VM: a spare or surplus one, or an idle one of another pool's reserve. A pool that is starved itself lends only what has been idle for 9 s. pool sized logs starvedMs.

--- a/packages/scheduling/src/sizing-plans.ts
+++ b/packages/scheduling/src/sizing-plans.ts
@@ -1,6 +1,6 @@
 /**
  * Plans the moves of idle VMs between pools as demand shifts. A pool whose demand exceeds its capacity gets idle VMs of other pools
- * or spare VMs; VMs that no pool needs move to the spare pool and are switched off until a pool needs them.
+ * or spare VMs; one whose tasks wait for room for long gets a VM of another pool's reserve. VMs that no pool needs move to the spare pool and are switched off until a pool needs them.
  */
 import {type PoolName, type VmId} from '@tamarackwind/core';
 
@@ -29,6 +29,8 @@
 	readonly expectedCpu: number;
 	/** Number of VMs needed by the widest long-running step with anti-affinity. */
 	readonly antiAffinityVms: number;
+	/** Longest time for which a task of the pool has waited for room, in milliseconds. */
+	readonly starvedMs: number;
 };
 
 export type SizingOptions = {
@@ -46,21 +48,31 @@
 	readonly minSwitchOffIdleMs: number;
 	/** Idle time after which a VM may move to another pool, in milliseconds. */
 	readonly minMoveIdleMs: number;
+	/** Wait for room from which the reserves of other pools are lent, one VM at a time, in milliseconds: reserves are for work to come. */
+	readonly maxStarvedMs: number;
+	/** Idle time after which a VM is lent by a pool whose own tasks wait for room in vain, in milliseconds. */
+	readonly minStarvedIdleMs: number;
 };
 
 export const defaultSizing: SizingOptions = {
-	packingShare: 0.85, reserveVms: 2, minVms: 5, minShare: 0.5, minExpectedVms: 25, minSwitchOffIdleMs: 1500, minMoveIdleMs: 300,
+	packingShare: 0.85, reserveVms: 2, minVms: 5, minShare: 0.5, minExpectedVms: 25, minSwitchOffIdleMs: 1500, minMoveIdleMs: 300, maxStarvedMs: 3000, minStarvedIdleMs: 9000,
 };
 
 export type SizingMove = {readonly vm: VmId; readonly from: PoolName; readonly to: PoolName};
 
-type PoolState = {readonly pool: SizedPool; readonly surplus: number; readonly idle: SizedVm[]};
+type PoolState = {
+	readonly pool: SizedPool;
+	readonly surplus: number;
+	readonly idle: SizedVm[];
+	/** Whether tasks have waited for room for so long that the pool gets a VM whatever its demand. */
+	readonly isStarved: boolean;
+};
 
 /**
  * Plans the moves for the current state of the pools.
  *
  * @example
- * const moves = planSizes([{name: 'north', isSpare: false, vms, incoming: 0, usedCpu: 60_000, waitingCpu: 40_000, expectedCpu: 110_000, antiAffinityVms: 0}, spare]);
+ * const moves = planSizes([{name: 'north', isSpare: false, vms, incoming: 0, usedCpu: 60_000, waitingCpu: 40_000, expectedCpu: 110_000, antiAffinityVms: 0, starvedMs: 0}, spare]);
  */
 export function planSizes(pools: readonly SizedPool[], options: SizingOptions = defaultSizing): SizingMove[] {
 	const fleetVms = pools.reduce((sum, pool) => sum + pool.vms.length + pool.incoming, 0);
@@ -73,7 +85,7 @@
 		.filter(vm => vm.idleMs! >= options.minMoveIdleMs).map(vm => ({vm, from: pool.name})));
 	const sources = [...movable, ...spareVms];
 	// Pools get one VM each per round, so that a pool that needs few does not wait for one that needs many.
-	const demands = states.filter(({pool, surplus}) => surplus < 0 && pool.waitingCpu > 0).map(({pool, surplus}) => ({pool, shortage: -surplus}));
+	const demands = states.filter(({pool, surplus, isStarved}) => isStarved || (surplus < 0 && pool.waitingCpu > 0)).map(({pool, surplus, isStarved}) => ({pool, isStarved, shortage: Math.max(-surplus, isStarved ? 1 : 0)}));
 	for (let round = 1; sources.length > 0 && demands.some(({shortage}) => shortage >= round); round++) {
 		for (const {pool} of demands.filter(({shortage}) => shortage >= round).slice(0, sources.length)) {
 			const {vm, from} = sources.shift()!;
@@ -81,6 +93,8 @@
 		}
 	}
 
+	moves.push(...lendReserves(states, moves, options));
+
 	const [spare] = spares;
 	const moved = new Set(moves.map(({vm}) => vm));
 	for (const {pool, surplus, idle} of spare === undefined ? [] : states) {
@@ -91,14 +105,28 @@
 	return moves;
 }
 
-function describePool(pool: SizedPool, {packingShare, reserveVms, minVms, minExpectedVms}: SizingOptions): PoolState {
+/** Lends one idle VM to each starved pool that gets none otherwise, whatever reserve its pool keeps; those of pools without such tasks first. */
+function lendReserves(states: readonly PoolState[], moves: readonly SizingMove[], {minMoveIdleMs, minStarvedIdleMs}: SizingOptions): SizingMove[] {
+	const moved = new Set(moves.map(({vm}) => vm));
+	const reserves = states.toSorted((a, b) => Number(a.isStarved) - Number(b.isStarved)).flatMap(({pool, idle}) => idle
+		.filter(({id, idleMs}) => !moved.has(id) && idleMs! >= (pool.starvedMs > 0 ? minStarvedIdleMs : minMoveIdleMs)).map(({id}) => ({vm: id, from: pool.name})));
+	return states.filter(({pool, isStarved}) => isStarved && !moves.some(({to}) => to === pool.name)).flatMap(({pool}) => {
+		const position = reserves.findIndex(({from}) => from !== pool.name);
+		return position === -1 ? [] : reserves.splice(position, 1).map(({vm, from}) => ({vm, from, to: pool.name}));
+	});
+}
+
+function describePool(pool: SizedPool, {packingShare, reserveVms, minVms, minExpectedVms, maxStarvedMs}: SizingOptions): PoolState {
 	const packedCpu = Math.max(1, ...pool.vms.map(vm => vm.cpu)) * packingShare;
 	const demandCpu = pool.usedCpu + pool.waitingCpu;
 	const expectedCpu = demandCpu < minExpectedVms * packedCpu ? demandCpu : Math.max(demandCpu, pool.expectedCpu);
 	const needed = Math.max(minVms, pool.antiAffinityVms + 1, Math.ceil(expectedCpu / packedCpu) + reserveVms);
+	const idle = pool.vms.filter(vm => vm.idleMs !== undefined).toSorted((a, b) => b.idleMs! - a.idleMs!);
 	return {
 		pool,
 		surplus: pool.vms.length + pool.incoming - needed,
-		idle: pool.vms.filter(vm => vm.idleMs !== undefined).toSorted((a, b) => b.idleMs! - a.idleMs!),
+		idle,
+		// Tasks that leave an idle VM aside would leave a further one aside too.
+		isStarved: pool.starvedMs >= maxStarvedMs && pool.incoming === 0 && idle.length === 0,
 	};
 }
--- a/packages/scheduling/tests/sizing-plans.test.ts
+++ b/packages/scheduling/tests/sizing-plans.test.ts
@@ -14,6 +14,7 @@
 		waitingCpu: 0,
 		expectedCpu: 0,
 		antiAffinityVms: 0,
+		starvedMs: 0,
 		vms: Array.from({length: count}, (_, index) => ({id: `${name}-${index}` as VmId, cpu: vmCpu, idleMs: index >= count - idle ? idleMs : undefined})),
 		...fields,
 	};
@@ -64,6 +65,50 @@
 		pools: [createPool('north', {count: 8, usedCpu: 68_000, waitingCpu: 100_000}), createPool('south', {count: 5, usedCpu: 42_000, waitingCpu: 2000}), spare],
 		moves: ['spare>north', 'spare>south', 'spare>north'],
 	},
+	{
+		name: 'a pool at its minimum lends an idle VM to one whose tasks have waited for room for long (issue 50: tasks waited to the end)',
+		pools: [createPool('north', {
+			count: 4, usedCpu: 25_000, waitingCpu: 2000, starvedMs: 3000,
+		}), createPool('south', {count: 5, idle: 2, usedCpu: 12_000}), noSpare],
+		moves: ['south>north'],
+	},
+	{
+		name: 'a pool at its minimum keeps its idle VMs while tasks of others have waited for a short time',
+		pools: [createPool('north', {
+			count: 4, usedCpu: 25_000, waitingCpu: 2000, starvedMs: 2900,
+		}), createPool('south', {count: 5, idle: 2, usedCpu: 12_000}), noSpare],
+		moves: [],
+	},
+	{
+		name: 'a pool with an idle VM gets none for tasks that leave it aside',
+		pools: [createPool('north', {
+			count: 6, idle: 1, usedCpu: 25_000, waitingCpu: 2000, starvedMs: 9000,
+		}), createPool('south', {count: 5, idle: 2, usedCpu: 12_000}), noSpare],
+		moves: [],
+	},
+	{
+		name: 'a starved pool gets no further VM while one is on its way',
+		pools: [createPool('north', {
+			count: 4, incoming: 1, usedCpu: 25_000, waitingCpu: 2000, starvedMs: 9000,
+		}), createPool('south', {count: 5, idle: 2, usedCpu: 12_000}), noSpare],
+		moves: [],
+	},
+	{
+		name: 'a pool whose tasks all have room by its demand gets a spare VM if they wait for long nevertheless',
+		pools: [createPool('north', {
+			count: 12, usedCpu: 60_000, waitingCpu: 2000, starvedMs: 3000,
+		}), spare],
+		moves: ['spare>north'],
+	},
+	{
+		name: 'two starved pools do not exchange VMs that have just become idle',
+		pools: [createPool('north', {
+			count: 4, usedCpu: 25_000, waitingCpu: 90_000, starvedMs: 9000,
+		}), createPool('south', {
+			count: 5, idle: 2, idleMs: 4000, usedCpu: 12_000, waitingCpu: 90_000, starvedMs: 9000,
+		}), noSpare],
+		moves: [],
+	},
 	{name: 'without a spare pool nothing is switched off', pools: [createPool('north', {count: 9, idle: 9})], moves: []},
 ];
 
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -8,7 +8,7 @@
 export * from './records.js';
 export * from './workers.js';
 export * from './task-phases.js';
-export type * from './wait-reasons.js';
+export * from './wait-reasons.js';
 export * from './crash-evidence.js';
 export * from './job-hooks.js';
 export * from './past-uses.js';
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -118,7 +118,7 @@
 		}
 
 		this.#loggedAt = now;
-		for (const {name, vms, incoming, usedCpu, waitingCpu, expectedCpu} of pools) {
+		for (const {name, vms, incoming, usedCpu, waitingCpu, expectedCpu, starvedMs} of pools) {
 			log.info('pool sized', {
 				pool: name,
 				vms: vms.length,
@@ -127,6 +127,7 @@
 				usedCpu,
 				waitingCpu,
 				expectedCpu: Math.round(expectedCpu),
+				starvedMs: Math.round(starvedMs),
 				in: moves.filter(move => move.to === name).length,
 				out: moves.filter(move => move.from === name).length,
 			});
@@ -164,7 +165,8 @@
 		const schedulers = new Map(this.#options.listPools().map(pool => [pool.service as string, pool]));
 		return (this.#options.declarations.configuration?.pools ?? []).map(({name, isSpare}) => {
 			const pool = name as string as PoolName;
-			const load = schedulers.get(name)?.computeLoad();
+			const scheduler = schedulers.get(name);
+			const load = scheduler?.computeLoad();
 			this.#trend.observe(pool, (load?.usedCpu ?? 0) + (load?.waitingCpu ?? 0), this.#options.clock.readMonotonic());
 			return {
 				name: pool,
@@ -177,6 +179,7 @@
 				waitingCpu: load?.waitingCpu ?? 0,
 				expectedCpu: this.#trend.estimateDemand(pool),
 				antiAffinityVms: load?.antiAffinityVms ?? 0,
+				starvedMs: scheduler?.waits.longestRoomWaitMs ?? 0,
 			};
 		});
 	}
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -6,7 +6,7 @@
 import {type StepState} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {StepWaits, WaitSums, type ReasonSum} from './wait-counts.js';
-import {type WaitReason} from './wait-reasons.js';
+import {roomReasons, type WaitReason} from './wait-reasons.js';
 
 /** Waiting tasks with one reason. */
 export type WaitSummary = {readonly tasks: number; readonly longestMs: number};
@@ -62,6 +62,11 @@
 		return this.#summaries;
 	}
 
+	/** Longest time for which a task had waited for room at the last observation, in milliseconds; 0 if none did. */
+	get longestRoomWaitMs(): number {
+		return Math.max(0, ...roomReasons.map(reason => this.#summaries.get(reason)?.longestMs ?? 0));
+	}
+
 	/** Observes the pool's jobs if that is due, or continues an observation that was over its budget. */
 	observe({jobs, now, readUse, isOverBudget}: ObservationOptions): void {
 		if (this.#round === undefined && now - this.#startedAt >= observationIntervalMs) {
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -17,6 +17,9 @@
  */
 export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'account-cap' | 'account-share' | 'deferred' | 'not-reached' | 'restart-delay' | 'recording' | 'start-queued' | 'unconfirmed' | 'stopping';
 
+/** Reasons of tasks that a further worker of the pool could run. */
+export const roomReasons = ['no-room', 'gang-no-room', 'account-share', 'deferred'] as const satisfies readonly WaitReason[];
+
 /** Waiting steps that are placed one after the other. */
 export type WaitQueue = {
 	/** Why the last planning pass left the rest of the queue alone. */
--- a/packages/workflows/tests/pool-sizers.test.ts
+++ b/packages/workflows/tests/pool-sizers.test.ts
@@ -10,6 +10,7 @@
 /** A pool that counts how many sessions its callers visit. */
 class CountingPool {
 	visits = 0;
+	readonly waits = {longestRoomWaitMs: 0};
 	readonly #sessions: ReadonlyMap<VmId, WorkerSession>;
 
 	constructor(readonly service: ServiceName, workers: readonly VmId[]) {
@@ -73,7 +74,7 @@
 	});
 	const spare = [createVm(0, 'spare'), createVm(1, 'spare')];
 	const north = {
-		service: 'north' as ServiceName, findWorkerSession: () => undefined, computeLoad: () => ({
+		service: 'north' as ServiceName, waits: {longestRoomWaitMs: 0}, findWorkerSession: () => undefined, computeLoad: () => ({
 			work: 0, usedCpu: 0, waitingCpu: 50_000, antiAffinityVms: 0, cpu: 0,
 		}),
 	} as unknown as PoolScheduler;
