Give the room of a VM back when a wave cannot drain it

What callers see: LOST. A long-running task or a job stands for as long as a wave runs, beside a worker with room that the wave has cordoned. Cause: a wave cordons a VM until it is drained, and renews the cordon without end. Where a task of a step there may not be evicted, because others of its step wait for room, the drain cannot go on, and the room that they wait for is what the cordon holds back. Class: a precaution that holds back accepted work without a bound, as with the reserves of pools. Change: a drain that no eviction can advance is given up when tasks of the pool have waited for room for 1 s. The VM gets work again, and the wave comes back to it after the time of a drain; upkeep postponed is logged.

--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -45,6 +45,8 @@
 const waveIntervalMs = 250;
 /** Interval at which pool sizes are updated, in milliseconds: short compared to the duration of a move. */
 const sizingIntervalMs = 200;
+/** Wait for room in a pool from which a drain that cannot go on is given up, in milliseconds: a third of the time for which no task may stand. */
+const maxBlockedWaitMs = 1000;
 /** Progress at which a long-running task is ready, in percent. */
 const readyPercent = 100;
 /** Table with the progress of each wave. */
@@ -60,6 +62,8 @@
 	readonly down: Map<VmId, number>;
 	/** VMs that are being drained, with the time at which draining began. */
 	readonly draining: Map<VmId, number>;
+	/** VMs whose drain was given up because tasks waited for their room, with the time until which they are left alone. */
+	readonly postponed: Map<VmId, number>;
 	/** VMs missing from the list, with the time at which this was first observed. */
 	readonly missing: Map<VmId, number>;
 	state: 'running' | 'succeeded';
@@ -166,6 +170,8 @@
 			if (progress.down.size < wave.cap) {
 				await this.#maintainVm(progress, vms.get(id)!);
 			}
+
+			this.#releaseBlocked(progress, vms.get(id)!);
 		}
 
 		if (wave.vms.every(id => progress.begun.has(id))) {
@@ -183,6 +189,7 @@
 			// VMs that an earlier holder ordered recently may still be down, or may yet go down.
 			down: new Map([...saved?.begun ?? [], ...wave.vms.filter(id => !this.#orders.isOrderable(id))].map(id => [id, now])),
 			draining: new Map(),
+			postponed: new Map(),
 			missing: new Map(),
 			state: saved?.state ?? 'running',
 		};
@@ -225,17 +232,35 @@
 
 	/** Starts to drain VMs up to the wave's cap, those with the fewest tasks first. */
 	#startDraining(progress: WaveProgress, vms: ReadonlyMap<VmId, FleetVm>): void {
-		const {wave, begun, down, draining} = progress;
+		const {wave, begun, down, draining, postponed} = progress;
+		const now = this.#options.clock.readMonotonic();
 		const freeSlots = wave.cap - down.size - draining.size;
-		const candidates = wave.vms.filter(id => !begun.has(id) && !draining.has(id) && !down.has(id) && vms.get(id)?.state === 'up')
+		const candidates = wave.vms.filter(id => !begun.has(id) && !draining.has(id) && !down.has(id) && now >= (postponed.get(id) ?? now) && vms.get(id)?.state === 'up')
 			.map(id => ({id, tasks: this.#findSession(vms.get(id)!)?.tasks.size ?? 0}))
 			.toSorted((a, b) => a.tasks - b.tasks);
 		for (const {id} of candidates.slice(0, Math.max(0, freeSlots))) {
-			draining.set(id, this.#options.clock.readMonotonic());
+			draining.set(id, now);
 			this.#findSession(vms.get(id)!)?.cordons.renew('upkeep', this.#options.timings.moveTimeoutMs);
 		}
 	}
 
+	/** Gives the room of a VM back that cannot be drained because of a disruption budget, if tasks of its pool wait for room. They may be the ones that the budget waits for. */
+	#releaseBlocked({wave, draining, postponed}: WaveProgress, vm: FleetVm): void {
+		const {clock, log, timings} = this.#options;
+		const session = this.#findSession(vm);
+		const waitMs = this.#options.listPools().find(pool => pool.service as string === vm.pool as string)?.waits.longestRoomWaitMs ?? 0;
+		if (session === undefined || !draining.has(vm.id) || waitMs < maxBlockedWaitMs || !isBlocked(session)) {
+			return;
+		}
+
+		draining.delete(vm.id);
+		postponed.set(vm.id, clock.readMonotonic() + timings.drainTimeoutMs);
+		session.cordons.clear('upkeep');
+		log.info('upkeep postponed', {
+			wave: wave.id, vm: vm.id, worker: session.name, tasks: session.tasks.size, waitMs: Math.round(waitMs), reason: 'disruption budget',
+		});
+	}
+
 	/** Keeps a draining VM without new work. The drain starts again if the cordon had expired, as during an outage of the VM control. */
 	#renewCordon(draining: Map<VmId, number>, vm: VmId, {cordons}: WorkerSession): void {
 		const {clock, timings} = this.#options;
@@ -345,6 +370,12 @@
 	}
 }
 
+/** Reports whether the disruption budget of some step keeps a VM from being drained: none of its tasks there may be evicted now. */
+function isBlocked(session: WorkerSession): boolean {
+	const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session, task)}));
+	return plans.some(({plan}) => plan === 'blocked') && !plans.some(({task, plan}) => plan === 'one-by-one' && isTaskReady(task)) && plans.every(({task}) => task.phase !== 'stopping');
+}
+
 /** Plans the eviction of a task and the other tasks of its step from the VM that they share. */
 function planTaskEviction(session: WorkerSession, {stepState, spec, job}: Task): EvictionPlan {
 	const unready = stepState.tasks.filter(other => !isTaskReady(other));
