Play histories of accounts with tight caps, and check their standing by what workers run

Cause: playHistory draws long-running jobs for uncapped accounts only, with one size of task and three pools that all open. Change: playAccountHistory: accounts whose long-running jobs need their whole cap, more than half of it, or a part; gangs and tasks of three sizes in three pools; all kinds of faults but waves, and pools that open late, fail to open or are added, accounts that are renamed, the holder turned away by the store, takeovers beside a cut worker, workers lost for good. Order and refusal are on.

--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -29,6 +29,8 @@
 export * from './worker-processes.js';
 export * from './fake-workers.js';
 export * from './emulated-systems.js';
+export * from './account-histories.js';
+export * from './account-standing-checks.js';
 export * from './cap-checks.js';
 export * from './emulated-workers.js';
 export * from './system-histories.js';
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -165,7 +165,7 @@
 }
 
 /** Applies a fault; returns the time for which its effects last, in milliseconds. */
-function applyFault(system: EmulatedSystem, kind: FaultKind, index: number): number {
+export function applyFault(system: EmulatedSystem, kind: FaultKind, index: number): number {
 	const {random, clock, fleet} = system;
 	const durationMs = 1000 + (random.readFraction() * 8000);
 	const holder = system.holder ?? system.entries[0]!;
@@ -321,7 +321,7 @@
 }
 
 /** Lists accepted jobs that are not in the expected final state. */
-async function listUnfinished(system: EmulatedSystem): Promise<string[]> {
+export async function listUnfinished(system: EmulatedSystem): Promise<string[]> {
 	const violations: string[] = [];
 	const check = async (id: JobId): Promise<void> => {
 		const {job} = system.fleet.jobs.get(id)!;
