Hold capped accounts up for a pool that is not open only until the runs of earlier holders have ended

What callers saw: work of all accounts with a cap stands in all services while one service can't be opened, with account-cap, and without a bound. Cause: the ledger starts nothing for a capped account until the jobs of every pool of the configuration are known. A pool that fails to open, or that a version adds while the store rejects its fence, holds up innocent accounts for as long as that lasts. Class: a precaution against what may run, without the time after which it can't. Besides, a pool that was being opened when the same epoch began anew was kept with the closed feed and the ledger of the earlier term; it is closed, and does not hold up the new opening. The case of the same epoch has no test of its own: no history reaches it.

--- a/packages/testing/tests/account-caps.test.ts
+++ b/packages/testing/tests/account-caps.test.ts
@@ -63,6 +63,30 @@
 	t.is(fleet.counts.done, 11);
 });
 
+// Guards against accounts whose work in all pools stands for as long as one pool can't be opened.
+test('a pool that is not opened holds capped accounts up in the others until the runs of earlier holders there have ended', async t => {
+	const system = await createSystem({cpu: 4000});
+	const {clock, fleet} = system;
+	void system.submit([createStep({count: 3, isLongRunning: true})], 1000, {account: capped, pool: 'south'});
+	await clock.run(1500);
+	const holder = system.holder!;
+	for (const entry of system.entries.filter(other => other !== holder)) {
+		delayOpening(entry, system, 'south', 30_000);
+	}
+
+	system.killEntry(holder);
+	const submission = system.submit([createStep({count: 3, isLongRunning: true})], 1000, {account: capped, pool: 'north'});
+	await clock.run(10_000);
+	const job = await submission;
+	t.is(fleet.countRunning(job), 0);
+	await clock.run(15_000);
+	t.is(fleet.countRunning(job), 3);
+	t.is(readUse(system), 3000);
+	await clock.run(60_000);
+	t.is(readUse(system), 4000);
+	t.deepEqual(fleet.violations, []);
+});
+
 // Guards against starts that follow from a cap that is no longer in force, and against runs that are stopped for a lowered one.
 test('a version that lowers a cap stops nothing, and the next starts wait for it', async t => {
 	const system = await createSystem({cpu: 6000});
--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -20,6 +20,8 @@
 	/** Gives the configuration in force. */
 	readonly declarations: {readonly configuration: Configuration | undefined};
 	readonly clock: Pick<Clock, 'readMonotonic'>;
+	/** Time by which every run that an earlier holder started has ended in a pool that this one has not opened, on the monotonic clock; never by default. */
+	readonly earlierRunsEndBy?: number;
 };
 
 /** Tasks that an account wants to start: one at a time, or all of them for a gang. */
@@ -81,7 +83,7 @@
 	/** Caps of the accounts that have one. */
 	#caps: ReadonlyMap<AccountName, Resources> = new Map();
 	/** Whether the jobs of all pools are known; `undefined` while that has to be found anew. */
-	#isComplete: boolean | undefined;
+	#isLoaded: boolean | undefined;
 	/** Time since which the jobs of some pool are not known, on the monotonic clock. */
 	#incompleteSince: number | undefined;
 
@@ -106,15 +108,12 @@
 		return this.#pools.values();
 	}
 
-	/** Whether the jobs of all pools of the configuration are known, and thus all that earlier holders assigned. */
+	/**
+	 * Whether all that runs from the terms of earlier holders is known: the jobs of all pools of the configuration are, or those runs have ended,
+	 * since nobody renews the leases of workers in a pool that is not open.
+	 */
 	get isComplete(): boolean {
-		this.#refresh();
-		if (this.#isComplete === undefined) {
-			this.#isComplete = this.#configuration?.pools.every(({name}) => this.#pools.get(name)?.isLoaded) ?? false;
-			this.#incompleteSince = this.#isComplete ? undefined : this.#incompleteSince ?? this.#options.clock.readMonotonic();
-		}
-
-		return this.#isComplete;
+		return this.#areAllLoaded || this.#options.clock.readMonotonic() > (this.#options.earlierRunsEndBy ?? Number.POSITIVE_INFINITY);
 	}
 
 	/** Services whose jobs are not known while some account has a cap; `undefined` if there are none. */
@@ -154,7 +153,7 @@
 			ledger: this, service, onRoom, clock: this.#options.clock,
 		});
 		this.#pools.set(service, pool);
-		this.#isComplete = undefined;
+		this.#isLoaded = undefined;
 		return pool;
 	}
 
@@ -173,12 +172,12 @@
 			this.#pools.delete(pool.service);
 		}
 
-		this.#isComplete = undefined;
+		this.#isLoaded = undefined;
 	}
 
 	/** Notes that the jobs of a pool are known. */
 	noteLoaded(): void {
-		this.#isComplete = undefined;
+		this.#isLoaded = undefined;
 	}
 
 	/** Charges tasks to an account, or releases them if their number is negative. */
@@ -191,6 +190,17 @@
 		}
 	}
 
+	/** Whether the jobs of all pools of the configuration are known. */
+	get #areAllLoaded(): boolean {
+		this.#refresh();
+		if (this.#isLoaded === undefined) {
+			this.#isLoaded = this.#configuration?.pools.every(({name}) => this.#pools.get(name)?.isLoaded) ?? false;
+			this.#incompleteSince = this.#isLoaded ? undefined : this.#incompleteSince ?? this.#options.clock.readMonotonic();
+		}
+
+		return this.#isLoaded;
+	}
+
 	/** Takes the accounts of a new version of the configuration. */
 	#refresh(): void {
 		const {configuration} = this.#options.declarations;
@@ -198,7 +208,7 @@
 			this.#configuration = configuration;
 			this.#accounts = new Map(configuration?.accounts?.map(account => [account.name, account]));
 			this.#caps = new Map(configuration?.accounts?.filter(({cap}) => isCapped(cap)).map(({name, cap}) => [name, cap]));
-			this.#isComplete = undefined;
+			this.#isLoaded = undefined;
 		}
 	}
 }
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -85,7 +85,8 @@
 	readonly #options: SchedulerOptions;
 	readonly #lease: LeaderLease;
 	readonly #pools = new Map<ServiceName, PoolScheduler>();
-	readonly #openingPools = new Set<ServiceName>();
+	/** Pools of the current term that are being opened. */
+	#openingPools = new Set<ServiceName>();
 	#fleetMaintainer: FleetMaintainer | undefined;
 	#feed: JobFeed | undefined;
 	/** Use and caps of the accounts; one ledger for each term. */
@@ -167,6 +168,12 @@
 		return !this.#isClosed && renewedAt !== undefined && this.#options.clock.readBootTime() - renewedAt < leaseRenewalGraceMs;
 	}
 
+	/** Time by which every run that an earlier holder started on an unreachable worker has ended, on the monotonic clock. */
+	get #earlierRunsEndBy(): number {
+		const {bounds, timings} = this.#options;
+		return this.#acquiredAt + (leaseRenewalGraceMs - timings.schedulerTermMs) + (bounds.maxWorkerLeaseMs * clockSlackFactor);
+	}
+
 	async #runElection(): Promise<void> {
 		const {clock, log, tables, timings} = this.#options;
 		const {schedulerWatchMs, schedulerRefreshMs} = timings;
@@ -195,7 +202,7 @@
 			this.#epoch = epoch;
 			this.#acquiredAt = clock.readMonotonic();
 			log.info('duty taken', {duty: schedulerRole, epoch, holder});
-			this.#ledger = AccountLedger.create(this.#options);
+			this.#ledger = AccountLedger.create({...this.#options, earlierRunsEndBy: this.#earlierRunsEndBy});
 			this.#feed = JobFeed.create(this.#options);
 			this.#overload = overloadPolicy === undefined ? undefined : OverloadTerm.create({...this.#options, policy: overloadPolicy, epoch});
 			this.#fleetMaintainer = FleetMaintainer.create({
@@ -233,8 +240,9 @@
 	}
 
 	async #openPool(service: ServiceName, epoch: number, shared: Pick<PoolSchedulerOptions, 'feed' | 'ledger'>): Promise<void> {
-		const {log, bounds, timings} = this.#options;
-		this.#openingPools.add(service);
+		const {log} = this.#options;
+		const openingPools = this.#openingPools;
+		openingPools.add(service);
 		const pool = PoolScheduler.create({
 			...this.#options,
 			...shared,
@@ -243,14 +251,15 @@
 			overload: this.#overload,
 			canOrder: () => this.#canOrder && this.#epoch === epoch,
 			isRenewalAllowed: () => this.#isRenewalAllowed && this.#epoch === epoch,
-			earlierRunsEndBy: this.#acquiredAt + (leaseRenewalGraceMs - timings.schedulerTermMs) + (bounds.maxWorkerLeaseMs * clockSlackFactor),
+			earlierRunsEndBy: this.#earlierRunsEndBy,
 			onLost: () => {
 				this.#closePools();
 			},
 		});
 		try {
 			await pool.open();
-			if (this.#epoch === epoch) {
+			// The same epoch may have begun anew meanwhile, with another feed and ledger.
+			if (this.#epoch === epoch && this.#ledger === shared.ledger) {
 				this.#pools.set(service, pool);
 			} else {
 				pool.close();
@@ -259,7 +268,7 @@
 			pool.close();
 			log.warn('opening the service failed', {service, epoch, error: readErrorMessage(error)});
 		} finally {
-			this.#openingPools.delete(service);
+			openingPools.delete(service);
 		}
 	}
 
@@ -277,6 +286,7 @@
 		}
 
 		this.#pools.clear();
+		this.#openingPools = new Set();
 	}
 
 	async #runRegistry(): Promise<void> {
--- a/packages/workflows/tests/account-ledgers.test.ts
+++ b/packages/workflows/tests/account-ledgers.test.ts
@@ -324,3 +324,19 @@
 	parts[0]!.close();
 	t.deepEqual(ledger.unloaded, {services: [pools[0]!], ms: 0});
 });
+
+// Guards against capped accounts that are held up for ever by a pool that is not opened.
+test('a pool that is not loaded holds capped accounts up until the runs of earlier holders have ended', t => {
+	let time = now;
+	const ledger = AccountLedger.create({declarations: {configuration: createConfiguration(capped)}, clock: {readMonotonic: () => time}, earlierRunsEndBy: now + 5000});
+	const [part] = pools.map(service => ledger.openPool(service, () => {}));
+	part!.markLoaded();
+	const job = createJob(one, {count: 10});
+	part!.add(job);
+	time = now + 5000;
+	t.deepEqual(plan(part!, [job]), [0]);
+	t.is(ledger.unloaded?.ms, 5000);
+	time = now + 5001;
+	t.deepEqual(plan(part!, [job]), [4]);
+	t.is(ledger.unloaded, undefined);
+});
