--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -86,7 +86,7 @@
 }
 
 type EmulatedVm = {
-	readonly id: VmId; pool: PoolName; incarnation: EmulatedIncarnation | undefined; state: FleetVm['state']; isUnreachable: boolean; isPathCut: boolean; isShedding: boolean; isSilent: boolean; maintenances: Set<string>; lastOrder: (OrderFence & {readonly at: number}) | undefined;
+	readonly id: VmId; pool: PoolName; incarnation: EmulatedIncarnation | undefined; state: FleetVm['state']; isUnreachable: boolean; isPathCut: boolean; isShedding: boolean; isSilent: boolean; /** Time at which the VM is up again, on the monotonic clock. */ returnsAt: number; maintenances: Set<string>; lastOrder: (OrderFence & {readonly at: number}) | undefined;
 };
 
 /** Fault probabilities of an order, each from 0 to 1. */
@@ -173,7 +173,7 @@
 		for (const [pool, count] of options.pools) {
 			for (let index = 0; index < count; index++) {
 				const vm: EmulatedVm = {
-					id: `vm-${pool}-${index}` as VmId, pool, incarnation: undefined, state: 'up', isUnreachable: false, isPathCut: false, isShedding: false, isSilent: false, maintenances: new Set(), lastOrder: undefined,
+					id: `vm-${pool}-${index}` as VmId, pool, incarnation: undefined, state: 'up', isUnreachable: false, isPathCut: false, isShedding: false, isSilent: false, returnsAt: 0, maintenances: new Set(), lastOrder: undefined,
 				};
 				this.#vms.push(vm);
 				this.#startIncarnation(vm);
@@ -229,10 +229,7 @@
 		const vm = this.#findVm(id);
 		this.#endIncarnation(vm, false);
 		vm.state = 'down';
-		this.#options.clock.schedule(downtimeMs, () => {
-			vm.state = 'up';
-			this.#startIncarnation(vm);
-		});
+		this.#scheduleReturn(vm, downtimeMs);
 	}
 
 	/** Ends the worker of a VM without notice and starts it again under the same id after `downtimeMs` milliseconds. */
@@ -366,10 +363,7 @@
 		this.counts.maintenances++;
 		this.#endIncarnation(vm, true);
 		vm.state = 'upkeep';
-		this.#options.clock.schedule(this.#bounds.returnMs, () => {
-			vm.state = 'up';
-			this.#startIncarnation(vm);
-		});
+		this.#scheduleReturn(vm, this.#bounds.returnMs);
 		return 'accepted';
 	}
 
@@ -392,10 +386,7 @@
 		this.#endIncarnation(vm, true);
 		vm.pool = pool;
 		vm.state = 'moving';
-		this.#options.clock.schedule(this.#bounds.returnMs * moveShare, () => {
-			vm.state = 'up';
-			this.#startIncarnation(vm);
-		});
+		this.#scheduleReturn(vm, this.#bounds.returnMs * moveShare);
 		return 'accepted';
 	}
 
@@ -560,6 +551,19 @@
 		};
 	}
 
+	/** Starts a VM again after its downtime, or at the end of a longer one that has begun meanwhile. */
+	#scheduleReturn(vm: EmulatedVm, downtimeMs: number): void {
+		const {clock} = this.#options;
+		const returnsAt = clock.readMonotonic() + downtimeMs;
+		vm.returnsAt = Math.max(vm.returnsAt, returnsAt);
+		clock.schedule(downtimeMs, () => {
+			if (vm.returnsAt <= returnsAt && vm.state !== 'up') {
+				vm.state = 'up';
+				this.#startIncarnation(vm);
+			}
+		});
+	}
+
 	#startIncarnation(vm: EmulatedVm, worker?: VmId): void {
 		if (vm.pool === sparePool) {
 			return;
