Count tasks on VMs that earlier orders may still take down as unready for waves

An upkeep takes a worker while more tasks of a step are away than its disruption budget allows. Ruled out: the order itself, which budgets don't hold for when it is held up. Change: a task on another worker counts as ready for an eviction only if the list shows its VM as up, and no order of this holder without an answer, or of the one before, may still be carried out there.

--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -54,6 +54,9 @@
 
 type WaveRow = {readonly begun: readonly VmId[]; readonly state: 'running' | 'succeeded'};
 
+/** Workers whose VMs are listed as up, and that no order which was given before may still take down. */
+type SafeWorkers = ReadonlySet<VmId>;
+
 type WaveProgress = {
 	readonly wave: WaveRequest;
 	/** VMs whose maintenance has begun or that no longer exist. */
@@ -163,15 +166,17 @@
 			return;
 		}
 
-		const vms = new Map((await this.#options.fleet.listVms()).map(vm => [vm.id, vm]));
+		const listed = await this.#options.fleet.listVms();
+		const vms = new Map(listed.map(vm => [vm.id, vm]));
+		const safeWorkers = new Set(listed.flatMap(({id, state, worker}) => worker !== undefined && state === 'up' && !this.#orders.isPending(id) ? [worker] : []));
 		this.#observeVms(progress, vms);
 		this.#startDraining(progress, vms);
 		for (const id of progress.draining.keys()) {
 			if (progress.down.size < wave.cap) {
-				await this.#maintainVm(progress, vms.get(id)!);
+				await this.#maintainVm(progress, vms.get(id)!, safeWorkers);
 			}
 
-			this.#releaseBlocked(progress, vms.get(id)!);
+			this.#releaseBlocked(progress, vms.get(id)!, safeWorkers);
 		}
 
 		if (wave.vms.every(id => progress.begun.has(id))) {
@@ -245,11 +250,11 @@
 	}
 
 	/** Gives the room of a VM back that cannot be drained because of a disruption budget, if tasks of its pool wait for room. They may be the ones that the budget waits for. */
-	#releaseBlocked({wave, draining, postponed}: WaveProgress, vm: FleetVm): void {
+	#releaseBlocked({wave, draining, postponed}: WaveProgress, vm: FleetVm, safeWorkers: SafeWorkers): void {
 		const {clock, log, timings} = this.#options;
 		const session = this.#findSession(vm);
 		const waitMs = this.#options.listPools().find(pool => pool.service as string === vm.pool as string)?.waits.longestRoomWaitMs ?? 0;
-		if (session === undefined || !draining.has(vm.id) || waitMs < maxBlockedWaitMs || !isBlocked(session)) {
+		if (session === undefined || !draining.has(vm.id) || waitMs < maxBlockedWaitMs || !isBlocked(session, safeWorkers)) {
 			return;
 		}
 
@@ -271,8 +276,8 @@
 		cordons.renew('upkeep', timings.moveTimeoutMs);
 	}
 
-	async #maintainVm(progress: WaveProgress, vm: FleetVm): Promise<void> {
-		const {clock, fleet, log, holder, epoch} = this.#options;
+	async #maintainVm(progress: WaveProgress, vm: FleetVm, safeWorkers: SafeWorkers): Promise<void> {
+		const {clock, fleet, log, holder, epoch, timings} = this.#options;
 		const {wave, begun, down, draining} = progress;
 		const session = this.#findSession(vm);
 		if (session !== undefined) {
@@ -280,11 +285,14 @@
 		}
 
 		const waitedMs = clock.readMonotonic() - (draining.get(vm.id) ?? 0);
-		if (vm.state !== 'up' || !this.#isDrained(session, waitedMs) || !await this.#orders.recordOrders([vm.id]) || !this.#isDrained(session, waitedMs)) {
+		const isDrained = () => this.#isDrained(session, {waitedMs, safeWorkers});
+		if (vm.state !== 'up' || !isDrained() || !await this.#orders.recordOrders([vm.id]) || !isDrained()) {
 			return;
 		}
 
+		this.#orders.noteSent(vm.id, timings.moveTimeoutMs);
 		const outcome = await fleet.maintainVm(vm.id, wave.id, {holder, fencingToken: epoch});
+		this.#orders.noteAnswered(vm.id);
 		log.info('upkeep ordered', {
 			wave: wave.id, vm: vm.id, worker: vm.worker, outcome, waitedMs: Math.round(waitedMs), tasks: session?.tasks.size ?? 0, down: down.size, cap: wave.cap,
 		});
@@ -323,7 +331,7 @@
 	}
 
 	/** Reports whether a VM may be taken down: no work is lost, or the drain timeout has passed and every disruption budget allows it. */
-	#isDrained(session: WorkerSession | undefined, waitedMs: number): boolean {
+	#isDrained(session: WorkerSession | undefined, {waitedMs, safeWorkers}: {readonly waitedMs: number; readonly safeWorkers: SafeWorkers}): boolean {
 		if (session === undefined) {
 			return true;
 		}
@@ -332,7 +340,7 @@
 			return false;
 		}
 
-		const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session, task)}));
+		const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session, task, safeWorkers)}));
 		const evictable = plans.find(({task, plan}) => plan === 'one-by-one' && isTaskReady(task));
 		if (evictable !== undefined) {
 			this.#options.log.info('task evicted', {
@@ -371,14 +379,14 @@
 }
 
 /** Reports whether the disruption budget of some step keeps a VM from being drained: none of its tasks there may be evicted now. */
-function isBlocked(session: WorkerSession): boolean {
-	const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session, task)}));
+function isBlocked(session: WorkerSession, safeWorkers: SafeWorkers): boolean {
+	const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session, task, safeWorkers)}));
 	return plans.some(({plan}) => plan === 'blocked') && !plans.some(({task, plan}) => plan === 'one-by-one' && isTaskReady(task)) && plans.every(({task}) => task.phase !== 'stopping');
 }
 
 /** Plans the eviction of a task and the other tasks of its step from the VM that they share. */
-function planTaskEviction(session: WorkerSession, {stepState, spec, job}: Task): EvictionPlan {
-	const unready = stepState.tasks.filter(other => !isTaskReady(other));
+function planTaskEviction(session: WorkerSession, {stepState, spec, job}: Task, safeWorkers: SafeWorkers): EvictionPlan {
+	const unready = stepState.tasks.filter(other => !isTaskReady(other) || (!session.tasks.has(other) && !safeWorkers.has(other.incarnation!.id)));
 	return planEviction({
 		onVm: stepState.tasks.filter(other => session.tasks.has(other)).length,
 		unreadyOnVm: unready.filter(other => session.tasks.has(other)).length,
--- a/packages/workflows/src/fleet-orders.ts
+++ b/packages/workflows/src/fleet-orders.ts
@@ -35,6 +35,8 @@
 	}
 
 	readonly #options: FleetOrdersOptions;
+	/** VMs whose last order has no answer yet, with the time until which it may be carried out, on the monotonic clock. */
+	readonly #unanswered = new Map<VmId, number>();
 	/** Time of this holder's last order for each VM, on the monotonic clock. */
 	readonly #orderedAt = new Map<VmId, number>();
 	/** VMs for which an earlier holder may have sent orders until this one acquired the scheduler lease; `undefined` before they are loaded. */
@@ -67,6 +69,21 @@
 		return this.canSendOrders && !(this.#inherited!.has(vm) && this.#isRecent(this.#loadedAt));
 	}
 
+	/** Notes that an order for a VM is being sent, which may be carried out for `termMs` milliseconds if it gets no answer. */
+	noteSent(vm: VmId, termMs: number): void {
+		this.#unanswered.set(vm, this.#options.clock.readMonotonic() + termMs);
+	}
+
+	/** Notes that the last order for a VM was answered. */
+	noteAnswered(vm: VmId): void {
+		this.#unanswered.delete(vm);
+	}
+
+	/** Reports whether an earlier order for a VM, of this holder or of the one before, may still be carried out. */
+	isPending(vm: VmId): boolean {
+		return !this.isOrderable(vm) || this.#options.clock.readMonotonic() < (this.#unanswered.get(vm) ?? Number.NEGATIVE_INFINITY);
+	}
+
 	/** Records orders for VMs before they are sent; resolves to whether they may be sent. Concurrent calls are recorded one after the other. */
 	async recordOrders(vms: readonly VmId[]): Promise<boolean> {
 		const record = async (previous: Promise<unknown>): Promise<boolean> => {
