Let a step that has waited for the cap of its account go before others of the account

What callers saw: accepted work of an account stands while smaller work of the same account goes on starting; long-running tasks that need more than half of a cap stand although the account runs less than half of it. Cause: the cap is compared with each start by itself. A task, or a gang, that needs more than what becomes free at a time is skipped, and smaller starts of the account take the rest, also those that come later in the order, in any pool. Class: a limit that holds back one step for as long as others come. Ruled out: blocking everything behind the first step that the cap forbids (leaves the rest of the cap idle; account-ledgers.test.ts asks for smaller tasks beside larger ones); a single claim that gives way to larger starts (a trial: middle sizes never come up); a claim that ends once the cap allows the start (a trial: steps placed before it take the room, and the gang of the test never starts); long-running claims without regard to what long-running tasks use already, which would keep short work out for good where they need more than the cap. Change: CapClaims, kept by the ledger over all pools. A step that the cap has forbidden for 1.5 s, or a long-running one at once, claims what becomes free: other starts must leave room for it. One claim of an account counts at a time: long-running first, then the oldest, at most 8. It ends with a start, 0.5 s after the cap last forbade it, or if long-running tasks leave too little. It only forbids starts that the cap allows, so that no start exceeds a cap that did not before. Queues of capped accounts are split by long-running steps. Measured result: account-caps.test.ts, a long-running task, a gang and a task of another pool that need over half of a cap beside a stream of 5 small tasks a second: before, none of the three had started after 7 s (3 failed); now all have. A denied queue costs up to 8 comparisons more a pass; nothing costs by the steps that wait.

--- a/packages/testing/tests/account-caps.test.ts
+++ b/packages/testing/tests/account-caps.test.ts
@@ -87,6 +87,35 @@
 	t.deepEqual(fleet.violations, []);
 });
 
+const largeCases = [
+	{name: 'a long-running task', step: {isLongRunning: true, resources: {cpu: 3500, memory: 10, gpu: 0}}, running: 1},
+	{name: 'a gang', step: {isGang: true, count: 4}, running: 4},
+	{
+		name: 'a task of another pool', step: {resources: {cpu: 4000, memory: 10, gpu: 0}}, pool: 'south', running: 1,
+	},
+] as const;
+
+// Guards against accepted work that stands for as long as smaller work of its account takes what becomes free of the cap.
+for (const {name, step, running, ...rest} of largeCases) {
+	test(`${name} that needs over half of its account's cap starts beside a stream of small tasks`, async t => {
+		const system = await createSystem({cpu: 6000});
+		const {clock, fleet} = system;
+		const pool = 'pool' in rest ? rest.pool : 'north';
+		for (let at = 0; at < 30_000; at += 200) {
+			clock.schedule(at, () => {
+				void system.submit([createStep({resources: {cpu: 1000, memory: 10, gpu: 0}})], 1000, {account: capped, pool: 'north'});
+			});
+		}
+
+		await clock.run(3000);
+		const submission = system.submit([createStep(step)], 20_000, {account: capped, pool});
+		await clock.run(7000);
+		t.is(fleet.countRunning(await submission), running);
+		t.true(readUse(system) > 3500);
+		t.deepEqual(fleet.violations, []);
+	});
+}
+
 // Guards against starts that follow from a cap that is no longer in force, and against runs that are stopped for a lowered one.
 test('a version that lowers a cap stops nothing, and the next starts wait for it', async t => {
 	const system = await createSystem({cpu: 6000});
--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -4,10 +4,11 @@
  */
 import {type AccountName, type Clock, type ServiceName} from '@tamarackwind/core';
 import {
-	addResources, isCapped, isWithinCap, noResources, trimDemand, type Resources, type ShareClaim, type StepSpec,
+	addResources, isCapped, noResources, trimDemand, type Resources, type ShareClaim, type StepSpec,
 } from '@tamarackwind/scheduling';
 import {minAccountWeight, type ClientAccount} from './accounts.js';
 import {type ActiveJob} from './active-jobs.js';
+import {CapClaims} from './cap-claims.js';
 import {ChargeMonitor, noCharges, type ChargeSummary} from './charge-monitors.js';
 import {type Configuration} from './configurations.js';
 import {PastUses} from './past-uses.js';
@@ -76,7 +77,10 @@
 
 	readonly #options: AccountLedgerOptions;
 	readonly #uses = AccountUses.create();
+	/** What of it long-running tasks use. */
+	readonly #lastingUses = AccountUses.create();
 	readonly #pools = new Map<ServiceName, PoolAccounts>();
+	readonly #claims = CapClaims.create();
 	/** Configuration from which the accounts were taken. */
 	#configuration: Configuration | undefined;
 	#accounts: ReadonlyMap<AccountName, ClientAccount> = new Map();
@@ -147,6 +151,14 @@
 		return Math.max(minAccountWeight, account === undefined ? 0 : this.accounts.get(account)?.weight ?? 0);
 	}
 
+	/** Reports whether the cap of an account allows a start in a pool, beside what another step of the account claims that has waited for it. */
+	isAllowed(account: AccountName, service: ServiceName, spec: StepSpec): boolean {
+		const cap = this.caps.get(account);
+		return cap === undefined || this.#claims.isAllowed({
+			account, service, spec, cap, used: this.getUse(account), lasting: this.#lastingUses.get(account).used, now: this.#options.clock.readMonotonic(),
+		});
+	}
+
 	/** Opens the part of one pool; `onRoom` is called when an account that waited for its cap in the pool uses less. */
 	openPool(service: ServiceName, onRoom: () => void): PoolAccounts {
 		const pool = PoolAccounts.create({
@@ -164,9 +176,8 @@
 
 	/** Closes the part of a pool and releases what it has charged. */
 	closePool(pool: PoolAccounts): void {
-		for (const [account, {tasks, used}] of pool.uses) {
-			this.#uses.add(account, -tasks, addResources(noResources, used, 1 / tasks));
-		}
+		releaseUses(this.#uses, pool.uses);
+		releaseUses(this.#lastingUses, pool.lastingUses);
 
 		if (this.#pools.get(pool.service) === pool) {
 			this.#pools.delete(pool.service);
@@ -180,9 +191,18 @@
 		this.#isLoaded = undefined;
 	}
 
+	/** Notes that a task of a pool was assigned. */
+	noteStart(account: AccountName, service: ServiceName, spec: StepSpec): void {
+		this.#claims.noteStart(account, service, spec);
+	}
+
 	/** Charges tasks to an account, or releases them if their number is negative. */
-	addTasks(account: AccountName | undefined, tasks: number, resources: Resources): void {
+	addTasks(account: AccountName | undefined, tasks: number, {resources, isLongRunning}: StepSpec): void {
 		this.#uses.add(account, tasks, resources);
+		if (isLongRunning) {
+			this.#lastingUses.add(account, tasks, resources);
+		}
+
 		if (tasks < 0 && account !== undefined) {
 			for (const pool of this.#pools.values()) {
 				pool.wakeBlocked(account);
@@ -213,6 +233,13 @@
 	}
 }
 
+/** Releases what a pool has charged. */
+function releaseUses(uses: AccountUses, released: Iterable<[AccountName | undefined, AccountUse]>): void {
+	for (const [account, {tasks, used}] of released) {
+		uses.add(account, -tasks, addResources(noResources, used, 1 / tasks));
+	}
+}
+
 type PoolAccountsOptions = {readonly ledger: AccountLedger; readonly service: ServiceName; readonly onRoom: () => void; readonly clock: Pick<Clock, 'readMonotonic'>};
 
 /** Part of the ledger that the scheduler of one pool keeps. */
@@ -226,6 +253,7 @@
 	/** Observes which of the charged tasks are confirmed to run. */
 	readonly charges = ChargeMonitor.create();
 	readonly #uses = AccountUses.create();
+	readonly #lastingUses = AccountUses.create();
 	readonly #pastUses: PastUses;
 	/** Accounts whose caps have kept a task of the pool waiting since their use last fell. */
 	readonly #blocked = new Set<AccountName>();
@@ -248,6 +276,11 @@
 		return this.#uses.entries;
 	}
 
+	/** What of it long-running tasks use. */
+	get lastingUses(): Iterable<[AccountName | undefined, AccountUse]> {
+		return this.#lastingUses.entries;
+	}
+
 	/** Caps in force, of the accounts that have one. */
 	get caps(): ReadonlyMap<AccountName, Resources> {
 		return this.#options.ledger.caps;
@@ -313,9 +346,7 @@
 			return undefined;
 		}
 
-		const isAllowed = ledger.isComplete && isWithinCap({
-			cap, used: ledger.getUse(account), task: spec.resources, count: spec.isGang ? spec.count : 1,
-		});
+		const isAllowed = ledger.isComplete && ledger.isAllowed(account, this.service, spec);
 		if (isAllowed) {
 			return undefined;
 		}
@@ -342,18 +373,25 @@
 
 	#addTask(account: AccountName | undefined, task: Task): void {
 		this.charges.add(task);
-		this.#addTasks(account, 1, task.spec.resources);
+		this.#addTasks(account, 1, task.spec);
+		if (account !== undefined) {
+			this.#options.ledger.noteStart(account, this.service, task.spec);
+		}
 	}
 
 	#removeTask(account: AccountName | undefined, task: Task): void {
 		this.charges.remove(task);
-		this.#addTasks(account, -1, task.spec.resources);
+		this.#addTasks(account, -1, task.spec);
 	}
 
-	#addTasks(account: AccountName | undefined, tasks: number, resources: Resources): void {
+	#addTasks(account: AccountName | undefined, tasks: number, spec: StepSpec): void {
 		if (!this.#isClosed) {
-			this.#uses.add(account, tasks, resources);
-			this.#options.ledger.addTasks(account, tasks, resources);
+			this.#uses.add(account, tasks, spec.resources);
+			if (spec.isLongRunning) {
+				this.#lastingUses.add(account, tasks, spec.resources);
+			}
+
+			this.#options.ledger.addTasks(account, tasks, spec);
 			if (this.#options.ledger.hasAccounts) {
 				this.#pastUses.record(account, this.#uses.get(account).used);
 			}
--- /dev/null
+++ b/packages/workflows/src/cap-claims.ts
@@ -0,0 +1,148 @@
+/**
+ * Claims of steps to the caps of their accounts. A step that needs more than what ends at a time would otherwise wait for its cap for as long as
+ * the account has smaller work, which takes what becomes free.
+ */
+import {type AccountName, type ServiceName} from '@tamarackwind/core';
+import {
+	addResources, isWithinCap, type Resources, type StepSpec,
+} from '@tamarackwind/scheduling';
+
+/** A start that an account's cap may forbid. */
+export type CappedStepStart = {
+	readonly account: AccountName;
+	readonly service: ServiceName;
+	readonly spec: StepSpec;
+	readonly cap: Resources;
+	/** What the account uses over all pools. */
+	readonly used: Resources;
+	/** The part of it that long-running tasks use, which does not become free. */
+	readonly lasting: Resources;
+	/** Time on the monotonic clock. */
+	readonly now: number;
+};
+
+/** Steps of a pool that ask for the same, and wait for the cap of their account. */
+type CapClaim = Pick<CappedStepStart, 'service' | 'spec'> & {
+	/** Time at which the cap first forbade a start since their last one. */
+	readonly since: number;
+	/** Time at which it last did. */
+	deniedAt: number;
+};
+
+/**
+ * Time for which a step waits for the cap of its account before others of the account wait for it, in milliseconds: less than the users' limit
+ * for accepted work. Long-running steps, which go first in the order of jobs, do not have to wait.
+ */
+const claimAfterMs = 1500;
+/**
+ * Time for which a claim lasts after the cap last forbade the start, in milliseconds: several intervals between passes. It ends so if the step
+ * is gone, or if the cap allows the start and its pool has no room.
+ */
+const claimLapseMs = 500;
+/** Maximum number of claims of an account: a start is compared with each of them. */
+const maxClaims = 8;
+
+/** Claims of all accounts. The cap of an account is kept for one claim at a time: that of long-running steps, then the oldest. */
+export class CapClaims {
+	static create(): CapClaims {
+		return new CapClaims();
+	}
+
+	/** Claims of each account, those of long-running steps first, and then by age. */
+	readonly #claims = new Map<AccountName, CapClaim[]>();
+
+	private constructor() {}
+
+	/** Reports whether the cap of an account allows a start, beside what a step claims that has waited for longer. Passes ask for each queue, so this allocates little. */
+	isAllowed(start: CappedStepStart): boolean {
+		const {account, spec, cap, used} = start;
+		const count = countTogether(spec);
+		const claims = this.#claims.get(account);
+		let isAllowed = isWithinCap({
+			cap, used, task: spec.resources, count,
+		});
+		if (isAllowed && claims !== undefined && claims.length > 0) {
+			const claim = findFirst(claims, start);
+			isAllowed = claim === undefined || !isHeldBy(claim, start) || isWithinCap({
+				cap, used: addResources(used, claim.spec.resources, countTogether(claim.spec)), task: spec.resources, count,
+			});
+		}
+
+		if (!isAllowed) {
+			this.#record(start, claims);
+		}
+
+		return isAllowed;
+	}
+
+	/** Ends the claim of a step of which a task, or the gang, has been assigned. */
+	noteStart(account: AccountName, service: ServiceName, spec: StepSpec): void {
+		const claims = this.#claims.get(account);
+		const index = claims?.findIndex(claim => isSameClaim(claim, {service, spec})) ?? -1;
+		if (index >= 0) {
+			claims!.splice(index, 1);
+		}
+	}
+
+	/** Renews the claim of a start that the cap forbids, or records one if it can be met. */
+	#record(start: CappedStepStart, claims: CapClaim[] | undefined): void {
+		const {account, service, spec, now} = start;
+		for (const claim of claims ?? []) {
+			if (isSameClaim(claim, start)) {
+				claim.deniedAt = now;
+				return;
+			}
+		}
+
+		const hasPlace = claims === undefined || claims.length < maxClaims || findFirst(claims, start) === undefined;
+		if (hasPlace && isAttainable(spec, start)) {
+			const added = claims ?? [];
+			const position = spec.isLongRunning ? added.filter(claim => claim.spec.isLongRunning).length : added.length;
+			added.splice(position, 0, {
+				service, spec, since: now, deniedAt: now,
+			});
+			this.#claims.set(account, added);
+		}
+	}
+}
+
+/** Finds the claim for which the cap is kept, and drops those before it that have lapsed or can't be met. */
+function findFirst(claims: CapClaim[], start: CappedStepStart): CapClaim | undefined {
+	for (let claim = claims[0]; claim !== undefined; claim = claims[0]) {
+		if (start.now - claim.deniedAt <= claimLapseMs && isAttainable(claim.spec, start)) {
+			return claim;
+		}
+
+		claims.shift();
+	}
+
+	return undefined;
+}
+
+/** Number of tasks that start together. */
+function countTogether({isGang, count}: StepSpec): number {
+	return isGang ? count : 1;
+}
+
+/** Reports whether a cap allows a start once all tasks that end have ended. */
+function isAttainable(spec: StepSpec, {cap, lasting}: CappedStepStart): boolean {
+	return isWithinCap({
+		cap, used: lasting, task: spec.resources, count: countTogether(spec),
+	});
+}
+
+/** Reports whether a start waits for a claim. */
+function isHeldBy(claim: CapClaim, start: CappedStepStart): boolean {
+	if (isSameClaim(claim, start)) {
+		return false;
+	}
+
+	return claim.spec.isLongRunning || (!start.spec.isLongRunning && start.now - claim.since >= claimAfterMs);
+}
+
+/** Reports whether a claim is that of a start, or of one that asks for the same in the same pool. */
+function isSameClaim({service, spec}: CapClaim, start: Pick<CappedStepStart, 'service' | 'spec'>): boolean {
+	const {resources} = start.spec;
+	return spec === start.spec || (spec.resources.cpu === resources.cpu && spec.resources.memory === resources.memory && spec.resources.gpu === resources.gpu
+		&& service === start.service && spec.isLongRunning === start.spec.isLongRunning && countTogether(spec) === countTogether(start.spec));
+}
--- a/packages/workflows/src/demand-queues.ts
+++ b/packages/workflows/src/demand-queues.ts
@@ -170,7 +170,10 @@
 	}
 }
 
-/** Names the queue of a step among those of its account. Accounts are charged the whole CPU of fillers, of which the demand has none. */
+/**
+ * Names the queue of a step among those of its account. Accounts are charged the whole CPU of fillers, of which the demand has none, and
+ * long-running steps go first for the cap of their account.
+ */
 export function formatQueue({account, spec, demand: {key, requirement}}: StepState, isShared: boolean): string {
-	return `${isShared ? 'shared' : 'single'} ${key} ${account === undefined ? '' : spec.resources.cpu} ${requirement ?? ''}`;
+	return `${isShared ? 'shared' : 'single'} ${key} ${account === undefined ? '' : `${spec.resources.cpu} ${spec.isLongRunning}`} ${requirement ?? ''}`;
 }
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -33,6 +33,7 @@
 export * from './demands.js';
 export * from './failed-demands.js';
 export * from './candidate-groups.js';
+export * from './cap-claims.js';
 export * from './charge-monitors.js';
 export * from './placement-passes.js';
 export * from './pool-loads.js';
