Check that the sums of the ledger return to nothing when pools are opened again and accounts renamed

Ruled out by this: 300 random sequences of phases over two pools, of which one is closed and opened again with other jobs while tasks of the closed generation still change, and of which the accounts are renamed meanwhile: the sums equal the assigned tasks at each end, and are exactly nothing, in the ledger, its pools and the observed charges, once no task is assigned. Change: a property in account-ledgers.test.ts; no change of code.

--- a/packages/workflows/tests/account-ledgers.test.ts
+++ b/packages/workflows/tests/account-ledgers.test.ts
@@ -340,3 +340,51 @@
 	t.deepEqual(plan(part!, [job]), [4]);
 	t.is(ledger.unloaded, undefined);
 });
+
+// Guards against sums that do not return to nothing when jobs end, pools are opened again, or accounts are renamed while their tasks run.
+test('the ledger holds nothing once no task is assigned, after pools were opened again and accounts renamed', t => {
+	t.notThrows(() => {
+		fc.assert(fc.property(fc.array(change, {maxLength: 60}), fc.nat(60), fc.nat(60), (changes, closedAt, renamedAt) => {
+			const {ledger, parts, configure} = openLedger(capped);
+			const open = [...parts];
+			const create = (pool: number): ActiveJob[] => Array.from({length: 3}, (_, index) => {
+				const job = createJob([one, two, undefined][index], {count: 4, isLongRunning: index === 0, resources: {cpu: 0.1 * (index + 1), memory: index, gpu: 0}});
+				open[pool]!.add(job);
+				return job;
+			});
+			let jobs = [...create(0), ...create(1)];
+			const closed: ActiveJob[] = [];
+			for (const [index, {job, task, phase}] of changes.entries()) {
+				if (index === closedAt) {
+					open[0]!.close();
+					open[0] = ledger.openPool(pools[0]!, () => {});
+					open[0].markLoaded();
+					closed.push(...jobs.slice(0, 3));
+					jobs = [...create(0), ...jobs.slice(3)];
+				}
+
+				if (index === renamedAt) {
+					configure([createAccount('other' as AccountName, {cpu: 1000})]);
+				}
+
+				jobs[job]!.tasks[task]!.phase = phase;
+				if (closed.length > 0) {
+					closed[job % 3]!.tasks[task]!.phase = phase;
+				}
+			}
+
+			configure(capped);
+			const isSumExact = isExact(ledger.getUse(one), [jobs[0]!, jobs[3]!]) && isExact(ledger.getUse(two), [jobs[1]!, jobs[4]!]);
+			for (const task of jobs.flatMap(({tasks}) => tasks).filter(({phase}) => isAssigned(phase))) {
+				task.phase = 'waiting';
+			}
+
+			for (const {charges} of open) {
+				charges.observe({now, isInTouch: () => true});
+			}
+
+			return isSumExact && ledger.isComplete && [one, two].every(account => ledger.getUse(account).cpu === 0)
+				&& open.every(({uses, lastingUses, charges}) => [...uses, ...lastingUses].length === 0 && charges.summaries.size === 0);
+		}), {numRuns: 300, seed: 12});
+	});
+});
