Log what an account is charged for now in place of sums of earlier observations

Cause: pools are observed at different times within a second, and the line added up their last observations.

--- a/packages/workflows/src/charge-monitors.ts
+++ b/packages/workflows/src/charge-monitors.ts
@@ -107,13 +107,17 @@
 	readonly service: ServiceName;
 	readonly account: AccountName;
 	readonly cap: Resources;
-	/** What the account is charged for in each service. */
+	/** What the account is charged for over all services now. */
+	readonly charged: Resources;
+	/** What it was charged for in each service at the last observation there, which is up to a second ago. */
 	readonly byService: ReadonlyMap<ServiceName, ChargeSummary>;
 };
 
 /** Logs that tasks wait for the cap of an account, and what the account is charged for. */
-export function logCapWait(log: RateLimitedLog, {service, account, cap, byService}: CapWait): void {
-	const {charged, confirmed, unconfirmedTasks, oldestUnconfirmedMs} = sumCharges(byService.values());
+export function logCapWait(log: RateLimitedLog, {
+	service, account, cap, charged, byService,
+}: CapWait): void {
+	const {confirmed, unconfirmedTasks, oldestUnconfirmedMs} = sumCharges(byService.values());
 	const fields = {
 		service, account, cap, charged, confirmed, unconfirmedTasks, oldestUnconfirmedMs: Math.round(oldestUnconfirmedMs),
 		services: Object.fromEntries([...byService].map(([name, summary]) => [name, {chargedCpu: summary.charged.cpu, confirmedCpu: summary.confirmed.cpu}])),
--- a/packages/workflows/src/pool-planners.ts
+++ b/packages/workflows/src/pool-planners.ts
@@ -201,7 +201,7 @@
 			const cap = ledger.getCap(account);
 			if (cap !== undefined && ledger.isComplete) {
 				logCapWait(log, {
-					service, account, cap, byService: ledger.listCharges(account),
+					service, account, cap, charged: ledger.getUse(account), byService: ledger.listCharges(account),
 				});
 			}
 		}
--- a/packages/workflows/tests/charge-monitors.test.ts
+++ b/packages/workflows/tests/charge-monitors.test.ts
@@ -106,7 +106,7 @@
 			},
 		}), ManualClock.create());
 		logCapWait(log, {
-			service, account, cap: {...noResources, cpu: 4000}, byService: new Map([
+			service, account, cap: {...noResources, cpu: 4000}, charged: {...noResources, cpu: 4000}, byService: new Map([
 				[service, {
 					charged: {...noResources, cpu: 3000}, confirmed: {...noResources, cpu: confirmedCpu}, unconfirmedTasks: 1, oldestUnconfirmedMs,
 				}],
