Size pools by the waiting tasks that the caps of their accounts let start

What callers see: work of other services waits, and VMs are moved and paid for in vain, while a pool holds far more VMs than it can use. Cause: the demand of a pool counts all tasks that wait, also those that the cap of their account keeps from starting, whatever the pool's room. Class: room that is held back from accepted work without a bound. Ruled out: the room itself; the tasks had account-cap as their reason. Change: the CPU that waits counts for an account only as far as its cap leaves beside what it uses over all pools. Deployments without caps are not changed.

--- a/packages/testing/tests/account-caps.test.ts
+++ b/packages/testing/tests/account-caps.test.ts
@@ -3,7 +3,7 @@
 import {getProgressPartition, type ClientAccount} from '@tamarackwind/workflows';
 import test from 'ava';
 import {
-	accountFaultKinds, createStep, EmulatedSystem, faultKinds, furtherFaultKinds, playHistory, type EmulatedEntry, type FaultKind,
+	accountFaultKinds, createStep, EmulatedSystem, faultKinds, furtherFaultKinds, playHistory, sparePool, type EmulatedEntry, type FaultKind,
 } from '../src/index.js';
 
 const capped = 'capped' as AccountName;
@@ -172,3 +172,20 @@
 		t.true(accepted > 0);
 	});
 }
+
+// Guards against VMs that are taken from other pools for tasks which a cap does not let start (wpk-sched-grown: 122 of 147 VMs of a pool idle).
+for (const [name, accounts, vms] of [
+	['the cap of their account lets start', [createAccount(capped, {cpu: 4000})], 5],
+	['their account has no cap', [createAccount(capped, {})], 11],
+] as const) {
+	test(`a pool gets VMs for waiting tasks as far as ${name}`, async t => {
+		const system = await EmulatedSystem.create({seed: 3, accounts: [...accounts], pools: [['north', 5], [sparePool, 12]]});
+		const {clock, fleet} = system;
+		await clock.run(4000);
+		const submitted = system.submit([createStep({count: 60})], 20_000, {account: capped, pool: 'north'});
+		await clock.run(8000);
+		await submitted;
+		t.is(fleet.listVms().filter(vm => vm.pool as string === 'north').length, vms);
+		t.deepEqual(fleet.violations, []);
+	});
+}
--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -305,6 +305,13 @@
 		return {demand: addResources(used, startable), weight: ledger.getWeight(account)};
 	}
 
+	/** Returns the part of the CPU for which tasks of an account wait that its cap lets start, in thousandths of a core. */
+	trimWaitingCpu(account: AccountName | undefined, waitingCpu: number): number {
+		const {ledger} = this.#options;
+		const cap = account === undefined ? undefined : ledger.getCap(account);
+		return account === undefined || cap === undefined ? waitingCpu : trimDemand({...noResources, cpu: waitingCpu}, {cap, used: ledger.getUse(account)}).cpu;
+	}
+
 	/** Returns what an account has used in the pool on average over the last seconds. */
 	getPastUse(account: AccountName | undefined): Resources {
 		return this.#pastUses.get(account);
--- a/packages/workflows/src/pool-planners.ts
+++ b/packages/workflows/src/pool-planners.ts
@@ -139,10 +139,20 @@
 		return this.backlog.countWaiting();
 	}
 
-	/** Computes the demand of the pool's jobs and the available CPU. */
+	/** Computes the demand of the pool's jobs, without what the caps of their accounts keep from starting, and the available CPU. */
 	computeLoad(): PoolLoad {
 		const {cpu} = computeWorkerCapacity(this.#options.sessions.values());
-		return {...this.backlog.compute(), cpu};
+		const load = this.backlog.compute();
+		return this.#accounts.caps.size === 0 ? {...load, cpu} : {...load, waitingCpu: this.#computeStartableCpu(), cpu};
+	}
+
+	#computeStartableCpu(): number {
+		let sum = 0;
+		for (const [account, waitingCpu] of this.backlog.computeWaitingCpu()) {
+			sum += this.#accounts.trimWaitingCpu(account, waitingCpu);
+		}
+
+		return sum;
 	}
 
 	/** Stops planning. */
