Let an account under half of its cap start a task that needs more than the rest

What callers see: LOST. A job of an account with a cap has nothing running, without a bound, while the account uses less than half of its cap and workers have room, if its long-running tasks leave less of the cap than the next task needs. Cause: a start had to fit into the rest of the cap; only an account that used nothing could exceed it, by one task. A task above half of the cap never starts beside a long-running one that leaves less than it needs. The rule on caps allows the tenth and one task above the cap at each start; the rule on standing work counts from under half of the cap. Class: a precaution that holds back accepted work without a bound. Change: an account under half of its cap in each capped dimension may exceed it by one task, or a gang by its last one. A claim to the cap holds back a start after which it could not be met.

--- a/packages/scheduling/src/account-caps.ts
+++ b/packages/scheduling/src/account-caps.ts
@@ -27,15 +27,15 @@
 }
 
 /**
- * Reports whether a cap allows a start. An account that uses nothing in any capped dimension may exceed its cap by one task, so that a job
- * that was accepted under a higher cap can run at all.
+ * Reports whether a cap allows a start. An account that uses less than half of its cap in each capped dimension may exceed it by one task: such an account
+ * must not wait, and its next task may need more than the rest of the cap, or all of it if the job was accepted under a higher cap.
  *
  * @example
  * const task = {cpu: 1000, memory: 500, gpu: 0};
  * isWithinCap({cap: {cpu: 4000, memory: 0, gpu: 0}, used: {cpu: 3500, memory: 500, gpu: 0}, task, count: 1}); // false
  */
 export function isWithinCap({cap, used, task, count}: CappedStart): boolean {
-	return hasCapRoom(cap, used, task, count) || (hasCapRoom(cap, noResources, task, count - 1) && isUnused(cap, used));
+	return hasCapRoom(cap, used, task, count) || (hasCapRoom(cap, used, task, count - 1) && isUnderHalf(cap, used));
 }
 
 /** Trims a demand to what a cap leaves beside what is used already. */
@@ -55,7 +55,7 @@
 	return limit <= 0 || amount <= limit * (1 + roundingShare);
 }
 
-/** Reports whether nothing is used in any capped dimension. */
-function isUnused(cap: Resources, used: Resources): boolean {
-	return dimensions.every(dimension => cap[dimension] <= 0 || used[dimension] <= cap[dimension] * roundingShare);
+/** Reports whether less than half of the cap is used in each capped dimension. */
+function isUnderHalf(cap: Resources, used: Resources): boolean {
+	return dimensions.every(dimension => cap[dimension] <= 0 || used[dimension] < cap[dimension] / 2);
 }
--- a/packages/testing/tests/account-caps.test.ts
+++ b/packages/testing/tests/account-caps.test.ts
@@ -173,6 +173,18 @@
 	});
 }
 
+// Guards against work of an account under half of its cap that stands, since its next task does not fit into the rest of the cap.
+test('a task larger than what a cap leaves starts beside long-running ones that use less than half of the cap', async t => {
+	const system = await createSystem({cpu: 4000});
+	const {clock, fleet} = system;
+	void system.submit([createStep({count: 1, isLongRunning: true, resources: {cpu: 1800, memory: 1000, gpu: 0}})], 1000, {account: capped, pool: 'north'});
+	await clock.run(2000);
+	const submitted = system.submit([createStep({count: 2, resources: {cpu: 3600, memory: 1000, gpu: 0}})], 1000, {account: capped, pool: 'south'});
+	await clock.run(4000);
+	t.true(fleet.hasBeenDone(`${await submitted}.0.0.0`));
+	t.deepEqual(fleet.violations, []);
+});
+
 // Guards against VMs that are taken from other pools for tasks which a cap does not let start (wpk-sched-grown: 122 of 147 VMs of a pool idle).
 for (const [name, accounts, vms] of [
 	['the cap of their account lets start', [createAccount(capped, {cpu: 4000})], 5],
--- a/packages/workflows/src/cap-claims.ts
+++ b/packages/workflows/src/cap-claims.ts
@@ -64,7 +64,7 @@
 		if (isAllowed && claims !== undefined && claims.length > 0) {
 			const claim = findFirst(claims, start);
 			isAllowed = claim === undefined || !isHeldBy(claim, start) || isWithinCap({
-				cap, used: addResources(used, claim.spec.resources, countTogether(claim.spec)), task: spec.resources, count,
+				cap, used: addResources(used, spec.resources, count), task: claim.spec.resources, count: countTogether(claim.spec),
 			});
 		}
 
