Log why a task is given up after crashes of its workers

Callers saw jobs shown as failed although none of their runs had ended as failed. The line on a lost run had the probability of a crash without the task, but not what it came from, and at 20 lines a second of one message the line that decided was often left out after the crash of a worker with hundreds of runs.

The line now has the exposure, the rate of other crashes, the number of other suspects, whether the crash was early, alone and confirmed, and how many of the crashes of the task this holder has seen itself. A task that is given up has a warning of its own with the same fields. No decision changes.

--- a/packages/testing/tests/crash-budgets.test.ts
+++ b/packages/testing/tests/crash-budgets.test.ts
@@ -152,6 +152,28 @@
 	t.deepEqual(lost.filter(run => endings.has(run)), [], 'no run that ended on a worker counts as lost with it');
 });
 
+// Guards against a job shown as failed for which no log line tells what counted against its task.
+test('the log tells why a task was given up', async t => {
+	const lines: Array<Record<string, unknown>> = [];
+	const system = await EmulatedSystem.create({
+		seed: 1, pools, write(line) {
+			const fields = JSON.parse(line) as Record<string, unknown>;
+			if (fields.message === 'task given up; workers crash under it') {
+				lines.push(fields);
+			}
+		},
+	});
+	await system.clock.run(warmUpMs);
+	const [job] = await submitAll(system, [system.submit([createStep({count: 4})], 800, {crashingTasks: new Set(['0.1'])})]);
+	await system.clock.run(observationMs);
+	t.is(lines.length, 1);
+	const [{exposureMs, ratePerS, ...fields}] = lines as [Record<string, unknown>];
+	t.like(fields, {
+		job, task: `${job}.0.0.1`, crashes: 3, isEarly: true, isAlone: true, isConfirmed: true, otherSuspects: 0, observedCrashes: 3, isGivenUp: true,
+	});
+	t.true((exposureMs as number) < 1000 && (ratePerS as number) >= 0);
+});
+
 type BudgetCase = {readonly name: string; readonly seeds: readonly number[]; readonly disturb: (system: EmulatedSystem) => void};
 
 const loadMs = 12_000;
--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -24,6 +24,7 @@
 const suspectsPerWorker = [Number.POSITIVE_INFINITY, 32, 6, 1] as const;
 /** Probability above which suspects are kept apart by it, so that those on one worker add up to half a culprit. */
 const separatedGuilt = 0.1;
+const msPerSecond = 1000;
 /** Wait after which a suspect of one crash starts beside any number of others, in milliseconds. */
 const maxSuspectWaitMs = 1000;
 /** Probability above which it does not. */
@@ -60,9 +61,15 @@
 	const innocence = suspects.reduce((product, {guilt}) => product * (1 - guilt), 1);
 	return new Map(suspects.map(task => {
 		const exposureMs = task.orderedAt === 0 ? lostAt - seenAt : lostAt - task.orderedAt;
-		const withoutCrash = Math.exp(-history.estimateRate(task, lostAt, workers) * Math.max(0, exposureMs));
+		const rate = history.estimateRate(task, lostAt, workers);
+		const withoutCrash = Math.exp(-rate * Math.max(0, exposureMs));
 		const coincidence = 1 - ((innocence / (1 - task.guilt)) * withoutCrash);
-		return [task, {coincidence: Math.max(minCoincidence, coincidence), isEarly: isUnproven(task, seenAt), isAlone: suspects.length === 1}];
+		return [task, {
+			coincidence: Math.max(minCoincidence, coincidence),
+			isEarly: isUnproven(task, seenAt),
+			isAlone: suspects.length === 1,
+			details: {exposureMs: Math.round(exposureMs), ratePerS: Number((rate * msPerSecond).toPrecision(3)), otherSuspects: suspects.length - 1},
+		}];
 	}));
 }
 
--- a/packages/workflows/src/crash-evidence.ts
+++ b/packages/workflows/src/crash-evidence.ts
@@ -1,6 +1,16 @@
 /** Probability that a task crashes its workers, before any evidence. */
 export const priorGuilt = 0.001;
 
+/** What the probability of a crash without the task was computed from, for log lines. */
+export type CrashDetails = {
+	/** Time from the start of the run, or from when its worker was last known to be up, to the crash, in milliseconds. */
+	readonly exposureMs: number;
+	/** Estimated crashes of a worker per second without the task. */
+	readonly ratePerS: number;
+	/** Number of other suspects of the crash. */
+	readonly otherSuspects: number;
+};
+
 /** Evidence of one crash against one task. */
 export type CrashEvidence = {
 	/** Probability that the worker would have crashed without the task. */
@@ -9,4 +19,6 @@
 	readonly isEarly: boolean;
 	/** Whether no other run can have been the cause. */
 	readonly isAlone: boolean;
+	/** `undefined` for a run that the worker has not confirmed. */
+	readonly details?: CrashDetails;
 };
--- a/packages/workflows/src/crash-histories.ts
+++ b/packages/workflows/src/crash-histories.ts
@@ -49,6 +49,11 @@
 		return Math.max(...rates);
 	}
 
+	/** Counts the crashes of workers that ran the given task. */
+	countCrashes(task: Task): number {
+		return this.#crashes.filter(({tasks}) => tasks.has(task)).length;
+	}
+
 	/** Computes the suspicion of a worker that keeps crashing without a suspect, as in `WorkerHealth`. */
 	computeSuspicion(worker: VmId, now: number): number {
 		if (this.#crashes.length === 0) {
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -360,11 +360,20 @@
 
 	/** Counts the crash of a worker against a task that may have caused it. */
 	#recordCrash(task: Task, worker: string, evidence: CrashEvidence): void {
+		const {log} = this.#options;
+		const wasGivenUp = task.isGivenUp;
 		recordCrash(task, evidence);
 		const {crashes, guilt, isGivenUp} = task;
-		this.#options.log.info('run lost with its worker', {
-			job: task.job.job.id, task: task.name, run: task.run, worker, crashes, coincidence: formatShare(evidence.coincidence), guilt: formatShare(guilt), isGivenUp,
-		});
+		const {coincidence, isEarly, isAlone, details} = evidence;
+		const fields = {
+			job: task.job.job.id, task: task.name, run: task.run, worker, crashes, coincidence: formatShare(coincidence), guilt: formatShare(guilt), isGivenUp,
+			isEarly, isAlone, isConfirmed: details !== undefined, ...details, observedCrashes: this.#crashes.countCrashes(task),
+		};
+		log.info('run lost with its worker', fields);
+		if (isGivenUp && !wasGivenUp) {
+			// A message of its own: of one message only some lines a second are written.
+			log.warn('task given up; workers crash under it', fields);
+		}
 	}
 
 	override handleFenced(session: WorkerSession): void {
