--- a/packages/testing/tests/chance-crashes.test.ts
+++ b/packages/testing/tests/chance-crashes.test.ts
@@ -27,6 +27,8 @@
 	/** Ends workers; called every `disturbanceMs`. */
 	readonly disturb: (system: EmulatedSystem) => void;
 	readonly disturbanceMs: number;
+	/** Share of the orders during the load whose answer is lost; 0 by default. */
+	readonly lostResponseRate?: number;
 };
 
 function restartAny({fleet, random}: EmulatedSystem): void {
@@ -62,6 +64,9 @@
 	{
 		name: 'one of ten jobs crashes its workers beside takeovers', seeds: [1, 2, 3, 5], vms: 24, load: smallJobs, crashingShare: 0.1, killsMs: [3000, 6000, 9000], disturbanceMs: loadMs, disturb() {},
 	},
+	{
+		name: 'one of 25 jobs crashes its workers beside takeovers, restarts and lost answers', seeds: [8, 12, 15], vms: 8, load: {...smallJobs, intervalMs: 80}, crashingShare: 0.04, killsMs: [3000, 6000, 9000], lostResponseRate: 0.15, disturbanceMs: 700, disturb: restartAny,
+	},
 	{
 		name: 'one of 25 jobs crashes its workers beside takeovers', seeds: [7], vms: 8, load: {...smallJobs, intervalMs: 80}, crashingShare: 0.04, killsMs: [3000, 6000, 9000], disturbanceMs: loadMs, disturb() {},
 	},
@@ -69,7 +74,7 @@
 
 // Guards against sound jobs that are given up for crashes which came by chance (LOST), and tasks that crash their workers more often than their budget allows since takeovers hide it (BUDGET).
 for (const {
-	name, seeds, vms, load, crashingShare, killsMs, disturbanceMs, disturb,
+	name, seeds, vms, load, crashingShare, killsMs, disturbanceMs, disturb, lostResponseRate = 0,
 } of cases) {
 	for (const seed of seeds) {
 		test(`${name}, seed ${seed}: no sound job is given up, and crashing tasks keep within their budget`, async t => {
@@ -91,19 +96,24 @@
 				});
 			}
 
-			for (let at = 1000; at < loadMs; at += disturbanceMs) {
+			for (const at of killsMs) {
 				clock.schedule(at, () => {
-					disturb(system);
+					system.killEntry(system.holder ?? system.entries[0]!);
+					system.startEntry();
 				});
 			}
 
-			for (const at of killsMs) {
+			for (let at = 1000; at < loadMs; at += disturbanceMs) {
 				clock.schedule(at, () => {
-					system.killEntry(system.holder ?? system.entries[0]!);
-					system.startEntry();
+					disturb(system);
 				});
 			}
 
+			fleet.orderFaults = {lostResponseRate, lateRate: 0};
+			clock.schedule(loadMs, () => {
+				fleet.orderFaults = {lostResponseRate: 0, lateRate: 0};
+			});
+
 			await clock.run(loadMs + observationMs);
 			const states = Promise.all([...sound, ...crashing].map(async id => system.getState(id)));
 			await clock.run(2000);
