--- a/packages/workflows/src/active-jobs.ts
+++ b/packages/workflows/src/active-jobs.ts
@@ -237,10 +237,6 @@
 			for (const open of saved.open) {
 				restoreOpenTask(tasks[open.index], open);
 			}
-
-			for (const [index, harmlessRuns] of saved.harmless ?? []) {
-				restoreHarmlessRuns(tasks[index], harmlessRuns);
-			}
 		}
 
 		this.#restoreGangs();
@@ -297,15 +293,9 @@
 			step,
 			done: started.filter(task => task.phase === 'done').map(task => task.index),
 			open: started.filter(task => task.phase !== 'done').map(task => encodeOpenTask(task)),
-			...encodeHarmlessRuns(started),
 		}];
 }
 
-function encodeHarmlessRuns(tasks: readonly Task[]): Pick<ProgressPartRow['steps'][number], 'harmless'> {
-	const harmless = tasks.filter(task => task.phase !== 'done' && task.harmlessRuns > 0).map(task => [task.index, task.harmlessRuns] as [number, number]);
-	return harmless.length === 0 ? {} : {harmless};
-}
-
 function encodeOpenTask(task: Task): ProgressPartRow['steps'][number]['open'][number] {
 	const {incarnation, checkpoint} = task;
 	const keptCheckpoint = Buffer.byteLength(JSON.stringify(checkpoint)) <= maxCheckpointBytes ? checkpoint : '';
@@ -322,12 +312,6 @@
 	}
 }
 
-function restoreHarmlessRuns(task: Task | undefined, harmlessRuns: number): void {
-	if (task !== undefined) {
-		task.harmlessRuns = harmlessRuns;
-	}
-}
-
 function restoreOpenTask(task: Task | undefined, open: OpenTask): void {
 	if (task !== undefined) {
 		task.run = open.run;
--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -5,7 +5,6 @@
  * depends on the rate of crashes in the pool and on the other suspects. A run that outlasts its start lowers it.
  */
 import {type Task} from './tasks.js';
-import {isAssigned} from './task-phases.js';
 import {priorGuilt, type CrashEvidence} from './crash-evidence.js';
 import {type CrashHistory} from './crash-histories.js';
 
@@ -17,21 +16,15 @@
 const maxGuilt = 0.9999;
 /** Smallest probability of a crash without the task that is assumed: at least three crashes are needed to give a task up. */
 const minCoincidence = 0.01;
-/** Runs in a row that may each have crashed their worker, after which a task is given up: the budget allows two starts after three crashes. */
-const maxCrashes = 5;
-/** Crashes that must be known where a takeover may have hidden the others of these, and the probability that the task must have then. */
-const besideUnknown = {crashes: 2, guilt: 0.05} as const;
-/** Runs of unknown end that do not make a suspect of a task: each takeover leaves one. From four on, the task is tested alone, so before its budget is used up. */
-const maxUntestedRuns = 1;
+/** Crashes in a row at the start of its runs after which a task is given up: one less if it was the only suspect of the last, since the crash of a start may go unseen in a takeover. */
+const maxCrashes = {alone: 4, any: 5} as const;
 /** Factor of the probability when a worker survives the start of a run; most tasks that crash their workers do so at once. */
 const survivalFactor = 0.1;
-/** Number of suspects that are started on one worker together, by the runs in a row that may have crashed their workers: the culprit among 200 tasks is alone at its fourth start. */
+/** Number of suspects that are started on one worker together, by the crashes in a row under them: the culprit among 200 tasks is alone at its fourth start. */
 const suspectsPerWorker = [Number.POSITIVE_INFINITY, 32, 6, 1] as const;
-const maxTestStage = suspectsPerWorker.length - 1;
 /** Probability above which suspects are kept apart by it, so that those on one worker add up to half a culprit. */
 const separatedGuilt = 0.1;
 const msPerSecond = 1000;
-const loggedDigits = 3;
 /** Wait after which a suspect of one crash starts beside any number of others, in milliseconds. */
 const maxSuspectWaitMs = 1000;
 /** Probability above which it does not. */
@@ -44,8 +37,6 @@
 	readonly seenAt: number;
 	/** When it was found to be gone. */
 	readonly lostAt: number;
-	/** Computes the share of the pool's other workers that were lost at the same time without running a task. */
-	readonly computeCommonLoss?: (task: Task) => number;
 };
 
 /** Reports whether the worker of a run is not known to have survived its start; `seenAt` is when the worker was last known to be up. */
@@ -65,28 +56,25 @@
 
 /** Weighs a crash against each of its suspects; `workers` is the number of workers to which the history belongs. */
 export function computeEvidence(lost: LostWorker, history: CrashHistory, workers: number): Map<Task, CrashEvidence> {
-	const {seenAt, lostAt, computeCommonLoss} = lost;
+	const {seenAt, lostAt} = lost;
 	const suspects = listSuspects(lost);
 	const innocence = suspects.reduce((product, {guilt}) => product * (1 - guilt), 1);
 	return new Map(suspects.map(task => {
 		const exposureMs = task.orderedAt === 0 ? lostAt - seenAt : lostAt - task.orderedAt;
 		const rate = history.estimateRate(task, lostAt, workers);
 		const withoutCrash = Math.exp(-rate * Math.max(0, exposureMs));
-		const commonLoss = computeCommonLoss?.(task) ?? 0;
-		// A common cause takes a given worker with the probability of its share of the pool, and a task that crashes its workers does not raise that share.
-		const coincidence = Math.max(commonLoss, 1 - ((innocence / (1 - task.guilt)) * withoutCrash));
+		const coincidence = 1 - ((innocence / (1 - task.guilt)) * withoutCrash);
 		return [task, {
 			coincidence: Math.max(minCoincidence, coincidence),
 			isEarly: isUnproven(task, seenAt),
-			details: {
-				exposureMs: Math.round(exposureMs), ratePerS: formatNumber(rate * msPerSecond), otherSuspects: suspects.length - 1, commonLoss: formatNumber(commonLoss),
-			},
+			isAlone: suspects.length === 1,
+			details: {exposureMs: Math.round(exposureMs), ratePerS: Number((rate * msPerSecond).toPrecision(3)), otherSuspects: suspects.length - 1},
 		}];
 	}));
 }
 
 /** Evidence of a lost worker against a run that it did not confirm: it says little, but the start counts. */
-export const unobservedCrash: CrashEvidence = {coincidence: 0.5, isEarly: true};
+export const unobservedCrash: CrashEvidence = {coincidence: 0.5, isEarly: true, isAlone: false};
 
 /** Reports whether a start was on its way to a worker that was lost at `lostAt`, or an earlier holder had ordered the run of a suspect there that it never listed. */
 export function isUnobserved(task: Task, lostAt: number): boolean {
@@ -97,63 +85,29 @@
 	return task.orderedAt === 0 ? isSuspect(task) : lostAt - task.orderedAt < provingMs;
 }
 
-/** Rounds a number for log lines. */
-function formatNumber(value: number): number {
-	return Number(value.toPrecision(loggedDigits));
-}
-
 /** Counts a crash against a task. */
-export function recordCrash(task: Task, {coincidence, isEarly}: CrashEvidence): void {
+export function recordCrash(task: Task, {coincidence, isEarly, isAlone}: CrashEvidence): void {
 	const {guilt} = task;
 	task.guilt = Math.min(maxGuilt, guilt / (guilt + ((1 - guilt) * coincidence)));
-	if (isEarly) {
-		task.crashes++;
-	} else {
-		recordProvenRun(task);
-	}
-
-	task.isGivenUp ||= task.guilt >= guiltLimit || isOverBudget(task);
+	task.crashes += isEarly ? 1 : 0;
+	task.isGivenUp ||= task.guilt >= guiltLimit || task.crashes >= (isAlone ? maxCrashes.alone : maxCrashes.any);
 }
 
 /** Notes that the worker of a run has survived its start. */
 export function recordSurvival(task: Task): void {
 	task.crashes = 0;
-	task.harmlessRuns = task.run;
 	task.guilt = task.spec.isLongRunning ? priorGuilt : Math.max(priorGuilt, task.guilt * survivalFactor);
 }
 
-/** Notes that a worker has survived the start of the last run of a task. */
-export function recordProvenRun(task: Task): void {
-	task.harmlessRuns = Math.max(task.harmlessRuns, task.run - task.crashes);
-}
-
-/** Notes that the last run of a task has not begun. */
-export function recordUnbegunRun(task: Task): void {
-	task.harmlessRuns = Math.min(task.harmlessRuns + 1, task.run);
-}
-
-/** Reports whether the next run could exceed the number of workers that may crash under a task. */
-function isOverBudget({crashes, run, harmlessRuns, guilt}: Task): boolean {
-	return crashes >= maxCrashes || (crashes >= besideUnknown.crashes && guilt >= besideUnknown.guilt && run - harmlessRuns >= maxCrashes);
-}
-
-/** Computes how far the test of a task has come, as an index of `suspectsPerWorker`. */
-function computeTestStage(task: Task): number {
-	const {crashes, run, harmlessRuns} = task;
-	const current = isAssigned(task.phase) ? 1 : 0;
-	const possible = run - harmlessRuns - current;
-	return Math.min(maxTestStage, Math.max(crashes, possible - maxUntestedRuns));
-}
-
 /** Reports whether a task's start is tested, with a limited number of others on the same worker. */
-export function isSuspect(task: Task): boolean {
-	return computeTestStage(task) > 0 || task.guilt >= separatedGuilt;
+export function isSuspect({crashes, guilt}: Task): boolean {
+	return crashes > 0 || guilt >= separatedGuilt;
 }
 
 /** Computes the share that a suspect takes of the suspects which may start on one worker together. */
-export function computeSuspectShare(task: Task): number {
-	const byStage = 1 / suspectsPerWorker[computeTestStage(task)]!;
-	return Math.min(1, Math.max(byStage, task.guilt >= separatedGuilt ? task.guilt * 2 : 0));
+export function computeSuspectShare({crashes, guilt}: Task): number {
+	const byCrashes = 1 / suspectsPerWorker[Math.min(crashes, suspectsPerWorker.length - 1)]!;
+	return Math.min(1, Math.max(byCrashes, guilt >= separatedGuilt ? guilt * 2 : 0));
 }
 
 /** Reports whether a suspect is the only task that starts on its worker until it is proven. */
@@ -162,6 +116,6 @@
 }
 
 /** Reports whether a suspect has waited so long for a worker to be tested on that it starts on any. */
-export function isSuspectOverdue(task: Task, now: number): boolean {
-	return computeTestStage(task) <= 1 && task.guilt < maxOverdueGuilt && now - task.releasedAt > maxSuspectWaitMs;
+export function isSuspectOverdue({crashes, guilt, releasedAt}: Task, now: number): boolean {
+	return crashes <= 1 && guilt < maxOverdueGuilt && now - releasedAt > maxSuspectWaitMs;
 }
--- a/packages/workflows/src/crash-evidence.ts
+++ b/packages/workflows/src/crash-evidence.ts
@@ -9,8 +9,6 @@
 	readonly ratePerS: number;
 	/** Number of other suspects of the crash. */
 	readonly otherSuspects: number;
-	/** Share of the pool's other workers that were lost at the same time. */
-	readonly commonLoss: number;
 };
 
 /** Evidence of one crash against one task. */
@@ -19,6 +17,8 @@
 	readonly coincidence: number;
 	/** Whether the worker was not known to have survived the start of the run. */
 	readonly isEarly: boolean;
+	/** Whether no other run can have been the cause. */
+	readonly isAlone: boolean;
 	/** `undefined` for a run that the worker has not confirmed. */
 	readonly details?: CrashDetails;
 };
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -11,7 +11,7 @@
 import {type ChargeMonitor} from './charge-monitors.js';
 import {type JobChange, type JobFeed, type JobSubscriber} from './job-feeds.js';
 import {
-	computeEvidence, isSuspect, isUnobserved, recordCrash, recordProvenRun, unobservedCrash, type LostWorker,
+	computeEvidence, isSuspect, isUnobserved, recordCrash, unobservedCrash,
 } from './crash-budgets.js';
 import {type CrashEvidence} from './crash-evidence.js';
 import {CrashHistory} from './crash-histories.js';
@@ -74,7 +74,7 @@
 	readonly #jobs = new Map<JobId, ActiveJob>();
 	readonly #sessions = new Map<VmId, WorkerSession>();
 	readonly #doubtfulRuns: DoubtfulRuns;
-	readonly #crashes: CrashHistory;
+	readonly #crashes = CrashHistory.create();
 	/** Ended worker incarnations and the time at which each end was detected; the registry may still list them for some seconds. */
 	readonly #endedIncarnations = new Map<string, number>();
 	readonly #planner: PoolPlanner;
@@ -89,7 +89,6 @@
 		this.#options = options;
 		this.service = options.service;
 		this.fencingToken = options.epoch;
-		this.#crashes = CrashHistory.create(options.clock.readMonotonic());
 		this.#doubtfulRuns = DoubtfulRuns.create(options.timings.orderTimeoutMs);
 		this.#progressWriter = ProgressWriter.create({
 			...options,
@@ -309,10 +308,6 @@
 		}
 
 		for (const task of session.tasks) {
-			if (!evidence.has(task) && (task.isConfirmed || (end.isOrdered ?? false))) {
-				recordProvenRun(task);
-			}
-
 			if (this.#doubtfulRuns.isDoubtful(task, end)) {
 				task.pendingCrash ??= evidence.get(task);
 				this.#holdTask(task, session);
@@ -355,40 +350,24 @@
 	#computeLossEvidence(session: WorkerSession): Map<Task, CrashEvidence> {
 		const lostAt = session.lostAt ?? this.#options.clock.readMonotonic();
 		const {record, tasks, seenAt} = session;
-		const lost = this.#describeLoss(session, lostAt);
 		const unobserved = [...tasks].filter(task => isUnobserved(task, lostAt)).map(task => [task, unobservedCrash] as const);
-		const evidence = new Map([...session.crashAtExpiry, ...unobserved, ...computeEvidence(lost, this.#crashes, this.#sessions.size)]);
+		const evidence = new Map([...session.crashAtExpiry, ...unobserved, ...computeEvidence({tasks, seenAt, lostAt}, this.#crashes, this.#sessions.size)]);
 		this.#crashes.record({
-			worker: record.id, seenAt, at: lostAt, tasks: new Set(tasks), isExplained: [...evidence.keys()].some(task => isSuspect(task)),
+			worker: record.id, at: lostAt, tasks: new Set(tasks), isExplained: [...evidence.keys()].some(task => isSuspect(task)),
 		});
 		return evidence;
 	}
 
-	/** Describes the loss of a worker, beside those of others that do not respond. */
-	#describeLoss({record, tasks, seenAt}: WorkerSession, lostAt: number): LostWorker {
-		const others = [...this.#sessions.values()].filter(other => other.record.id !== record.id);
-		const unreachable = others.flatMap(({record: {id: worker}, seenAt: otherSeenAt, lostAt: otherLostAt, tasks: otherTasks}) => otherLostAt === undefined
-			? []
-			: [{
-				worker, seenAt: otherSeenAt, lostAt: otherLostAt, tasks: otherTasks,
-			}]);
-		const losses = this.#crashes.listCommonLosses({worker: record.id, seenAt, lostAt}, unreachable);
-		const otherWorkers = new Set([...others.map(other => other.record.id), ...losses.map(({worker}) => worker)]).size;
-		return {
-			tasks, seenAt, lostAt, computeCommonLoss: task => losses.filter(loss => !loss.tasks.has(task)).length / Math.max(1, otherWorkers),
-		};
-	}
-
 	/** Counts the crash of a worker against a task that may have caused it. */
 	#recordCrash(task: Task, worker: string, evidence: CrashEvidence): void {
 		const {log} = this.#options;
 		const wasGivenUp = task.isGivenUp;
 		recordCrash(task, evidence);
-		const {crashes, guilt, isGivenUp, harmlessRuns} = task;
-		const {coincidence, isEarly, details} = evidence;
+		const {crashes, guilt, isGivenUp} = task;
+		const {coincidence, isEarly, isAlone, details} = evidence;
 		const fields = {
-			job: task.job.job.id, task: task.name, run: task.run, harmlessRuns, worker, crashes, coincidence: formatShare(coincidence), guilt: formatShare(guilt), isGivenUp,
-			isEarly, isConfirmed: details !== undefined, ...details, observedCrashes: this.#crashes.countCrashes(task),
+			job: task.job.job.id, task: task.name, run: task.run, worker, crashes, coincidence: formatShare(coincidence), guilt: formatShare(guilt), isGivenUp,
+			isEarly, isAlone, isConfirmed: details !== undefined, ...details, observedCrashes: this.#crashes.countCrashes(task),
 		};
 		log.info('run lost with its worker', fields);
 		if (isGivenUp && !wasGivenUp) {
@@ -561,7 +540,6 @@
 
 		task.job.hasBegun = true;
 		task.pendingCrash = undefined;
-		recordProvenRun(task);
 		this.#releaseTask(task, changed);
 		if (ending === 'done' && !task.spec.isLongRunning) {
 			session.health.recordEnding(key.job, false, now);
@@ -620,10 +598,6 @@
 				this.#options.log.info('run not found on worker', {
 					job: task.job.job.id, task: task.name, run: task.run, worker: session.name, phase: task.phase,
 				});
-				if (task.isListed) {
-					recordProvenRun(task);
-				}
-
 				this.#releaseTask(task, changed);
 			}
 		}
@@ -715,7 +689,7 @@
 		if (expired.length > 0) {
 			this.#options.log.info('lease lapsed', {worker: session.name, tasks: expired.length, unlisted: session.tasks.size - expired.length});
 			// The worker may be cut off rather than crashed; that shows once it answers again or its VM is found down.
-			const evidence = computeEvidence(this.#describeLoss(session, session.lostAt ?? now), this.#crashes, this.#sessions.size);
+			const evidence = computeEvidence({tasks: session.tasks, seenAt: session.seenAt, lostAt: session.lostAt ?? now}, this.#crashes, this.#sessions.size);
 			for (const [task, crash] of [...evidence].filter(([task]) => expired.includes(task))) {
 				session.crashAtExpiry.set(task, crash);
 			}
--- a/packages/workflows/src/starters.ts
+++ b/packages/workflows/src/starters.ts
@@ -6,7 +6,6 @@
 } from '@tamarackwind/core';
 import {match} from 'ts-pattern';
 import {type Task} from './tasks.js';
-import {recordUnbegunRun} from './crash-budgets.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type StartRefusal, type WorkerControl} from './workers.js';
 import {type WorkerSession} from './worker-sessions.js';
@@ -125,7 +124,6 @@
 	}
 
 	#release(task: Task, session: WorkerSession): void {
-		recordUnbegunRun(task);
 		session.removeTask(task);
 		task.phase = 'waiting';
 		task.incarnation = undefined;
--- a/packages/workflows/src/tasks.ts
+++ b/packages/workflows/src/tasks.ts
@@ -26,7 +26,6 @@
 	#failures = 0;
 	#crashes = 0;
 	#guilt = priorGuilt;
-	#harmlessRuns = 0;
 	#incarnation: WorkerIncarnation | undefined;
 	#isStartQueued = false;
 	/** Progress reported by the worker, in percent. */
@@ -125,16 +124,6 @@
 		this.job.markChanged(this);
 	}
 
-	/** Number of runs that are known not to have crashed a worker at their start; each of the others since may have. */
-	get harmlessRuns(): number {
-		return this.#harmlessRuns;
-	}
-
-	set harmlessRuns(harmlessRuns: number) {
-		this.#harmlessRuns = harmlessRuns;
-		this.job.markChanged(this);
-	}
-
 	/** Worker incarnation to which the last run was assigned; `undefined` once that run is known to have ended. */
 	get incarnation(): WorkerIncarnation | undefined {
 		return this.#incarnation;
