--- a/packages/scheduling/tests/sizing-plans.test.ts
+++ b/packages/scheduling/tests/sizing-plans.test.ts
@@ -109,6 +109,20 @@
 		}), noSpare],
 		moves: [],
 	},
+	{
+		name: 'a pool whose gang needs more than its idle VM gets one of another pool (review of issue 50: a reserve held back without a bound)',
+		pools: [createPool('north', {
+			count: 6, idle: 1, usedCpu: 42_000, waitingCpu: 0, starvedMs: 20_000,
+		}), createPool('south', {count: 5, idle: 2, usedCpu: 12_000}), noSpare],
+		moves: ['south>north'],
+	},
+	{
+		name: 'a VM that has come for starved tasks is not switched off while they still wait (review of issue 50: it would come again at once)',
+		pools: [createPool('north', {
+			count: 9, idle: 1, idleMs: 2000, usedCpu: 25_000, waitingCpu: 2000, starvedMs: 9000,
+		}), spare],
+		moves: [],
+	},
 	{name: 'without a spare pool nothing is switched off', pools: [createPool('north', {count: 9, idle: 9})], moves: []},
 ];
 
