Add tests of a pool that is emptied by lending its reserve

Cause: lendReserves has no floor, a task without any worker waits with no-matching-worker, which does not count as a wait for room, and an overloaded pool has no surplus to give back.

--- a/packages/scheduling/tests/sizing-plans.test.ts
+++ b/packages/scheduling/tests/sizing-plans.test.ts
@@ -123,6 +123,13 @@
 		}), spare],
 		moves: [],
 	},
+	{
+		name: 'a pool does not lend its last VM (review of issue 50: its next job has no worker, and nothing brings one back)',
+		pools: [createPool('north', {
+			count: 11, usedCpu: 66_000, waitingCpu: 600_000, starvedMs: 20_000,
+		}), createPool('south', {count: 1, idle: 1}), noSpare],
+		moves: [],
+	},
 	{name: 'without a spare pool nothing is switched off', pools: [createPool('north', {count: 9, idle: 9})], moves: []},
 ];
 
