--- a/packages/workflows/tests/start-slots.test.ts
+++ b/packages/workflows/tests/start-slots.test.ts
@@ -27,11 +27,15 @@
 			clock,
 			timings,
 			control: {
-				getOrderLimit: () => maxOpen, renewLease: async () => ({status: 'listed', startedAt: 1, clock: clock.readMonotonic(), running: [], ends: [], areEndsComplete: true}),
+				getOrderLimit: () => maxOpen, renewLease: async () => ({
+					status: 'listed', startedAt: 1, clock: clock.readMonotonic(), running: [], ends: [], areEndsComplete: true,
+				}),
 			} as unknown as WorkerControl,
 			log: RateLimitedLog.create(Log.createSilent(), clock),
 			owner: {fencingToken: 1, isRenewalAllowed: true, applyListing: async () => true} as unknown as SessionOwner,
-			record: {id: 'worker-1' as VmId, startedAt: 1, capacity: {cpu: 8000, memory: 1000, gpu: 0}, labels: [], isDraining: false} as unknown as WorkerRecord,
+			record: {
+				id: 'worker-1' as VmId, startedAt: 1, capacity: {cpu: 8000, memory: 1000, gpu: 0}, labels: [], isDraining: false,
+			} as unknown as WorkerRecord,
 			earlierRunsEndBy: 0,
 		});
 		const sent = Array.from({length: orders}, async () => t.throwsAsync(session.orders.send('stop', async () => {
