Leave a worker without unsent starts one start at a time, however slow its orders were

What callers see: LOST. Tasks wait with start-queued beside an idle worker that lists its runs and counts as one that takes work. Cause: the number of starts that a worker gets follows the mean response time of its orders, time-outs included. Above 1 s with two open orders it is 0, and only an answer to an order lowers the mean. Ruled out: the emulator's histories, whose time-out of orders is 1,000 ms, just not above the limit. Change: at least one start may be on its way to a worker.

--- a/packages/workflows/src/worker-sessions.ts
+++ b/packages/workflows/src/worker-sessions.ts
@@ -420,9 +420,12 @@
 		}
 	}
 
-	/** Number of starts that may be assigned now: as many as the worker takes within the longest wait, so that others with room get the rest. */
+	/**
+	 * Number of starts that may be assigned now: as many as the worker takes within the longest wait, so that others with room get the rest. At least one is
+	 * on its way at a time, since only answers to orders show that the worker has become faster.
+	 */
 	get #startSlots(): number {
-		return Math.max(0, Math.floor(maxStartWaitMs / this.orders.intervalMs) - this.#unsentTasks.size);
+		return Math.max(0, Math.max(1, Math.floor(maxStartWaitMs / this.orders.intervalMs)) - this.#unsentTasks.size);
 	}
 
 	#countTask({spec}: Task, sign: 1 | -1): void {
