Keep half of a pool's minimum and the VMs of its widest step when it lends its reserve

What callers see: a job of a pool that was idle stands while another pool has more work than it can do, since its VMs were lent one after the other and none comes back. Cause: the loan of reserves had no floor, and a pool without workers counts as starved by no reason, as its tasks can't be told to wait for room. Change: a pool lends down to half of its minimum, or to the width of its widest long-running step; a pool without VMs is starved by any wait. A pool with idle VMs that its waiting tasks leave aside gets a further one after 9 s more for each of them, as a gang may need several; a starved pool keeps one idle VM, which would be asked for again.

--- a/packages/scheduling/src/sizing-plans.ts
+++ b/packages/scheduling/src/sizing-plans.ts
@@ -50,12 +50,16 @@
 	readonly minMoveIdleMs: number;
 	/** Wait for room from which the reserves of other pools are lent, one VM at a time, in milliseconds: reserves are for work to come. */
 	readonly maxStarvedMs: number;
+	/** Part of this wait that is added for each idle VM of the pool, which its waiting tasks leave aside. */
+	readonly starvedShareOfIdle: number;
+	/** Share of its minimum that a pool keeps when it lends, so that its next jobs have workers. */
+	readonly keptShare: number;
 	/** Idle time after which a VM is lent by a pool whose own tasks wait for room in vain, in milliseconds. */
 	readonly minStarvedIdleMs: number;
 };
 
 export const defaultSizing: SizingOptions = {
-	packingShare: 0.85, reserveVms: 2, minVms: 5, minShare: 0.5, minExpectedVms: 25, minSwitchOffIdleMs: 1500, minMoveIdleMs: 300, maxStarvedMs: 3000, minStarvedIdleMs: 9000,
+	packingShare: 0.85, reserveVms: 2, minVms: 5, minShare: 0.5, minExpectedVms: 25, minSwitchOffIdleMs: 1500, minMoveIdleMs: 300, maxStarvedMs: 3000, starvedShareOfIdle: 3, keptShare: 0.5, minStarvedIdleMs: 9000,
 };
 
 export type SizingMove = {readonly vm: VmId; readonly from: PoolName; readonly to: PoolName};
@@ -64,6 +68,8 @@
 	readonly pool: SizedPool;
 	readonly surplus: number;
 	readonly idle: SizedVm[];
+	/** Number of VMs that the pool may lend beyond its surplus. */
+	readonly lendable: number;
 	/** Whether tasks have waited for room for so long that the pool gets a VM whatever its demand. */
 	readonly isStarved: boolean;
 };
@@ -98,25 +104,27 @@
 	const [spare] = spares;
 	const moved = new Set(moves.map(({vm}) => vm));
 	for (const {pool, surplus, idle} of spare === undefined ? [] : states) {
-		const unused = idle.slice(0, Math.max(0, surplus)).filter(vm => !moved.has(vm.id) && vm.idleMs! >= options.minSwitchOffIdleMs);
+		// A VM that has come for tasks which still wait would be asked for again.
+		const kept = pool.starvedMs >= options.maxStarvedMs ? 1 : 0;
+		const unused = idle.slice(0, Math.max(0, Math.min(surplus, idle.length - kept))).filter(vm => !moved.has(vm.id) && vm.idleMs! >= options.minSwitchOffIdleMs);
 		moves.push(...unused.map(vm => ({vm: vm.id, from: pool.name, to: spare!.name})));
 	}
 
 	return moves;
 }
 
-/** Lends one idle VM to each starved pool that gets none otherwise, whatever reserve its pool keeps; those of pools without such tasks first. */
+/** Lends one idle VM to each starved pool that gets none otherwise, of what another pool keeps in reserve; those of pools without such tasks first. */
 function lendReserves(states: readonly PoolState[], moves: readonly SizingMove[], {minMoveIdleMs, minStarvedIdleMs}: SizingOptions): SizingMove[] {
 	const moved = new Set(moves.map(({vm}) => vm));
-	const reserves = states.toSorted((a, b) => Number(a.isStarved) - Number(b.isStarved)).flatMap(({pool, idle}) => idle
-		.filter(({id, idleMs}) => !moved.has(id) && idleMs! >= (pool.starvedMs > 0 ? minStarvedIdleMs : minMoveIdleMs)).map(({id}) => ({vm: id, from: pool.name})));
+	const reserves = states.toSorted((a, b) => Number(a.isStarved) - Number(b.isStarved)).flatMap(({pool, idle, lendable}) => idle
+		.filter(({id, idleMs}) => !moved.has(id) && idleMs! >= (pool.starvedMs > 0 ? minStarvedIdleMs : minMoveIdleMs)).slice(0, lendable).map(({id}) => ({vm: id, from: pool.name})));
 	return states.filter(({pool, isStarved}) => isStarved && !moves.some(({to}) => to === pool.name)).flatMap(({pool}) => {
 		const position = reserves.findIndex(({from}) => from !== pool.name);
 		return position === -1 ? [] : reserves.splice(position, 1).map(({vm, from}) => ({vm, from, to: pool.name}));
 	});
 }
 
-function describePool(pool: SizedPool, {packingShare, reserveVms, minVms, minExpectedVms, maxStarvedMs}: SizingOptions): PoolState {
+function describePool(pool: SizedPool, {packingShare, reserveVms, minVms, minExpectedVms, maxStarvedMs, starvedShareOfIdle, keptShare}: SizingOptions): PoolState {
 	const packedCpu = Math.max(1, ...pool.vms.map(vm => vm.cpu)) * packingShare;
 	const demandCpu = pool.usedCpu + pool.waitingCpu;
 	const expectedCpu = demandCpu < minExpectedVms * packedCpu ? demandCpu : Math.max(demandCpu, pool.expectedCpu);
@@ -126,7 +134,8 @@
 		pool,
 		surplus: pool.vms.length + pool.incoming - needed,
 		idle,
-		// Tasks that leave an idle VM aside would leave a further one aside too.
-		isStarved: pool.starvedMs >= maxStarvedMs && pool.incoming === 0 && idle.length === 0,
+		lendable: Math.max(0, pool.vms.length - Math.max(pool.antiAffinityVms, Math.ceil(minVms * keptShare))),
+		// Tasks that leave an idle VM aside may need several, or would leave a further one aside too.
+		isStarved: pool.starvedMs >= maxStarvedMs * (1 + (starvedShareOfIdle * idle.length)) && pool.incoming === 0,
 	};
 }
--- a/packages/scheduling/tests/sizing-plans.test.ts
+++ b/packages/scheduling/tests/sizing-plans.test.ts
@@ -130,6 +130,13 @@
 		}), createPool('south', {count: 1, idle: 1}), noSpare],
 		moves: [],
 	},
+	{
+		name: 'a pool does not lend the VMs over which its widest long-running step is spread',
+		pools: [createPool('north', {
+			count: 11, usedCpu: 66_000, waitingCpu: 600_000, starvedMs: 20_000,
+		}), createPool('south', {count: 4, idle: 2, antiAffinityVms: 4}), noSpare],
+		moves: [],
+	},
 	{name: 'without a spare pool nothing is switched off', pools: [createPool('north', {count: 9, idle: 9})], moves: []},
 ];
 
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -168,10 +168,11 @@
 			const scheduler = schedulers.get(name);
 			const load = scheduler?.computeLoad();
 			this.#trend.observe(pool, (load?.usedCpu ?? 0) + (load?.waitingCpu ?? 0), this.#options.clock.readMonotonic());
+			const poolVms = vms.filter(vm => vm.pool as string === name && vm.state === 'up' && !this.#moving.has(vm.id));
 			return {
 				name: pool,
 				isSpare,
-				vms: vms.filter(vm => vm.pool as string === name && vm.state === 'up' && !this.#moving.has(vm.id)).map(vm => ({
+				vms: poolVms.map(vm => ({
 					id: vm.id, cpu: vm.capacity.cpu, idleMs: isReserved(vm.id) || !this.#options.orders.isOrderable(vm.id) ? undefined : this.#computeIdleMs(vm, isSpare),
 				})),
 				incoming: [...this.#moving.values()].filter(move => move.to as string === name).length,
@@ -179,7 +180,8 @@
 				waitingCpu: load?.waitingCpu ?? 0,
 				expectedCpu: this.#trend.estimateDemand(pool),
 				antiAffinityVms: load?.antiAffinityVms ?? 0,
-				starvedMs: scheduler?.waits.longestRoomWaitMs ?? 0,
+				// Without a worker, no task can be told to wait for room.
+				starvedMs: (poolVms.length === 0 ? scheduler?.waits.longestWaitMs : scheduler?.waits.longestRoomWaitMs) ?? 0,
 			};
 		});
 	}
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -67,6 +67,11 @@
 		return Math.max(0, ...roomReasons.map(reason => this.#summaries.get(reason)?.longestMs ?? 0));
 	}
 
+	/** Longest time for which a task had waited for any reason at the last observation, in milliseconds; 0 if none did. */
+	get longestWaitMs(): number {
+		return Math.max(0, ...[...this.#summaries.values()].map(({longestMs}) => longestMs));
+	}
+
 	/** Observes the pool's jobs if that is due, or continues an observation that was over its budget. */
 	observe({jobs, now, readUse, isOverBudget}: ObservationOptions): void {
 		if (this.#round === undefined && now - this.#startedAt >= observationIntervalMs) {
