Give the room of a VM back when the order of a wave is not carried out

What callers see: LOST. A long-running task stands beside an empty worker that a wave has cordoned, for as long as the control of VMs is busy, turns orders away or leaves them unanswered, or the store does not record them. Cause: the cordon was renewed with each try, whatever became of the order; an error ended the round for the other VMs of the wave, too. Found by the review: gave the room back only where a disruption budget held up the drain. And a budget that is used up for the moment in which an evicted task starts elsewhere counted as one that holds it up. Ruled out: moves, whose cordons expire. Change: each VM's order is tried by itself; a VM that cannot be drained, or whose order is not carried out, for 1 s while tasks wait for room gets work again, and the wave comes back to it after the time of a drain.

--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -45,8 +45,8 @@
 const waveIntervalMs = 250;
 /** Interval at which pool sizes are updated, in milliseconds: short compared to the duration of a move. */
 const sizingIntervalMs = 200;
-/** Wait for room in a pool from which a drain that cannot go on is given up, in milliseconds: a third of the time for which no task may stand. */
-const maxBlockedWaitMs = 1000;
+/** Time for which a VM of a wave cannot be drained or ordered, while tasks of its pool wait for room, until it gets work again, in milliseconds: a third of the time for which no task may stand. */
+const maxStuckMs = 1000;
 /** Progress at which a long-running task is ready, in percent. */
 const readyPercent = 100;
 /** Table with the progress of each wave. */
@@ -65,6 +65,8 @@
 	readonly down: Map<VmId, number>;
 	/** VMs that are being drained, with the time at which draining began. */
 	readonly draining: Map<VmId, number>;
+	/** VMs that cannot be drained or whose orders are not carried out, with the time since which this has been so. */
+	readonly stuckSince: Map<VmId, number>;
 	/** VMs whose drain was given up because tasks waited for their room, with the time until which they are left alone. */
 	readonly postponed: Map<VmId, number>;
 	/** VMs missing from the list, with the time at which this was first observed. */
@@ -172,11 +174,8 @@
 		this.#observeVms(progress, vms);
 		this.#startDraining(progress, vms);
 		for (const id of progress.draining.keys()) {
-			if (progress.down.size < wave.cap) {
-				await this.#maintainVm(progress, vms.get(id)!, safeWorkers);
-			}
-
-			this.#releaseBlocked(progress, vms.get(id)!, safeWorkers);
+			const isOrdered = progress.down.size >= wave.cap || await this.#tryMaintainVm(progress, vms.get(id)!, safeWorkers);
+			this.#releaseStuck(progress, vms.get(id)!, {isOrdered, safeWorkers});
 		}
 
 		if (wave.vms.every(id => progress.begun.has(id))) {
@@ -194,6 +193,7 @@
 			// VMs that an earlier holder ordered recently may still be down, or may yet go down.
 			down: new Map([...saved?.begun ?? [], ...wave.vms.filter(id => !this.#orders.isOrderable(id))].map(id => [id, now])),
 			draining: new Map(),
+			stuckSince: new Map(),
 			postponed: new Map(),
 			missing: new Map(),
 			state: saved?.state ?? 'running',
@@ -249,20 +249,33 @@
 		}
 	}
 
-	/** Gives the room of a VM back that cannot be drained because of a disruption budget, if tasks of its pool wait for room. They may be the ones that the budget waits for. */
-	#releaseBlocked({wave, draining, postponed}: WaveProgress, vm: FleetVm, safeWorkers: SafeWorkers): void {
+	/**
+	 * Gives the room of a VM back that cannot be drained because of a disruption budget, or whose order is not carried out, if tasks of its pool wait for room.
+	 * They may be the ones that the budget waits for.
+	 */
+	#releaseStuck({wave, draining, stuckSince, postponed}: WaveProgress, vm: FleetVm, {isOrdered, safeWorkers}: {readonly isOrdered: boolean; readonly safeWorkers: SafeWorkers}): void {
 		const {clock, log, timings} = this.#options;
 		const session = this.#findSession(vm);
+		const now = clock.readMonotonic();
+		const isStuck = session !== undefined && draining.has(vm.id) && (!isOrdered || isBlocked(session, safeWorkers));
+		if (!isStuck) {
+			stuckSince.delete(vm.id);
+			return;
+		}
+
+		const since = stuckSince.get(vm.id) ?? now;
+		stuckSince.set(vm.id, since);
 		const waitMs = this.#options.listPools().find(pool => pool.service as string === vm.pool as string)?.waits.longestRoomWaitMs ?? 0;
-		if (session === undefined || !draining.has(vm.id) || waitMs < maxBlockedWaitMs || !isBlocked(session, safeWorkers)) {
+		if (waitMs < maxStuckMs || now - since < maxStuckMs) {
 			return;
 		}
 
 		draining.delete(vm.id);
-		postponed.set(vm.id, clock.readMonotonic() + timings.drainTimeoutMs);
+		stuckSince.delete(vm.id);
+		postponed.set(vm.id, now + timings.drainTimeoutMs);
 		session.cordons.clear('upkeep');
 		log.info('upkeep postponed', {
-			wave: wave.id, vm: vm.id, worker: session.name, tasks: session.tasks.size, waitMs: Math.round(waitMs), reason: 'disruption budget',
+			wave: wave.id, vm: vm.id, worker: session.name, tasks: session.tasks.size, waitMs: Math.round(waitMs), reason: isOrdered ? 'disruption budget' : 'order not carried out',
 		});
 	}
 
@@ -276,7 +289,17 @@
 		cordons.renew('upkeep', timings.moveTimeoutMs);
 	}
 
-	async #maintainVm(progress: WaveProgress, vm: FleetVm, safeWorkers: SafeWorkers): Promise<void> {
+	/** Orders the maintenance of a VM if it is drained; resolves to whether that has not failed. */
+	async #tryMaintainVm(progress: WaveProgress, vm: FleetVm, safeWorkers: SafeWorkers): Promise<boolean> {
+		try {
+			return await this.#maintainVm(progress, vm, safeWorkers);
+		} catch (error) {
+			this.#options.log.warn('upkeep not answered', {wave: progress.wave.id, vm: vm.id, error: readErrorMessage(error)});
+			return false;
+		}
+	}
+
+	async #maintainVm(progress: WaveProgress, vm: FleetVm, safeWorkers: SafeWorkers): Promise<boolean> {
 		const {clock, fleet, log, holder, epoch, timings} = this.#options;
 		const {wave, begun, down, draining} = progress;
 		const session = this.#findSession(vm);
@@ -286,8 +309,16 @@
 
 		const waitedMs = clock.readMonotonic() - (draining.get(vm.id) ?? 0);
 		const isDrained = () => this.#isDrained(session, {waitedMs, safeWorkers});
-		if (vm.state !== 'up' || !isDrained() || !await this.#orders.recordOrders([vm.id]) || !isDrained()) {
-			return;
+		if (vm.state !== 'up' || !isDrained()) {
+			return true;
+		}
+
+		if (!await this.#orders.recordOrders([vm.id])) {
+			return false;
+		}
+
+		if (!isDrained()) {
+			return true;
 		}
 
 		this.#orders.noteSent(vm.id, timings.moveTimeoutMs);
@@ -297,7 +328,7 @@
 			wave: wave.id, vm: vm.id, worker: vm.worker, outcome, waitedMs: Math.round(waitedMs), tasks: session?.tasks.size ?? 0, down: down.size, cap: wave.cap,
 		});
 		if (outcome === 'busy') {
-			return;
+			return false;
 		}
 
 		draining.delete(vm.id);
@@ -310,6 +341,7 @@
 		}
 
 		await this.#writeState(progress, progress.state);
+		return true;
 	}
 
 	/**
