Keep a starved pool from being its own source of VMs

What callers see: a worker that is up gets no work for 10 s: its VM is ordered into the pool that it is in, which the control of VMs accepts, and its life counts as ended. Cause: since a pool with idle VMs can count as starved, it could be chosen as the source and the target of one move. Ruled out: loans of reserves, which leave out the pool itself. Change: a starved pool gives no surplus.

--- a/packages/scheduling/src/sizing-plans.ts
+++ b/packages/scheduling/src/sizing-plans.ts
@@ -87,11 +87,12 @@
 	const spares = pools.filter(pool => pool.isSpare);
 	const spareVms = spares.flatMap(pool => pool.vms.filter(vm => vm.idleMs !== undefined).map(vm => ({vm, from: pool.name})));
 	const moves: SizingMove[] = [];
-	const movable = states.filter(state => state.surplus > 0).flatMap(({pool, surplus, idle}) => idle.slice(0, surplus)
+	// A starved pool is given VMs, and gives none meanwhile.
+	const movable = states.filter(state => state.surplus > 0 && !state.isStarved).flatMap(({pool, surplus, idle}) => idle.slice(0, surplus)
 		.filter(vm => vm.idleMs! >= options.minMoveIdleMs).map(vm => ({vm, from: pool.name})));
 	const sources = [...movable, ...spareVms];
 	// Pools get one VM each per round, so that a pool that needs few does not wait for one that needs many.
-	const demands = states.filter(({pool, surplus, isStarved}) => isStarved || (surplus < 0 && pool.waitingCpu > 0)).map(({pool, surplus, isStarved}) => ({pool, isStarved, shortage: Math.max(-surplus, isStarved ? 1 : 0)}));
+	const demands = states.filter(({pool, surplus, isStarved}) => isStarved || (surplus < 0 && pool.waitingCpu > 0)).map(({pool, surplus, isStarved}) => ({pool, shortage: Math.max(-surplus, isStarved ? 1 : 0)}));
 	for (let round = 1; sources.length > 0 && demands.some(({shortage}) => shortage >= round); round++) {
 		for (const {pool} of demands.filter(({shortage}) => shortage >= round).slice(0, sources.length)) {
 			const {vm, from} = sources.shift()!;
--- a/packages/scheduling/tests/sizing-plans.test.ts
+++ b/packages/scheduling/tests/sizing-plans.test.ts
@@ -130,6 +130,13 @@
 		}), createPool('south', {count: 1, idle: 1}), noSpare],
 		moves: [],
 	},
+	{
+		name: 'a starved pool with more VMs than its demand asks for gets none of its own',
+		pools: [createPool('north', {
+			count: 9, idle: 1, usedCpu: 25_000, waitingCpu: 2000, starvedMs: 20_000,
+		}), createPool('south', {count: 5, idle: 2, usedCpu: 12_000}), noSpare],
+		moves: ['south>north'],
+	},
 	{
 		name: 'a pool does not lend the VMs over which its widest long-running step is spread',
 		pools: [createPool('north', {
