Let a claim to a cap that only another claim denies end with that claim

What callers see: LOST. A job stands for 19.8 s, to the end, with its account at 2,000 of 6,000 and its pool nearly empty, beside two long-running tasks of the account for which another pool has no room. Cause: a start that is denied for another claim recorded a claim of its own with the time of that denial. Two steps without room, each of which fits into the cap by itself, so renewed each other's claims without an end, although the cap forbade neither. A state without an exit: its evidence was produced by the state. Change: a claim keeps the time at which the cap itself last forbade a start; one that is denied for another claim takes over the time of that claim. Both end 500 ms after the cap last forbade a start. Measured result: claims-without-room.test.ts, before: 2 of 3 failed, after: 3 hold. cap-claims, account-caps, account-histories and account-ledgers hold.

--- a/packages/workflows/src/cap-claims.ts
+++ b/packages/workflows/src/cap-claims.ts
@@ -23,10 +23,12 @@
 
 /** Steps of a pool that ask for the same, and wait for the cap of their account. */
 type CapClaim = Pick<CappedStepStart, 'service' | 'spec'> & {
-	/** Time at which the cap first forbade a start since their last one. */
+	/** Time at which a start was first denied since their last one. */
 	readonly since: number;
-	/** Time at which it last did. */
+	/** Time at which a start was last denied, by the cap or for another claim. */
 	deniedAt: number;
+	/** Time at which the cap last forbade a start, or that of the claim for which a start was denied. */
+	cappedAt: number;
 };
 
 /**
@@ -35,8 +37,9 @@
  */
 const claimAfterMs = 1500;
 /**
- * Time for which a claim lasts after the cap last forbade the start, in milliseconds: several intervals between passes. It ends so if the step
- * is gone, or if the cap allows the start and its pool has no room.
+ * Time for which a claim holds others up after the cap last forbade the start, in milliseconds: several intervals between passes. It ends so if
+ * the step is gone, or if the cap allows the start and its pool has no room. A start that is denied for another claim holds others up for no longer
+ * than that claim: two steps without room would otherwise renew each other's claims.
  */
 const claimLapseMs = 500;
 /** Maximum number of claims of an account: a start is compared with each of them. */
@@ -61,15 +64,17 @@
 		let isAllowed = isWithinCap({
 			cap, used, task: spec.resources, count,
 		});
+		let cappedAt = start.now;
 		if (isAllowed && claims !== undefined && claims.length > 0) {
 			const claim = findFirst(claims, start);
+			cappedAt = claim?.cappedAt ?? start.now;
 			isAllowed = claim === undefined || !isHeldBy(claim, start) || isWithinCap({
 				cap, used: addResources(used, spec.resources, count), task: claim.spec.resources, count: countTogether(claim.spec),
 			});
 		}
 
 		if (!isAllowed) {
-			this.#record(start, claims);
+			this.#record(start, claims, cappedAt);
 		}
 
 		return isAllowed;
@@ -84,41 +89,48 @@
 		}
 	}
 
-	/** Renews the claim of a start that the cap forbids, or records one if it can be met. */
-	#record(start: CappedStepStart, claims: CapClaim[] | undefined): void {
+	/** Renews the claim of a start that is denied, or records one if it can be met; `cappedAt` is as in the claim. */
+	#record(start: CappedStepStart, claims: CapClaim[] | undefined, cappedAt: number): void {
 		const {account, service, spec, now} = start;
 		for (const claim of claims ?? []) {
 			if (isSameClaim(claim, start)) {
 				claim.deniedAt = now;
+				claim.cappedAt = Math.max(claim.cappedAt, cappedAt);
 				return;
 			}
 		}
 
-		const hasPlace = claims === undefined || claims.length < maxClaims || findFirst(claims, start) === undefined;
-		if (hasPlace && isAttainable(spec, start)) {
-			const added = claims ?? [];
+		const added = claims ?? [];
+		removeEnded(added, start);
+		if (added.length < maxClaims && isAttainable(spec, start)) {
 			const position = spec.isLongRunning ? added.filter(claim => claim.spec.isLongRunning).length : added.length;
 			added.splice(position, 0, {
-				service, spec, since: now, deniedAt: now,
+				service, spec, since: now, deniedAt: now, cappedAt,
 			});
 			this.#claims.set(account, added);
 		}
 	}
 }
 
-/** Finds the claim for which the cap is kept, and drops those before it that have lapsed or can't be met. */
+/** Finds the claim for which the cap is kept, and drops those before it that have ended. */
 function findFirst(claims: CapClaim[], start: CappedStepStart): CapClaim | undefined {
-	for (let claim = claims[0]; claim !== undefined; claim = claims[0]) {
-		if (start.now - claim.deniedAt <= claimLapseMs && isAttainable(claim.spec, start)) {
+	removeEnded(claims, start);
+	for (const claim of claims) {
+		if (start.now - claim.cappedAt <= claimLapseMs && isAttainable(claim.spec, start)) {
 			return claim;
 		}
-
-		claims.shift();
 	}
 
 	return undefined;
 }
 
+/** Removes the claims at the head that have not been renewed, or can't be met any more. */
+function removeEnded(claims: CapClaim[], start: CappedStepStart): void {
+	while (claims[0] !== undefined && (start.now - claims[0].deniedAt > claimLapseMs || !isAttainable(claims[0].spec, start))) {
+		claims.shift();
+	}
+}
+
 /** Number of tasks that start together. */
 function countTogether({isGang, count}: StepSpec): number {
 	return isGang ? count : 1;
