Count waits for any worker as waits for room while no worker of the pool takes work

What callers see: LOST. A long-running task stands for 13.8 s, to the end, in a pool all of whose VMs a wave has cordoned while its orders are not carried out; and a job of a pool whose workers are all out of reach gets no VM of another pool's reserve. Cause: a pool without a worker that takes work is not planned, so that its tasks are never told to wait for room, which is what gives a cordon back and lends a reserve. Ruled out: pools without VMs, which count any wait already. Change: while the workers that take work have no capacity, a wait for any worker counts as one for room.

--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -6,7 +6,7 @@
 import {type StepState} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {StepWaits, WaitSums, type ReasonSum} from './wait-counts.js';
-import {roomReasons, type WaitReason} from './wait-reasons.js';
+import {roomReasons, unplacedReasons, type WaitReason} from './wait-reasons.js';
 
 /** Waiting tasks with one reason. */
 export type WaitSummary = {readonly tasks: number; readonly longestMs: number};
@@ -54,6 +54,8 @@
 	#startedAt = Number.NEGATIVE_INFINITY;
 	#round: Round | undefined;
 	#summaries: ReadonlyMap<WaitReason, WaitSummary> = new Map();
+	/** Whether some worker accepted new work at the last observation. */
+	#hasWorkers = true;
 
 	private constructor(private readonly options: WaitMonitorOptions) {}
 
@@ -62,9 +64,10 @@
 		return this.#summaries;
 	}
 
-	/** Longest time for which a task had waited for room at the last observation, in milliseconds; 0 if none did. */
+	/** Longest time for which a task had waited for room, or for any worker that takes work, at the last observation, in milliseconds; 0 if none did. */
 	get longestRoomWaitMs(): number {
-		return Math.max(0, ...roomReasons.map(reason => this.#summaries.get(reason)?.longestMs ?? 0));
+		const reasons = this.#hasWorkers ? roomReasons : [...roomReasons, ...unplacedReasons];
+		return Math.max(0, ...reasons.map(reason => this.#summaries.get(reason)?.longestMs ?? 0));
 	}
 
 	/** Longest time for which a task had waited for any reason at the last observation, in milliseconds; 0 if none did. */
@@ -114,6 +117,7 @@
 	#finishRound({reasons}: WaitSums, now: number, readUse: () => PoolUse): void {
 		this.#summaries = new Map([...reasons].map(([reason, {tasks, since}]) => [reason, {tasks, longestMs: now - since}]));
 		const use = readUse();
+		this.#hasWorkers = use.cpu > 0;
 		for (const [reason, sum] of reasons) {
 			if (sum.loggedTasks > 0) {
 				this.#logWaits(reason, sum, now, use);
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -21,6 +21,9 @@
 /** Reasons of tasks that a further worker of the pool could run. */
 export const roomReasons = ['no-room', 'gang-no-room', 'account-share', 'deferred'] as const satisfies readonly WaitReason[];
 
+/** Further reasons of tasks that have no worker assigned. While no worker of the pool takes work, passes judge none of them, and any worker could run them. */
+export const unplacedReasons = ['no-matching-worker', 'suspect', 'no-ticket', 'account-cap', 'not-reached'] as const satisfies readonly WaitReason[];
+
 /** Waiting steps that are placed one after the other. */
 export type WaitQueue = {
 	/** Why the last planning pass left the rest of the queue alone. */
