Count VMs whose order may still be carried out within the cap of their wave

What callers see: LIMIT. Two VMs of a wave are down with a cap of 1. Cause: a VM whose order has no answer gets its work back after 1 s while tasks wait for room, and its place in the wave was given away with it; the order is carried out 3 s later, beside that of the next VM. Ruled out: waves beside which no task waits. Change: a VM of the wave that an order may still take down keeps its place. Orders that are carried out later than a move takes at most are left as they were.

--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -239,7 +239,9 @@
 	#startDraining(progress: WaveProgress, vms: ReadonlyMap<VmId, FleetVm>): void {
 		const {wave, begun, down, draining, postponed} = progress;
 		const now = this.#options.clock.readMonotonic();
-		const freeSlots = wave.cap - down.size - draining.size;
+		// A VM that got its work back may still be taken down by the order that it had.
+		const ordered = wave.vms.filter(id => this.#orders.isPending(id) && !begun.has(id) && !draining.has(id) && !down.has(id));
+		const freeSlots = wave.cap - down.size - draining.size - ordered.length;
 		const candidates = wave.vms.filter(id => !begun.has(id) && !draining.has(id) && !down.has(id) && now >= (postponed.get(id) ?? now) && vms.get(id)?.state === 'up')
 			.map(id => ({id, tasks: this.#findSession(vms.get(id)!)?.tasks.size ?? 0}))
 			.toSorted((a, b) => a.tasks - b.tasks);
