Never refuse a submission that this entry knows to be accepted or in doubt

Callers saw: a retry of a job that had been accepted, or whose first answer was 504, is answered 503 or 429. The platform's page takes both as the promise that the job never runs; the job runs, and its caller stops asking. Cause: "refused" is what becomes of one attempt. Where the store turned the retry away, was away, could not look the job up beyond a lowered cap, or where the lookup found no row yet that a late transaction still wrote, the attempt's refusal was answered without regard to earlier attempts. Ruled out: an attempt that is refused and written all the same. runRepeatedAttempts says not-run only if no attempt can have taken effect, a conflict before a call that is turned away has written nothing, and a tombstone fails late writes (job-submitters.test.ts). A lookup that fails or takes over 0.3 s never led to a refusal for capacity or rate, and a lookup by a queue that has moved reads the service in the job's row. A withdrawn key stays a 401: it says nothing of the job. Change: an entry keeps the outcomes accepted and unknown for 60 s, at most 8,192; a tombstone removes them. Left open: an entry knows nothing of the attempts at others. A retry at another entry whose lookup finds no row while a late transaction is on its way can still be answered 429; only a tombstone with each refusal, which is a write, would end that.

--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -29,7 +29,10 @@
 export type CancelOutcome = 'cancelled' | 'absent' | 'foreign';
 
 /** Outcome of a submission regardless of who made it, with the owner of an accepted job. */
-type Settlement = {readonly outcome: 'accepted'; readonly account: AccountName | undefined} | {readonly outcome: 'refused' | 'unknown'};
+type Settlement = {readonly outcome: 'accepted'; readonly account: AccountName | undefined} | {readonly outcome: 'unknown'} | {readonly outcome: 'refused'};
+
+/** Outcome of earlier submissions of a job which a refusal of the job would contradict. */
+export type EarlierOutcome = Exclude<Settlement, {readonly outcome: 'refused'}>;
 
 export type JobSubmitterOptions = {
 	readonly clock: Clock;
@@ -51,6 +54,8 @@
 const minSettleAttempts = 2;
 /** Minimum interval between attempts to determine an outcome, in milliseconds. */
 const settleIntervalMs = 100;
+/** Time for which an outcome is kept for the retries of its job, and the number of outcomes that are kept. */
+const earlierOutcomes = {maxAgeMs: 60_000, maxCount: 8192} as const;
 /** Bounds of the time for which the oldest transaction may be without a response before further submissions are refused, in milliseconds, and its ratio to the longest recent response time. */
 const suspicion = {
 	minMs: 500, maxMs: 1500, factor: 2, windowMs: 5000,
@@ -69,6 +74,8 @@
 	readonly #queues = new Map<string, PendingSubmission[]>();
 	/** Outcomes of the jobs that are being submitted; a transaction must not write a row twice. */
 	readonly #pending = new Map<JobId, Promise<Settlement>>();
+	/** Latest outcomes that a refusal would contradict, the oldest first, with the time at which they were determined. */
+	readonly #earlier = new Map<JobId, {readonly outcome: EarlierOutcome; readonly at: number}>();
 	/** Time at which the in-flight transaction of each partition was sent, on the monotonic clock. */
 	readonly #sentAt = new Map<string, number>();
 	/** Time of the last response of the store, on the monotonic clock. */
@@ -94,6 +101,19 @@
 		return this.#pending.has(id);
 	}
 
+	/**
+	 * Finds the outcome of earlier submissions of a job at this entry: accepted, or unknown while one is on its way or may still take effect.
+	 * Returns `undefined` if the entry knows of none, or if all of them were refused.
+	 */
+	findEarlierOutcome(id: JobId): EarlierOutcome | undefined {
+		if (this.#pending.has(id)) {
+			return {outcome: 'unknown'};
+		}
+
+		const earlier = this.#earlier.get(id);
+		return earlier !== undefined && this.#options.clock.readMonotonic() - earlier.at < earlierOutcomes.maxAgeMs ? earlier.outcome : undefined;
+	}
+
 	/**
 	 * Submits a job; a job that already exists is accepted again if the principal has access to it, and one that is being submitted by
 	 * another request gets the outcome of that. While the outcome of earlier submissions is in doubt, the job is refused immediately without
@@ -112,12 +132,25 @@
 
 	async #submitFirst(job: Job): Promise<Settlement> {
 		try {
-			return await this.#submit(job);
+			const settlement = await this.#submit(job);
+			if (settlement.outcome !== 'refused') {
+				this.#recordOutcome(job.id, settlement);
+			}
+
+			return settlement;
 		} finally {
 			this.#pending.delete(job.id);
 		}
 	}
 
+	#recordOutcome(id: JobId, outcome: EarlierOutcome): void {
+		this.#earlier.delete(id);
+		this.#earlier.set(id, {outcome, at: this.#options.clock.readMonotonic()});
+		if (this.#earlier.size > earlierOutcomes.maxCount) {
+			this.#earlier.delete(this.#earlier.keys().next().value!);
+		}
+	}
+
 	async #submit(job: Job): Promise<Settlement> {
 		const partition = getSubmissionPartition(job.id);
 		if (this.#isInDoubt(job.service)) {
@@ -318,6 +351,8 @@
 				const outcome = await tables.commit({checks: [{...key, version: expectedVersion}], writes: [{...key, value: tombstone}], isRepeatable: true});
 				if (outcome.status === 'committed') {
 					log.info('job refused permanently', {job: job.id, queue: job.queue, version: outcome.version});
+					// No earlier transaction of the job can take effect any more.
+					this.#earlier.delete(job.id);
 					return {outcome: 'refused'};
 				}
 
--- a/packages/workflows/src/submission-gates.ts
+++ b/packages/workflows/src/submission-gates.ts
@@ -48,10 +48,10 @@
 		this.#options = options;
 	}
 
-	/** Finds the reason to refuse a job that is not known yet. Only a job that would be refused costs calls of the store. */
+	/** Finds the reason to refuse a job of which no earlier submission has been accepted or may still be. Only a job that would be refused costs calls of the store. */
 	async findRefusal(job: Job): Promise<SubmissionRefusal | undefined> {
 		const {policy, submitter, getOverload} = this.#options;
-		const overload = policy.isRefusing && !submitter.isSubmitting(job.id) ? getOverload() : undefined;
+		const overload = policy.isRefusing && submitter.findEarlierOutcome(job.id) === undefined ? getOverload() : undefined;
 		if (overload === undefined || overload.ageMs >= maxEstimateAgeMs) {
 			return undefined;
 		}
@@ -74,7 +74,7 @@
 		};
 
 		await waitAtMost(clock, lookUp(), maxLookupMs);
-		return isUnknown && !submitter.isSubmitting(id);
+		return isUnknown && submitter.findEarlierOutcome(id) === undefined;
 	}
 }
 
