Keep aside the share of entries that have not reported to a new home entry

Cause: after the home entry of a pool ends, the next one lends all slots once its recovery of 300 ms has passed. The other entries hear each peer at times of their own, up to a heartbeat of 500 ms apart, so one that still counts the lost home entry as live goes on lending itself its share: 8 slots and 2 more were in use on a worker of 8. A new home entry also learned of the slots that it had lent itself before only with the next periodic report. Ruled out: a longer recovery, since it lends nothing for longer after each change, and entries that notice at once (8 of 8 slots).

Change: a new home entry lends no more than what leaves the shares of the live entries without a complete report, for at most 2 s, the membership timeout. Entries report on each change of the home entry, also when idle.

--- a/packages/admission/src/borrowers.ts
+++ b/packages/admission/src/borrowers.ts
@@ -120,10 +120,13 @@
 
 		this.#home = home;
 		this.#homeSeenAt = this.#options.clock.readMonotonic();
+		this.scheduleSync();
+	}
+
+	/** Schedules a complete demand to the home entry, also when no request waits: the home entry keeps slots aside until it arrives. */
+	scheduleSync(): void {
 		this.#mustSync = true;
-		if (!this.#isIdle()) {
-			this.#scheduleFlush();
-		}
+		this.#scheduleFlush();
 	}
 
 	/** Reports whether requests wait and the home entry has sent nothing for `homeTimeoutMs`. */
--- a/packages/admission/src/brokers.ts
+++ b/packages/admission/src/brokers.ts
@@ -15,6 +15,11 @@
 export const loanAcceptTimeoutMs = 1000;
 /** Time without a message after which the slots of an entry are reclaimed, in milliseconds. */
 export const entryTimeoutMs = 3000;
+/**
+ * Time for which a new broker keeps aside the share of an entry that has not reported to it, in milliseconds: the timeout after
+ * which such an entry no longer counts an earlier home entry as live.
+ */
+const reportTimeoutMs = 2000;
 
 /** Provides a broker with the workers of a pool and their health. */
 export abstract class WorkerDirectory {
@@ -39,8 +44,13 @@
 	readonly firstSlotId: number;
 	/** Time for which a new broker lends nothing while the entries report the slots that they hold. */
 	readonly recoveryMs: number;
-	/** Returns how many of the `total` slots of the pool may be in use at once. */
-	readonly limitSlots: (total: number) => number;
+	/** Lists the live entries, including this one. */
+	readonly listEntries: () => readonly EntryId[];
+	/**
+	 * Returns how many of the `total` slots of the pool may be in use at once, while `unreported` live entries may still use
+	 * their own shares.
+	 */
+	readonly limitSlots: (total: number, unreported: number) => number;
 	/** Sends a loan to a borrower. */
 	readonly sendLoan: (to: EntryId, loan: SlotLoan) => void;
 };
@@ -89,7 +99,9 @@
 	readonly #shares: ShareTracker;
 	readonly #entries = new Map<EntryId, BorrowingEntry>();
 	readonly #slotsInUse = new Map<string, number>();
-	readonly #recoveryEndsAt: number;
+	/** Entries that have reported all slots that they hold. */
+	readonly #reportedEntries = new Set<EntryId>();
+	readonly #createdAt: number;
 	#nextSlotId: number;
 	/** Highest loan sequence so far; an entry that reconnects never receives a lower one. */
 	#loanSequence: number;
@@ -97,7 +109,7 @@
 	private constructor(options: BrokerOptions) {
 		this.#options = options;
 		this.#shares = ShareTracker.create(options.clock);
-		this.#recoveryEndsAt = options.clock.readMonotonic() + options.recoveryMs;
+		this.#createdAt = options.clock.readMonotonic();
 		this.#nextSlotId = options.firstSlotId;
 		this.#loanSequence = options.firstSlotId;
 	}
@@ -127,6 +139,7 @@
 		this.#updateFlows(entry, demand);
 		if (demand.isComplete) {
 			this.#syncHeldSlots(entry, demand);
+			this.#reportedEntries.add(from);
 			entry.mustAcknowledge = true;
 		}
 	}
@@ -134,7 +147,7 @@
 	/** Lends the free slots to the waiting flows in order of rank. */
 	lendSlots(pool: ResolvedPool, countEntryLimit: () => number): void {
 		const slotsByEntry: SlotsByEntry = new Map();
-		if (this.#options.clock.readMonotonic() >= this.#recoveryEndsAt) {
+		if (this.#options.clock.readMonotonic() >= this.#createdAt + this.#options.recoveryMs) {
 			this.#planLoans(pool, countEntryLimit(), slotsByEntry);
 		}
 
@@ -341,7 +354,15 @@
 			free += Math.max(0, pool.slotsPerVm - inUse);
 		}
 
-		return Math.min(free, this.#options.limitSlots(usable.length * pool.slotsPerVm) - used);
+		return Math.min(free, this.#options.limitSlots(usable.length * pool.slotsPerVm, this.#countUnreported()) - used);
+	}
+
+	/** Counts the live entries that may still use slots which this broker does not know of. */
+	#countUnreported(): number {
+		const {clock, listEntries} = this.#options;
+		return clock.readMonotonic() >= this.#createdAt + reportTimeoutMs
+			? 0
+			: listEntries().filter(entryId => !this.#reportedEntries.has(entryId)).length;
 	}
 
 	/** Lists the longest-waiting flow of each caller and class that still needs a slot. */
--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -303,10 +303,11 @@
 	#updateHome(state: PoolState): void {
 		const {bus} = this.#options;
 		const self = bus.self.entryId;
-		const home = chooseHomeEntry(state.pool.name, [self, ...bus.listPeers().map(peer => peer.entryId)])!;
+		const home = chooseHomeEntry(state.pool.name, this.#listEntries())!;
 		if (home === self) {
 			if (state.broker === undefined || state.hasFallbackBroker) {
-				state.broker = this.#createBroker(bus.listPeers().length === 0 ? 0 : brokerRecoveryMs, total => this.#computeHomeShare(total));
+				state.broker = this.#createBroker(bus.listPeers().length === 0 ? 0 : brokerRecoveryMs, (total, unreported) => this.#computeHomeShare(total) - (unreported * this.#computeEntryShare(total)));
+				state.borrower.scheduleSync();
 			}
 
 			state.hasFallbackBroker = false;
@@ -323,6 +324,12 @@
 		state.borrower.setHome(state.hasFallbackBroker ? self : home);
 	}
 
+	/** Lists the live entries, including this one. */
+	#listEntries(): EntryId[] {
+		const {bus} = this.#options;
+		return [bus.self.entryId, ...bus.listPeers().map(peer => peer.entryId)];
+	}
+
 	#countEntries(): number {
 		return Math.max(1 + this.#options.bus.listPeers().length, this.#options.countEntries());
 	}
@@ -339,13 +346,14 @@
 		return reachable * 2 < listed ? Math.ceil(total * reachable / listed) : total;
 	}
 
-	#createBroker(recoveryMs: number, limitSlots: (total: number) => number): Broker {
+	#createBroker(recoveryMs: number, limitSlots: (total: number, unreported: number) => number): Broker {
 		return Broker.create({
 			clock: this.#options.clock,
 			random: this.#options.random,
 			workers: this.#workers,
 			firstSlotId: (Math.floor(this.#options.clock.readWall() / secondMs) * slotIdsPerSecond) + this.#options.random.pickIndex(slotIdsPerSecond),
 			recoveryMs,
+			listEntries: () => this.#listEntries(),
 			limitSlots,
 			sendLoan: (to, loan) => {
 				this.#sendLoan(to, loan);
--- a/packages/testing/tests/slots.test.ts
+++ b/packages/testing/tests/slots.test.ts
@@ -4,7 +4,7 @@
 import {runLoadSwings} from '../src/bench-slots.js';
 import {FairStrategy} from '../src/scheduler-strategies.js';
 import {
-	SlotSimulation, computeQuantile, generateRequests, listWaitTimes, runSimulation, type SimulatedRequest,
+	SlotSimulation, computeQuantile, generateRequests, listWaitTimes, runSimulation, warmUpMs, type SimulatedRequest,
 } from '../src/slot-simulations.js';
 import {IdealCentralQueue} from '../src/slot-strategies.js';
 
@@ -123,6 +123,72 @@
 	t.true(result.maxInFlight <= 2 * slotsPerVm);
 });
 
+type Takeover = {
+	readonly name: string;
+	/** Time after the loss of the home entry at which its successor and the third entry notice it, in milliseconds. */
+	readonly successorNoticesAt: number;
+	readonly otherNoticesAt: number;
+	/** Number of requests for each of the entries by which its successor and the third entry are chosen. */
+	readonly requests: {readonly successor: number; readonly other: number};
+};
+
+const takeovers: readonly Takeover[] = [
+	{
+		name: 'both notice at once', successorNoticesAt: 2000, otherNoticesAt: 2000, requests: {successor: 75, other: 75},
+	},
+	{
+		name: 'the other entry notices 450 ms later', successorNoticesAt: 2000, otherNoticesAt: 2450, requests: {successor: 75, other: 75},
+	},
+	{
+		name: 'the other entry notices 1900 ms later', successorNoticesAt: 2000, otherNoticesAt: 3900, requests: {successor: 150, other: 75},
+	},
+	{
+		name: 'its successor notices 450 ms later', successorNoticesAt: 2450, otherNoticesAt: 2000, requests: {successor: 75, other: 75},
+	},
+	{
+		name: 'only the successor has requests', successorNoticesAt: 2000, otherNoticesAt: 2450, requests: {successor: 150, other: 0},
+	},
+];
+
+// Guards against a successor that lends all slots while another entry, which hasn't noticed the loss yet, still lends itself its share.
+for (const {
+	name, successorNoticesAt, otherNoticesAt, requests,
+} of takeovers) {
+	test(`a worker is not overloaded while the home entry is replaced: ${name}`, async t => {
+		const simulation = new SlotSimulation({
+			seed: 5, pools: 1, workersPerPool: 1, entries: 3,
+		});
+		const strategy = new FairStrategy(simulation, {seed: 5});
+		const pool = simulation.pools[0]!.name;
+		const entries = Array.from({length: simulation.entryCount}, (_, index) => `entry-${index + 1}` as EntryId);
+		const home = chooseHomeEntry(pool, entries)!;
+		const others = entries.filter(entryId => entryId !== home);
+		const successor = chooseHomeEntry(pool, others)!;
+		const other = others.find(entryId => entryId !== successor)!;
+		const lostAt = 5000;
+		for (const [atMs, act] of [
+			[lostAt, () => {
+				strategy.hub.setUnresponsive(home, true);
+			}],
+			[lostAt + successorNoticesAt, () => {
+				strategy.hub.setLinkCut(home, successor, true);
+			}],
+			[lostAt + otherNoticesAt, () => {
+				strategy.hub.setLinkCut(home, other, true);
+			}],
+		] as const) {
+			simulation.clock.schedule(atMs, act);
+		}
+
+		const createRequests = (entryId: EntryId, count: number): SimulatedRequest[] => Array.from({length: count}, () => ({
+			arrivedAt: lostAt - warmUpMs + 10, entry: entries.indexOf(entryId), pool, serviceMs: 100, workClass: 'interactive', caller: 'a' as SimulatedRequest['caller'], group: 'all', attempts: 0,
+		}));
+		const result = await runSimulation(simulation, strategy, [...createRequests(successor, requests.successor), ...createRequests(other, requests.other)], {durationMs: 20_000, drainMs: 0});
+		t.true(result.requests.every(({finishedAt}) => finishedAt !== undefined));
+		t.is(result.maxInFlight, slotsPerVm);
+	});
+}
+
 test('slots that a removed entry borrowed are lent again after the term of the loan', async t => {
 	const simulation = new SlotSimulation({seed: 4, pools: 1, entries: 2});
 	const strategy = new FairStrategy(simulation, {seed: 4});
