Record the end of a fake worker's run when its response is written

Cause: FakeWorker set finishedAt before it waited and wrote the response, so a run of /sleep/100 lasted no time. The check of at most 8 concurrent runs in schedulers.test.ts and the check of interrupted requests in waves.test.ts could not fail. Ruled out: that the checks had held by themselves, since no run overlapped another one by more than the time to read its body.

Change: finishedAt is set once the response was written; the checks themselves are as before and stricter by it.

--- a/packages/testing/src/fake-workers.ts
+++ b/packages/testing/src/fake-workers.ts
@@ -20,6 +20,7 @@
 	readonly path: string;
 	/** Milliseconds since the Unix epoch. */
 	readonly startedAt: number;
+	/** Time at which the response was written; absent while the request runs. */
 	finishedAt?: number;
 };
 
@@ -96,17 +97,18 @@
 		const previousRequestId = this.#lastRequestId;
 		this.#lastRequestId = run.requestId ?? 'none';
 		const rawName = route === 'raw' ? argument as RawResponseName : await this.#pickFault();
-		run.finishedAt = Date.now();
 		if (rawName !== undefined) {
 			await rawResponses[rawName]({
 				response, socket: request.socket, requestId: run.requestId ?? '', body, previousRequestId,
 			});
+			run.finishedAt = Date.now();
 			return;
 		}
 
 		response.setHeader('x-vm', this.#vmId);
 		response.setHeader('tamarackwind-request-id', run.requestId ?? '');
 		await writeResponse(request, response, body);
+		run.finishedAt = Date.now();
 	}
 
 	async #pickFault(): Promise<RawResponseName | undefined> {
