--- a/packages/scheduling/src/account-caps.ts
+++ b/packages/scheduling/src/account-caps.ts
@@ -38,11 +38,6 @@
 	return hasCapRoom(cap, used, task, count) || (hasCapRoom(cap, used, task, count - 1) && isUnderHalf(cap, used));
 }
 
-/** Reports whether a start brings an account above its cap, whether or not it may. */
-export function isOverCap({cap, used, task, count}: CappedStart): boolean {
-	return !hasCapRoom(cap, used, task, count);
-}
-
 /** Trims a demand to what a cap leaves beside what is used already. */
 export function trimDemand(demand: Resources, {cap, used}: Pick<CappedStart, 'cap' | 'used'>): Resources {
 	const limit = (dimension: keyof Resources) => cap[dimension] > 0 ? Math.max(0, Math.min(demand[dimension], cap[dimension] - used[dimension])) : demand[dimension];
--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -34,8 +34,6 @@
 /** Services whose jobs are not known, for which the starts of capped accounts wait. */
 export type UnloadedServices = {readonly services: readonly ServiceName[]; readonly ms: number};
 
-/** Interval between two checks of whether all charged tasks of an account have started, in milliseconds. */
-const startCheckIntervalMs = 50;
 const noUse: AccountUse = {tasks: 0, used: noResources};
 
 /** Sums of what the assigned tasks of each account use; jobs without an account count together under `undefined`. */
@@ -82,9 +80,7 @@
 	/** What of it long-running tasks use. */
 	readonly #lastingUses = AccountUses.create();
 	readonly #pools = new Map<ServiceName, PoolAccounts>();
-	readonly #claims = CapClaims.create(account => this.#hasUnstartedTasks(account));
-	/** Time until which tasks of an account are taken to start still, on the monotonic clock. */
-	readonly #startingUntil = new Map<AccountName, number>();
+	readonly #claims = CapClaims.create();
 	/** Configuration from which the accounts were taken. */
 	#configuration: Configuration | undefined;
 	#accounts: ReadonlyMap<AccountName, ClientAccount> = new Map();
@@ -214,24 +210,6 @@
 		}
 	}
 
-	/** Reports whether some charged task of an account may not have started yet; looks at its tasks again only after a while, as passes ask often. */
-	#hasUnstartedTasks(account: AccountName): boolean {
-		const now = this.#options.clock.readMonotonic();
-		if (now < (this.#startingUntil.get(account) ?? now)) {
-			return true;
-		}
-
-		for (const {charges} of this.#pools.values()) {
-			if (charges.hasUnstartedTasks(account)) {
-				this.#startingUntil.set(account, now + startCheckIntervalMs);
-				return true;
-			}
-		}
-
-		this.#startingUntil.delete(account);
-		return false;
-	}
-
 	/** Whether the jobs of all pools of the configuration are known. */
 	get #areAllLoaded(): boolean {
 		this.#refresh();
--- a/packages/workflows/src/cap-claims.ts
+++ b/packages/workflows/src/cap-claims.ts
@@ -4,7 +4,7 @@
  */
 import {type AccountName, type ServiceName} from '@tamarackwind/core';
 import {
-	addResources, isOverCap, isWithinCap, type Resources, type StepSpec,
+	addResources, isWithinCap, type Resources, type StepSpec,
 } from '@tamarackwind/scheduling';
 
 /** A start that an account's cap may forbid. */
@@ -47,26 +47,23 @@
 
 /** Claims of all accounts. The cap of an account is kept for one claim at a time: that of long-running steps, then the oldest. */
 export class CapClaims {
-	/** `hasUnstartedTasks` reports whether some charged task of an account may not have started yet. */
-	static create(hasUnstartedTasks: (account: AccountName) => boolean = () => false): CapClaims {
-		return new CapClaims(hasUnstartedTasks);
+	static create(): CapClaims {
+		return new CapClaims();
 	}
 
 	/** Claims of each account, those of long-running steps first, and then by age. */
 	readonly #claims = new Map<AccountName, CapClaim[]>();
 
-	private constructor(private readonly hasUnstartedTasks: (account: AccountName) => boolean) {}
+	private constructor() {}
 
 	/** Reports whether the cap of an account allows a start, beside what a step claims that has waited for longer. Passes ask for each queue, so this allocates little. */
 	isAllowed(start: CappedStepStart): boolean {
 		const {account, spec, cap, used} = start;
 		const count = countTogether(spec);
 		const claims = this.#claims.get(account);
-		const capped = {
+		let isAllowed = isWithinCap({
 			cap, used, task: spec.resources, count,
-		};
-		// Tasks that are charged before a start which exceeds the cap would exceed it too if they started after it.
-		let isAllowed = isWithinCap(capped) && !(isOverCap(capped) && this.hasUnstartedTasks(account));
+		});
 		let cappedAt = start.now;
 		if (isAllowed && claims !== undefined && claims.length > 0) {
 			const claim = findFirst(claims, start);
--- a/packages/workflows/src/charge-monitors.ts
+++ b/packages/workflows/src/charge-monitors.ts
@@ -63,17 +63,6 @@
 		this.#tasks.delete(task);
 	}
 
-	/** Reports whether some charged task of an account may not have started yet. Costs by the assigned tasks. */
-	hasUnstartedTasks(account: AccountName): boolean {
-		for (const task of this.#tasks) {
-			if (task.stepState.account === account && !task.isConfirmed) {
-				return true;
-			}
-		}
-
-		return false;
-	}
-
 	/** Notes that the cap of an account has kept a task waiting. */
 	recordWait(account: AccountName): void {
 		this.#waiting.add(account);
