Let the soak's workers come up only when their machines do

Cause: the stand-ins. A restart kept the machine's state `up`, so that upkeep (here of m-south-2, ordered 10 ms before the worker was due back) and moves were accepted meanwhile, and the restart then brought the worker up on a machine that was down. When the machine returned, the second life took the place of the first, whose runs no record ended; the second could not listen, since the first had the port, and tried until the end of the play. Ruled out: a fault of the scheduler. It ordered each task's second run after the first worker had left the registry and its leases had ended. Change: a machine has one pending return, which a later one replaces, and a life that begins ends the one before. The checks are as they were.

--- a/review/stand-in-cloud.js
+++ b/review/stand-in-cloud.js
@@ -49,7 +49,7 @@
 		const entry = this.#machines.get(machine);
 		entry.state = 'down';
 		entry.worker.kill('crash');
-		this.#startTimer(downMs, async () => {
+		this.#scheduleReturn(entry, downMs, async () => {
 			await entry.worker.start(createWorkerId());
 			entry.state = 'up';
 		});
@@ -57,10 +57,11 @@
 
 	/** Kills the worker of a machine; the machine starts it again under its id after `downMs`. */
 	restartWorker(machine, downMs) {
-		const {worker} = this.#machines.get(machine);
+		const entry = this.#machines.get(machine);
+		const {worker} = entry;
 		const {id} = worker;
 		worker.kill('crash');
-		this.#startTimer(downMs, async () => {
+		this.#scheduleReturn(entry, downMs, async () => {
 			await worker.start(id);
 		});
 	}
@@ -93,12 +94,20 @@
 		this.#server.close();
 	}
 
+	/** Has a machine come back after `ms`, in place of an earlier return: one that is taken down while its worker restarts does not start that worker. */
+	#scheduleReturn(entry, ms, run) {
+		clearTimeout(entry.returnTimer);
+		this.#timers.delete(entry.returnTimer);
+		entry.returnTimer = this.#startTimer(ms, run);
+	}
+
 	#startTimer(ms, run) {
 		const timer = setTimeout(() => {
 			this.#timers.delete(timer);
 			run();
 		}, ms);
 		this.#timers.add(timer);
+		return timer;
 	}
 
 	async #listen() {
@@ -197,7 +206,7 @@
 	#restartLater({entry, state, ms, pool}) {
 		entry.state = state;
 		entry.worker.remove(state);
-		this.#startTimer(ms, async () => {
+		this.#scheduleReturn(entry, ms, async () => {
 			entry.worker.service = pool;
 			if (!this.#poolsOff.has(pool)) {
 				await entry.worker.start(createWorkerId());
--- a/review/stand-in-workers.js
+++ b/review/stand-in-workers.js
@@ -67,8 +67,9 @@
 		return this.#options.zone;
 	}
 
-	/** Begins a life under `id`. It holds and knows nothing of an earlier one. */
+	/** Begins a life under `id`. It holds and knows nothing of an earlier one, which ends if it has not. */
 	async start(id) {
+		this.kill('replaced by another life');
 		this.id = id;
 		clearTimeout(this.#entryTimer);
 		const life = {
