Exceed the cap of an account only once its other runs have begun

What callers see: QUOTA. Cause: since an account under half of its cap may exceed it by one task, 39 small tasks (390) and one of 800 were assigned in one pass. The order in which workers begin is not that of assignment: the large one began first, and QUOTA, which is judged at each start by the cap, a tenth, and that start's own need, counted the small ones after it. Class: a decision on the sum of charges that holds only in the order in which they were made. Change: the ledger counts the tasks of each account whose runs are not confirmed; a start that exceeds the cap is allowed only while there are none. Since small starts could keep some open for ever, a claim that has to exceed the cap holds others of its account back, from the times as before: at once for a long-running step, after 1.5 s for others. A run in doubt delays such a start until it is settled.

--- a/packages/scheduling/src/account-caps.ts
+++ b/packages/scheduling/src/account-caps.ts
@@ -44,8 +44,8 @@
 	return {cpu: limit('cpu'), memory: limit('memory'), gpu: limit('gpu')};
 }
 
-/** Reports whether a cap has room for a number of tasks beside what is used; written without allocations, as passes ask for each queue. */
-function hasCapRoom(cap: Resources, used: Resources, task: Resources, count: number): boolean {
+/** Reports whether a cap has room for a number of tasks beside what is used, without exceeding it; written without allocations, as passes ask for each queue. */
+export function hasCapRoom(cap: Resources, used: Resources, task: Resources, count: number): boolean {
 	return hasRoomInDimension(cap.cpu, used.cpu + (task.cpu * count))
 		&& hasRoomInDimension(cap.memory, used.memory + (task.memory * count))
 		&& hasRoomInDimension(cap.gpu, used.gpu + (task.gpu * count));
--- a/packages/testing/tests/account-caps.test.ts
+++ b/packages/testing/tests/account-caps.test.ts
@@ -116,6 +116,18 @@
 	});
 }
 
+// Guards against starts that were allowed under half of the cap, and reach their workers after one that exceeds it.
+test('a task that exceeds the cap starts once each other run of its account has begun', async t => {
+	const system = await createSystem({cpu: 4000});
+	const {clock, fleet} = system;
+	const small = system.submit([createStep({count: 19, resources: {cpu: 100, memory: 10, gpu: 0}})], 20_000, {account: capped, pool: 'south'});
+	const large = system.submit([createStep({resources: {cpu: 3000, memory: 10, gpu: 0}})], 2000, {account: capped, pool: 'north'});
+	await clock.run(1000);
+	t.is(fleet.countRunning(await small), 19);
+	t.is(fleet.countRunning(await large), 1);
+	t.deepEqual(fleet.violations, []);
+});
+
 // Guards against starts that follow from a cap that is no longer in force, and against runs that are stopped for a lowered one.
 test('a version that lowers a cap stops nothing, and the next starts wait for it', async t => {
 	const system = await createSystem({cpu: 6000});
--- a/packages/testing/tests/dense-histories.test.ts
+++ b/packages/testing/tests/dense-histories.test.ts
@@ -22,6 +22,8 @@
 	['two holders order one VM within its lease', {...withAccounts, jobs: 24, faultCount: 6}, [200_472]],
 	['an order leaves too few tasks of a step', {...withAccounts, jobs: 24, faultCount: 6}, [100_562]],
 	['an order leaves too few tasks of a step', dense, [100_365]],
+	['a start that exceeds the cap of its account begins before others that were allowed earlier', withAccounts, [810_376, 810_459]],
+	['a start that exceeds the cap of its account begins before others that were allowed earlier', {...withAccounts, jobs: 24, faultCount: 6}, [830_203]],
 	['a history without an entry is not judged', withAccounts, [400_018, 400_379]],
 ];
 
--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -79,6 +79,8 @@
 	readonly #uses = AccountUses.create();
 	/** What of it long-running tasks use. */
 	readonly #lastingUses = AccountUses.create();
+	/** What of it tasks use whose runs are not confirmed. */
+	readonly #unconfirmedUses = AccountUses.create();
 	readonly #pools = new Map<ServiceName, PoolAccounts>();
 	readonly #claims = CapClaims.create();
 	/** Configuration from which the accounts were taken. */
@@ -155,7 +157,7 @@
 	isAllowed(account: AccountName, service: ServiceName, spec: StepSpec): boolean {
 		const cap = this.caps.get(account);
 		return cap === undefined || this.#claims.isAllowed({
-			account, service, spec, cap, used: this.getUse(account), lasting: this.#lastingUses.get(account).used, now: this.#options.clock.readMonotonic(),
+			account, service, spec, cap, used: this.getUse(account), lasting: this.#lastingUses.get(account).used, areAllConfirmed: this.#unconfirmedUses.get(account).tasks === 0, now: this.#options.clock.readMonotonic(),
 		});
 	}
 
@@ -178,6 +180,7 @@
 	closePool(pool: PoolAccounts): void {
 		releaseUses(this.#uses, pool.uses);
 		releaseUses(this.#lastingUses, pool.lastingUses);
+		releaseUses(this.#unconfirmedUses, pool.unconfirmedUses);
 
 		if (this.#pools.get(pool.service) === pool) {
 			this.#pools.delete(pool.service);
@@ -203,7 +206,21 @@
 			this.#lastingUses.add(account, tasks, resources);
 		}
 
-		if (tasks < 0 && account !== undefined) {
+		if (tasks < 0) {
+			this.#wakeBlocked(account);
+		}
+	}
+
+	/** Counts tasks of an account whose runs are not confirmed, or no longer if their number is negative. */
+	addUnconfirmed(account: AccountName | undefined, tasks: number, {resources}: StepSpec): void {
+		this.#unconfirmedUses.add(account, tasks, resources);
+		if (this.#unconfirmedUses.get(account).tasks === 0) {
+			this.#wakeBlocked(account);
+		}
+	}
+
+	#wakeBlocked(account: AccountName | undefined): void {
+		if (account !== undefined) {
 			for (const pool of this.#pools.values()) {
 				pool.wakeBlocked(account);
 			}
@@ -254,6 +271,7 @@
 	readonly charges = ChargeMonitor.create();
 	readonly #uses = AccountUses.create();
 	readonly #lastingUses = AccountUses.create();
+	readonly #unconfirmedUses = AccountUses.create();
 	readonly #pastUses: PastUses;
 	/** Accounts whose caps have kept a task of the pool waiting since their use last fell. */
 	readonly #blocked = new Set<AccountName>();
@@ -281,6 +299,11 @@
 		return this.#lastingUses.entries;
 	}
 
+	/** What of it tasks use whose runs are not confirmed. */
+	get unconfirmedUses(): Iterable<[AccountName | undefined, AccountUse]> {
+		return this.#unconfirmedUses.entries;
+	}
+
 	/** Caps in force, of the accounts that have one. */
 	get caps(): ReadonlyMap<AccountName, Resources> {
 		return this.#options.ledger.caps;
@@ -337,6 +360,10 @@
 				this.#removeTask(account, task);
 			}
 		};
+
+		hooks.onConfirmed = task => {
+			this.#addUnconfirmed(account, task.isConfirmed ? -1 : 1, task.spec);
+		};
 	}
 
 	/** Notes that the stored jobs of the pool are known. */
@@ -381,6 +408,10 @@
 	#addTask(account: AccountName | undefined, task: Task): void {
 		this.charges.add(task);
 		this.#addTasks(account, 1, task.spec);
+		if (!task.isConfirmed) {
+			this.#addUnconfirmed(account, 1, task.spec);
+		}
+
 		if (account !== undefined) {
 			this.#options.ledger.noteStart(account, this.service, task.spec);
 		}
@@ -389,6 +420,16 @@
 	#removeTask(account: AccountName | undefined, task: Task): void {
 		this.charges.remove(task);
 		this.#addTasks(account, -1, task.spec);
+		if (!task.isConfirmed) {
+			this.#addUnconfirmed(account, -1, task.spec);
+		}
+	}
+
+	#addUnconfirmed(account: AccountName | undefined, tasks: number, spec: StepSpec): void {
+		if (!this.#isClosed) {
+			this.#unconfirmedUses.add(account, tasks, spec.resources);
+			this.#options.ledger.addUnconfirmed(account, tasks, spec);
+		}
 	}
 
 	#addTasks(account: AccountName | undefined, tasks: number, spec: StepSpec): void {
--- a/packages/workflows/src/cap-claims.ts
+++ b/packages/workflows/src/cap-claims.ts
@@ -4,7 +4,7 @@
  */
 import {type AccountName, type ServiceName} from '@tamarackwind/core';
 import {
-	addResources, isWithinCap, type Resources, type StepSpec,
+	addResources, hasCapRoom, isWithinCap, type Resources, type StepSpec,
 } from '@tamarackwind/scheduling';
 
 /** A start that an account's cap may forbid. */
@@ -17,6 +17,8 @@
 	readonly used: Resources;
 	/** The part of it that long-running tasks use, which does not become free. */
 	readonly lasting: Resources;
+	/** Whether each run of the account has begun: one that has not would count as exceeding the cap if it begins after a start that exceeds it. */
+	readonly areAllConfirmed: boolean;
 	/** Time on the monotonic clock. */
 	readonly now: number;
 };
@@ -55,17 +57,18 @@
 
 	/** Reports whether the cap of an account allows a start, beside what a step claims that has waited for longer. Passes ask for each queue, so this allocates little. */
 	isAllowed(start: CappedStepStart): boolean {
-		const {account, spec, cap, used} = start;
+		const {account, spec, cap, used, areAllConfirmed} = start;
 		const count = countTogether(spec);
 		const claims = this.#claims.get(account);
-		let isAllowed = isWithinCap({
-			cap, used, task: spec.resources, count,
-		});
+		let isAllowed = areAllConfirmed
+			? isWithinCap({
+				cap, used, task: spec.resources, count,
+			})
+			: hasCapRoom(cap, used, spec.resources, count);
 		if (isAllowed && claims !== undefined && claims.length > 0) {
 			const claim = findFirst(claims, start);
-			isAllowed = claim === undefined || !isHeldBy(claim, start) || isWithinCap({
-				cap, used: addResources(used, spec.resources, count), task: claim.spec.resources, count: countTogether(claim.spec),
-			});
+			// A claim that has to exceed the cap waits until no other start is open.
+			isAllowed = claim === undefined || !isHeldBy(claim, start) || hasCapRoom(cap, addResources(used, spec.resources, count), claim.spec.resources, countTogether(claim.spec));
 		}
 
 		if (!isAllowed) {
--- a/packages/workflows/src/job-hooks.ts
+++ b/packages/workflows/src/job-hooks.ts
@@ -18,5 +18,8 @@
 	/** Called when a task is assigned to a worker, and when its run is known to have ended. */
 	onAssigned: ((task: Task, isAssigned: boolean) => void) | undefined;
 
+	/** Called when the run of an assigned task is confirmed, or no longer is. */
+	onConfirmed: ((task: Task) => void) | undefined;
+
 	private constructor() {}
 }
--- a/packages/workflows/src/tasks.ts
+++ b/packages/workflows/src/tasks.ts
@@ -28,6 +28,7 @@
 	#guilt = priorGuilt;
 	#incarnation: WorkerIncarnation | undefined;
 	#isStartQueued = false;
+	#isConfirmed = false;
 	/** Progress reported by the worker, in percent. */
 	percent = 0;
 	/** Time at which the start was sent, or its response received, on the monotonic clock; 0 for a start that an earlier holder sent until the run is listed. */
@@ -38,8 +39,6 @@
 	load = 0;
 	/** Speed to which the task was last throttled, in percent of full speed. */
 	speedPercent = 100;
-	/** Whether the worker has confirmed the current run, by its response or in a listing. */
-	isConfirmed = false;
 	/** Evidence of a crash that counts against the task unless its run turns out to have begun after it. */
 	pendingCrash: CrashEvidence | undefined;
 	/** Time at which the task last became free for a new start, on the monotonic clock. */
@@ -144,6 +143,19 @@
 		this.stepState.changes++;
 	}
 
+	/** Whether the worker has confirmed the current run, by its response or in a listing. */
+	get isConfirmed(): boolean {
+		return this.#isConfirmed;
+	}
+
+	set isConfirmed(isConfirmed: boolean) {
+		const isChanged = isConfirmed !== this.#isConfirmed;
+		this.#isConfirmed = isConfirmed;
+		if (isChanged && isAssigned(this.phase)) {
+			this.job.hooks.onConfirmed?.(this);
+		}
+	}
+
 	get spec(): StepSpec {
 		return this.stepState.spec;
 	}
--- a/packages/workflows/tests/cap-claims.test.ts
+++ b/packages/workflows/tests/cap-claims.test.ts
@@ -27,6 +27,8 @@
 	readonly usedCpu: number;
 	/** The part of it that long-running tasks use. */
 	readonly lastingCpu?: number;
+	/** Whether a run of the account has not begun. */
+	readonly isOpen?: boolean;
 	readonly isAllowed: boolean;
 	/** Whether a task is then assigned. */
 	readonly isAssigned?: boolean;
@@ -101,6 +103,26 @@
 			at: 1500, spec: small, usedCpu: 5000, lastingCpu: 3500, isAllowed: true,
 		}],
 	},
+	{
+		name: 'a start that exceeds the cap waits until each other run has begun', steps: [
+			{
+				at: 0, spec: large, usedCpu: 2500, isOpen: true, isAllowed: false,
+			},
+			{
+				at: 10, spec: large, usedCpu: 2500, isAllowed: true,
+			},
+		],
+	},
+	{
+		name: 'a start within the cap waits for no other run to begin', steps: [{
+			at: 0, spec: large, usedCpu: 2000, isOpen: true, isAllowed: true,
+		}],
+	},
+	{
+		name: 'a step that has to exceed the cap and has waited for long holds up others of an account under half of it', steps: [...denials(large, 1500), {
+			at: 1500, spec: small, usedCpu: 1500, isAllowed: false,
+		}],
+	},
 	{
 		name: 'a start that can never be within the cap claims nothing', steps: [...denials(createSpec(4000, {isGang: true, count: 3}), 3000), {
 			at: 3000, spec: small, usedCpu: 5000, isAllowed: true,
@@ -112,9 +134,9 @@
 for (const {name, steps} of cases) {
 	test(`claims to a cap: ${name}`, t => {
 		const claims = CapClaims.create();
-		for (const {at, spec, usedCpu, lastingCpu = 0, isAllowed, isAssigned = false} of steps) {
+		for (const {at, spec, usedCpu, lastingCpu = 0, isOpen = false, isAllowed, isAssigned = false} of steps) {
 			t.is(claims.isAllowed({
-				account, service, spec, cap, used: {...noResources, cpu: usedCpu}, lasting: {...noResources, cpu: lastingCpu}, now: at,
+				account, service, spec, cap, used: {...noResources, cpu: usedCpu}, lasting: {...noResources, cpu: lastingCpu}, areAllConfirmed: !isOpen, now: at,
 			}), isAllowed);
 			if (isAssigned) {
 				claims.noteStart(account, service, spec);
@@ -143,7 +165,7 @@
 					}
 
 					if (claims.isAllowed({
-						account, service, spec, cap, used, lasting: noResources, now,
+						account, service, spec, cap, used, lasting: noResources, areAllConfirmed: true, now,
 					})) {
 						const isWithin = isWithinCap({
 							cap, used, task: spec.resources, count: 1,
