Wait for the confirmation of the view before a request is refused as stale

Cause: an entry whose view is not confirmed refused each request that got a slot with 503 view_stale at once, also when the next poll or heartbeat, 500 ms apart, would confirm it long before the deadline of the request.

Change: a request that gets a slot while the lease is not valid gives the slot back and waits for the lease, at most 1 s and not beyond its deadline, before it asks for a slot again. One whose lease ran out between the grant and the dispatch is tried again as after other failures that sent nothing. Nothing is sent without a valid lease, as before; an entry cut off from the platform and its peers refuses after 1 s.

--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -20,6 +20,9 @@
 const responseIdleTimeoutMs = 120_000;
 /** Longest idle time after which a connection is reused for a non-idempotent request, in milliseconds. */
 const maxNonIdempotentIdleMs = 500;
+/** Longest wait for the confirmation of the entry's view, in milliseconds: two intervals of the polls and heartbeats that confirm it. */
+const maxLeaseWaitMs = 1000;
+const leaseCheckIntervalMs = 20;
 
 /** Dependencies of the attempts. */
 export type AttemptDependencies = {
@@ -60,8 +63,10 @@
 	const triedVms = new Set<VmId>();
 	let earlierError: VerdictError | undefined;
 	for (let attempts = 0; ; attempts++) {
+		const grant = await acquireSlot(dependencies, options, {attempts, triedVms, earlierError});
+		triedVms.add(grant.vm.vmId as VmId);
 		try {
-			await runAttempt(dependencies, options, attempts, triedVms);
+			await runAttempt(dependencies, options, grant);
 			return;
 		} catch (error) {
 			const failure = mergeFailures(earlierError, error);
@@ -75,7 +80,7 @@
 	}
 }
 
-const dispatchFailureCodes = new Set(['upstream_failed', 'connect_failed', 'bad_answer', 'connections_busy', 'vm_left_pool']);
+const dispatchFailureCodes = new Set(['upstream_failed', 'connect_failed', 'bad_answer', 'connections_busy', 'vm_left_pool', 'view_stale']);
 
 function isDispatchFailure(error: unknown): boolean {
 	return error instanceof VerdictError && dispatchFailureCodes.has(error.code);
@@ -91,20 +96,8 @@
 	return new VerdictError(`${earlier.message}; then ${later.message}`, {verdict: earlier.verdict, code: later.code});
 }
 
-async function runAttempt(dependencies: AttemptDependencies, options: ForwardOptions, attempts: number, triedVms: Set<VmId>): Promise<void> {
-	const {request, deadlineAt, signal, responseWriter} = options;
-	const grant = await dependencies.scheduler.acquireSlot({
-		pool: request.pool,
-		service: request.service,
-		caller: request.caller,
-		workClass: request.workClass,
-		startBy: deadlineAt,
-		attempts,
-		triedVms,
-		isIdempotent: request.isIdempotent,
-		signal,
-	});
-	triedVms.add(grant.vm.vmId as VmId);
+async function runAttempt(dependencies: AttemptDependencies, options: ForwardOptions, grant: SlotGrant): Promise<void> {
+	const {request, responseWriter} = options;
 	let outcome: DispatchOutcome = 'failed';
 	try {
 		await runOnWorker(dependencies, options, grant);
@@ -118,6 +111,62 @@
 	}
 }
 
+type AttemptState = {
+	/** Number of earlier attempts. */
+	readonly attempts: number;
+	readonly triedVms: ReadonlySet<VmId>;
+	/** Failure of the earlier attempts. */
+	readonly earlierError: VerdictError | undefined;
+};
+
+/** Acquires a slot while the lease is valid. An entry that was paused gets slots before it has confirmed its view again. */
+async function acquireSlot(dependencies: AttemptDependencies, options: ForwardOptions, {attempts, triedVms, earlierError}: AttemptState): Promise<SlotGrant> {
+	const {request, deadlineAt, signal} = options;
+	try {
+		for (;;) {
+			const grant = await dependencies.scheduler.acquireSlot({
+				pool: request.pool,
+				service: request.service,
+				caller: request.caller,
+				workClass: request.workClass,
+				startBy: deadlineAt,
+				attempts,
+				triedVms,
+				isIdempotent: request.isIdempotent,
+				signal,
+			});
+			if (dependencies.lease.isValid()) {
+				return grant;
+			}
+
+			grant.release('caller-gone');
+			await waitForLease(dependencies, options);
+		}
+	} catch (error) {
+		throw mergeFailures(earlierError, error);
+	}
+}
+
+/**
+ * Waits until the lease is valid.
+ *
+ * @throws {VerdictError} `not-run`, with code `view_stale` after `maxLeaseWaitMs` or at the deadline.
+ */
+async function waitForLease({lease, clock}: AttemptDependencies, {deadlineAt, signal}: ForwardOptions): Promise<void> {
+	const endsAt = Math.min(deadlineAt, clock.readMonotonic() + maxLeaseWaitMs);
+	while (!lease.isValid()) {
+		if (clock.readMonotonic() >= endsAt) {
+			throw createStaleViewError();
+		}
+
+		if (signal.aborted) {
+			throw createCallerGoneError();
+		}
+
+		await clock.sleep(leaseCheckIntervalMs, signal);
+	}
+}
+
 /**
  * Converts an error to the outcome that the scheduler records. Only failures of the worker itself count against its
  * health.
@@ -202,11 +251,11 @@
 /** Returns the reason why a request must not be sent now, if there is one. */
 function checkBeforeSend({lease, clock, settings, fleet}: AttemptDependencies, {request, deadlineAt, signal}: ForwardOptions, vmId: VmId): VerdictError | undefined {
 	if (signal.aborted) {
-		return new VerdictError('the caller hung up', {verdict: 'not-run', code: 'caller_gone'});
+		return createCallerGoneError();
 	}
 
 	if (!lease.isValid()) {
-		return new VerdictError('the entry can\'t tell whether its settings and fleet are still in force', {verdict: 'not-run', code: 'view_stale'});
+		return createStaleViewError();
 	}
 
 	if (!isRequestCurrent(request, settings.current)) {
@@ -223,3 +272,11 @@
 function createDeadlineError(): VerdictError {
 	return new VerdictError('the deadline passed before the request was sent', {verdict: 'not-run', code: 'deadline_exceeded'});
 }
+
+function createCallerGoneError(): VerdictError {
+	return new VerdictError('the caller hung up', {verdict: 'not-run', code: 'caller_gone'});
+}
+
+function createStaleViewError(): VerdictError {
+	return new VerdictError('the entry can\'t tell whether its settings and fleet are still in force', {verdict: 'not-run', code: 'view_stale'});
+}
--- a/packages/entry/tests/attempts.test.ts
+++ b/packages/entry/tests/attempts.test.ts
@@ -140,6 +140,40 @@
 	t.deepEqual(scheduler.outcomes, ['caller-gone']);
 });
 
+type LeaseCase = {
+	readonly name: string;
+	/** Whether the lease is valid at its first checks; it is valid from then on. */
+	readonly firstChecks: readonly boolean[];
+	readonly outcomes: readonly DispatchOutcome[];
+};
+
+const leaseCases: readonly LeaseCase[] = [
+	{name: 'before the request got a slot', firstChecks: Array.from({length: 5}, () => false), outcomes: ['caller-gone', 'answered']},
+	{name: 'between the grant of a slot and the dispatch', firstChecks: [true, false, false], outcomes: ['caller-gone', 'caller-gone', 'answered']},
+];
+
+// Guards against an entry that was paused and refuses its requests, although it can confirm its view long before their deadlines.
+for (const {name, firstChecks, outcomes} of leaseCases) {
+	test(`a request is served if the entry's view went out of date ${name} and is confirmed again`, async t => {
+		let runs = 0;
+		const worker = await listen(t, (_, response) => {
+			runs++;
+			response.end('ran');
+		});
+		const checks = [...firstChecks];
+		const lease = new class extends FakeLease {
+			override isValid(): boolean {
+				return checks.shift() ?? true;
+			}
+		}();
+		const scheduler = new FakeScheduler(Array.from({length: 4}, () => readPort(worker)));
+		const {error, status} = await forward(t, scheduler, {lease, isIdempotent: false});
+		t.is(error, undefined);
+		t.deepEqual([status, runs], [200, 1]);
+		t.deepEqual(scheduler.outcomes, [...outcomes]);
+	});
+}
+
 test('a slot granted before its VM left the pool is not used', async t => {
 	let runs = 0;
 	const worker = await listen(t, (_, response) => {
--- a/packages/testing/tests/schedulers.test.ts
+++ b/packages/testing/tests/schedulers.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {request} from 'undici';
 import {
@@ -6,6 +7,8 @@
 
 const tree = {deployments: {fixture: {pools: {north: {services: {echo: {}}}}}}};
 const slotsPerVm = 8;
+/** Pause of an entry that outlasts the term of its lease, 2500 ms, in milliseconds. */
+const pauseMs = 3000;
 
 async function waitForPeers(entry: EntryProcess, count: number): Promise<void> {
 	await waitUntil(async () => {
@@ -64,3 +67,18 @@
 	t.deepEqual(leaving!.runs.filter(run => run.startedAt > leftAt + 3000), []);
 	t.true(other!.runs.some(run => run.startedAt > leftAt + 3000));
 });
+
+// Guards against an entry that refuses the requests it received while it was paused, since it checks its view before it confirmed it again.
+test('requests that an entry received while it was paused for longer than its lease are served', async t => {
+	const cluster = await Cluster.create({tree, workers: {north: 1}, entries: 3});
+	t.teardown(async () => cluster.close());
+	await Promise.all(cluster.entries.map(async entry => waitForPeers(entry, 2)));
+	for (const entry of cluster.entries) {
+		await sendAll([entry], 8);
+		entry.kill('SIGSTOP');
+		const statuses = sendAll([entry], 24);
+		await delay(pauseMs);
+		entry.kill('SIGCONT');
+		t.deepEqual(new Set(await statuses), new Set([200]));
+	}
+});
