Wait until a replaced entry is ready before the test sends to it

Cause: 'entries in separate processes share the slots of a worker' sent requests to the entry that replaced a killed one as soon as it heard its peers. Ruled out: other entries (all their requests got 200) and a wait that ran out.

Change: the test waits for /readyz as a load balancer does, and as Cluster.addEntry does for the other entries. It is as strict: each request must get 200, at most 8 runs at once, and the entry must become ready within the limit of waitUntil.

--- a/packages/testing/tests/schedulers.test.ts
+++ b/packages/testing/tests/schedulers.test.ts
@@ -45,7 +45,9 @@
 
 	cluster.entries[2]!.kill('SIGKILL');
 	t.deepEqual(new Set(await sendAll(cluster.entries.slice(0, 2), 60)), new Set([200]));
-	await cluster.restartEntry(2);
+	const replaced = await cluster.restartEntry(2);
+	// An entry may hear its peers before it has read its settings and confirmed its view; a load balancer sends it nothing until it is ready.
+	await waitUntil(async () => replaced.isReady());
 	await Promise.all(cluster.entries.map(async entry => waitForPeers(entry, 2)));
 	t.deepEqual(new Set(await sendAll(cluster.entries, 120)), new Set([200]));
 	t.true(computeMaxConcurrency(cluster.workers[0]!.runs) <= slotsPerVm);
