Wake pools for confirmed runs only where a start may exceed the cap

What operators would see: planning passes for each confirmed run of an account at its cap, of which no start can come. Change: they are woken only if the account uses less than half of its cap, as only then may a start exceed it. Measured result: a case of account-ledgers.test.ts for both; 156 tests of caps, claims, the ledger and the emulator's accounts and dense histories passed.

--- a/packages/scheduling/src/account-caps.ts
+++ b/packages/scheduling/src/account-caps.ts
@@ -56,6 +56,6 @@
 }
 
 /** Reports whether less than half of the cap is used in each capped dimension. */
-function isUnderHalf(cap: Resources, used: Resources): boolean {
+export function isUnderHalf(cap: Resources, used: Resources): boolean {
 	return dimensions.every(dimension => cap[dimension] <= 0 || used[dimension] < cap[dimension] / 2);
 }
--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -4,7 +4,7 @@
  */
 import {type AccountName, type Clock, type ServiceName} from '@tamarackwind/core';
 import {
-	addResources, isCapped, noResources, trimDemand, type Resources, type ShareClaim, type StepSpec,
+	addResources, isCapped, isUnderHalf, noResources, trimDemand, type Resources, type ShareClaim, type StepSpec,
 } from '@tamarackwind/scheduling';
 import {minAccountWeight, type ClientAccount} from './accounts.js';
 import {type ActiveJob} from './active-jobs.js';
@@ -214,19 +214,13 @@
 	/** Counts tasks of an account whose runs are not confirmed, or no longer if their number is negative. */
 	addUnconfirmed(account: AccountName | undefined, tasks: number, {resources}: StepSpec): void {
 		this.#unconfirmedUses.add(account, tasks, resources);
-		if (this.#unconfirmedUses.get(account).tasks === 0) {
+		const cap = account === undefined ? undefined : this.caps.get(account);
+		// From half of its cap on, the account gets no room by the confirmation of a run.
+		if (cap !== undefined && this.#unconfirmedUses.get(account).tasks === 0 && isUnderHalf(cap, this.#uses.get(account).used)) {
 			this.#wakeBlocked(account);
 		}
 	}
 
-	#wakeBlocked(account: AccountName | undefined): void {
-		if (account !== undefined) {
-			for (const pool of this.#pools.values()) {
-				pool.wakeBlocked(account);
-			}
-		}
-	}
-
 	/** Whether the jobs of all pools of the configuration are known. */
 	get #areAllLoaded(): boolean {
 		this.#refresh();
@@ -238,6 +232,14 @@
 		return this.#isLoaded;
 	}
 
+	#wakeBlocked(account: AccountName | undefined): void {
+		if (account !== undefined) {
+			for (const pool of this.#pools.values()) {
+				pool.wakeBlocked(account);
+			}
+		}
+	}
+
 	/** Takes the accounts of a new version of the configuration. */
 	#refresh(): void {
 		const {configuration} = this.#options.declarations;
--- a/packages/workflows/tests/account-ledgers.test.ts
+++ b/packages/workflows/tests/account-ledgers.test.ts
@@ -181,6 +181,28 @@
 	t.deepEqual(plan(parts[0]!, [waiting]), [1]);
 });
 
+// Guards against a start that exceeds the cap waiting for the next pass, and against passes of which no start can come.
+test('a pool with a task that has to exceed a cap is woken once all runs of the account have begun, if it uses less than half', t => {
+	for (const {count, isWoken} of [{count: 1, isWoken: true}, {count: 2, isWoken: false}]) {
+		const {parts, woken} = openLedger(capped);
+		const running = createJob(one, {count});
+		const waiting = createJob(one, {resources: {cpu: 4000, memory: 10, gpu: 0}});
+		parts[1]!.add(running);
+		parts[0]!.add(waiting);
+		for (const task of running.tasks) {
+			task.phase = 'starting';
+		}
+
+		t.deepEqual(plan(parts[0]!, [waiting]), [0]);
+		for (const task of running.tasks) {
+			task.isConfirmed = true;
+		}
+
+		t.deepEqual(woken, isWoken ? [pools[0]!] : []);
+		t.deepEqual(plan(parts[0]!, [waiting]), [isWoken ? 1 : 0]);
+	}
+});
+
 // Guards against a queue that stays closed for the rest of a round, which takes many passes in a crowded pool.
 test('a step that waits for a cap is tried again in the same round', t => {
 	const {parts} = openLedger(capped);
