Let the limits of store clients pass on the test's clock

A process that waits that long for the processor runs its timers before it reads the request or the response, so the limit passes although the server answers at once. Ruled out: longer limits, since these are the product's.

The limits are the same.

--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP connection pool to the platform, shared by the clients of its services.
  */
-import {VerdictError} from '@tamarackwind/core';
+import {SystemClock, VerdictError, type Clock} from '@tamarackwind/core';
 import {Pool} from 'undici';
 import {ResponseCollector} from './response-collectors.js';
 
@@ -14,6 +14,8 @@
 	readonly timeoutMs?: number;
 	/** Maximum number of open connections. */
 	readonly connectionLimit?: number;
+	/** Clock of the time limits. */
+	readonly clock?: Clock;
 };
 
 export type PlatformRequest = {
@@ -42,11 +44,13 @@
 	readonly #url: string;
 	readonly #pool: Pool;
 	readonly #timeoutMs: number;
+	readonly #clock: Clock;
 	readonly #headers: Record<string, string>;
 
-	private constructor({url, token, timeoutMs, connectionLimit = defaultConnectionLimit}: PlatformConnectionOptions) {
+	private constructor({url, token, timeoutMs, connectionLimit = defaultConnectionLimit, clock = SystemClock.create()}: PlatformConnectionOptions) {
 		this.#url = url;
 		this.#timeoutMs = timeoutMs ?? defaultTimeoutMs;
+		this.#clock = clock;
 		this.#pool = new Pool(url, {
 			connections: connectionLimit, pipelining: 1, keepAliveTimeout: idleConnectionMs, connect: {timeout: this.#timeoutMs},
 		});
@@ -83,7 +87,7 @@
 	async request({method, path, json, bytes, headers, timeoutMs = this.#timeoutMs}: PlatformRequest): Promise<PlatformResponse> {
 		const isJson = json !== undefined;
 		const type = isJson ? {'content-type': 'application/json'} : {};
-		const collector = ResponseCollector.create(timeoutMs);
+		const collector = ResponseCollector.create(this.#clock, timeoutMs);
 		try {
 			this.#pool.dispatch({
 				method,
--- a/packages/clients/src/response-collectors.ts
+++ b/packages/clients/src/response-collectors.ts
@@ -1,6 +1,7 @@
 /**
  * Collects the response to one request, with a limit on the whole request and the knowledge whether it was sent.
  */
+import {type Clock} from '@tamarackwind/core';
 import {type Dispatcher} from 'undici';
 
 export type CollectedResponse = {readonly status: number; readonly body: Uint8Array};
@@ -11,13 +12,13 @@
  */
 export class ResponseCollector implements Dispatcher.DispatchHandler {
 	/** Creates a handler; the time limit starts now. */
-	static create(timeoutMs: number): ResponseCollector {
-		return new ResponseCollector(timeoutMs);
+	static create(clock: Clock, timeoutMs: number): ResponseCollector {
+		return new ResponseCollector(clock, timeoutMs);
 	}
 
 	/** Resolves to the response; rejects when it fails or does not arrive in time. */
 	readonly response: Promise<CollectedResponse>;
-	readonly #timer: NodeJS.Timeout;
+	readonly #cancelTimer: () => void;
 	readonly #chunks: Uint8Array[] = [];
 	#resolve!: (response: CollectedResponse) => void;
 	#reject!: (error: Error) => void;
@@ -25,14 +26,14 @@
 	#timeoutError: Error | undefined;
 	#status = 0;
 
-	private constructor(timeoutMs: number) {
+	private constructor(clock: Clock, timeoutMs: number) {
 		this.response = new Promise((resolve, reject) => {
 			this.#resolve = resolve;
 			this.#reject = reject;
 		});
-		this.#timer = setTimeout(() => {
+		this.#cancelTimer = clock.startTimer(timeoutMs, () => {
 			this.#handleTimeout(timeoutMs);
-		}, timeoutMs);
+		});
 	}
 
 	/** Whether the bytes of the request may have left this process. */
@@ -42,7 +43,7 @@
 
 	/** Ends the time limit. */
 	close(): void {
-		clearTimeout(this.#timer);
+		this.#cancelTimer();
 	}
 
 	/** Called immediately before the request is written to a connection; one that has timed out by then is not written. */
