--- a/packages/testing/tests/slots.test.ts
+++ b/packages/testing/tests/slots.test.ts
@@ -123,6 +123,51 @@
 	t.true(result.maxInFlight <= 2 * slotsPerVm);
 });
 
+/** Slots that a home entry of three lends itself while it hears no other entry. */
+const cutOffShare = Math.ceil(slotsPerVm / 3);
+
+const joins: ReadonlyArray<{readonly name: string; readonly ownRequests: number; readonly secondHeardAfterMs: number; readonly maxInFlight: number}> = [
+	{
+		name: 'has no requests', ownRequests: 0, secondHeardAfterMs: 0, maxInFlight: slotsPerVm,
+	},
+	{
+		name: 'has requests', ownRequests: 40, secondHeardAfterMs: 0, maxInFlight: slotsPerVm + cutOffShare,
+	},
+	{
+		name: 'has requests and hears the second entry later', ownRequests: 40, secondHeardAfterMs: 200, maxInFlight: slotsPerVm + cutOffShare,
+	},
+];
+
+// Guards against a home entry that lends all slots as soon as it hears its peers again, while they hold slots of the entry that took its place.
+for (const {
+	name, ownRequests, secondHeardAfterMs, maxInFlight,
+} of joins) {
+	test(`a worker is not overloaded when a home entry that was cut off hears the others and ${name}`, async t => {
+		const simulation = new SlotSimulation({
+			seed: 6, pools: 1, workersPerPool: 1, entries: 3,
+		});
+		const strategy = new FairStrategy(simulation, {seed: 6});
+		const pool = simulation.pools[0]!.name;
+		const entries = Array.from({length: simulation.entryCount}, (_, index) => `entry-${index + 1}` as EntryId);
+		const home = chooseHomeEntry(pool, entries)!;
+		const others = entries.filter(entryId => entryId !== home);
+		for (const [index, other] of others.entries()) {
+			strategy.hub.setLinkCut(home, other, true);
+			simulation.clock.schedule(4000 + (index * secondHeardAfterMs), () => {
+				strategy.hub.setLinkCut(home, other, false);
+			});
+		}
+
+		const createRequests = (entryId: EntryId, count: number, arrivedAt: number): SimulatedRequest[] => Array.from({length: count}, () => ({
+			arrivedAt, entry: entries.indexOf(entryId), pool, serviceMs: 150, workClass: 'interactive', caller: 'a' as SimulatedRequest['caller'], group: 'all', attempts: 0,
+		}));
+		const requests = [...others.flatMap(other => createRequests(other, 100, 500)), ...createRequests(home, ownRequests, 2990)];
+		const result = await runSimulation(simulation, strategy, requests, {durationMs: 15_000, drainMs: 0});
+		t.true(result.requests.every(({finishedAt}) => finishedAt !== undefined));
+		t.true(result.maxInFlight <= maxInFlight, `${result.maxInFlight} in flight`);
+	});
+}
+
 type Takeover = {
 	readonly name: string;
 	/** Time after the loss of the home entry at which its successor and the third entry notice it, in milliseconds. */
