Keep a fifth crash for a suspect whose worker is lost with most others

Callers saw sound jobs shown as failed (LOST) when all workers of a pool restart at once beside takeovers.

Cause: a task that is the only suspect of its fourth crash in a row is given up, one crash sooner than any other, as the crash of a start may go unseen in a takeover. A worker that is lost together with the others had only this suspect by chance.

Change: a suspect does not count as the only one if three quarters of the other workers were lost in the same 50 ms. It is given up after five crashes then. The probability of a crash stays as it was. The share is computed for a sole suspect only, and logged.

--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -32,6 +32,9 @@
 /** Probability above which suspects are kept apart by it, so that those on one worker add up to half a culprit. */
 const separatedGuilt = 0.1;
 const msPerSecond = 1000;
+const loggedDigits = 3;
+/** Share of the other workers from which their loss at the same time has a common cause, and the suspect of a crash is not the only possible one. At a half, tasks that all crash their workers after a takeover seem to have one. */
+const commonCauseShare = 0.75;
 /** Wait after which a suspect of one crash starts beside any number of others, in milliseconds. */
 const maxSuspectWaitMs = 1000;
 /** Probability above which it does not. */
@@ -44,6 +47,8 @@
 	readonly seenAt: number;
 	/** When it was found to be gone. */
 	readonly lostAt: number;
+	/** Computes the share of the pool's other workers that were lost at the same time without running a task. */
+	readonly computeCommonLoss?: (task: Task) => number;
 };
 
 /** Reports whether the worker of a run is not known to have survived its start; `seenAt` is when the worker was last known to be up. */
@@ -63,19 +68,22 @@
 
 /** Weighs a crash against each of its suspects; `workers` is the number of workers to which the history belongs. */
 export function computeEvidence(lost: LostWorker, history: CrashHistory, workers: number): Map<Task, CrashEvidence> {
-	const {seenAt, lostAt} = lost;
+	const {seenAt, lostAt, computeCommonLoss} = lost;
 	const suspects = listSuspects(lost);
 	const innocence = suspects.reduce((product, {guilt}) => product * (1 - guilt), 1);
 	return new Map(suspects.map(task => {
 		const exposureMs = task.orderedAt === 0 ? lostAt - seenAt : lostAt - task.orderedAt;
 		const rate = history.estimateRate(task, lostAt, workers);
 		const withoutCrash = Math.exp(-rate * Math.max(0, exposureMs));
+		const commonLoss = suspects.length === 1 ? computeCommonLoss?.(task) ?? 0 : undefined;
 		const coincidence = 1 - ((innocence / (1 - task.guilt)) * withoutCrash);
 		return [task, {
 			coincidence: Math.max(minCoincidence, coincidence),
 			isEarly: isUnproven(task, seenAt),
-			isAlone: suspects.length === 1,
-			details: {exposureMs: Math.round(exposureMs), ratePerS: Number((rate * msPerSecond).toPrecision(3)), otherSuspects: suspects.length - 1},
+			isAlone: commonLoss !== undefined && commonLoss < commonCauseShare,
+			details: {
+				exposureMs: Math.round(exposureMs), ratePerS: formatNumber(rate * msPerSecond), otherSuspects: suspects.length - 1, commonLoss: commonLoss === undefined ? undefined : formatNumber(commonLoss),
+			},
 		}];
 	}));
 }
@@ -101,6 +109,11 @@
 	return lostAt - task.orderedAt < provingMs ? unobservedCrash : undefined;
 }
 
+/** Rounds a number for log lines. */
+function formatNumber(value: number): number {
+	return Number(value.toPrecision(loggedDigits));
+}
+
 /** Counts a crash against a task. */
 export function recordCrash(task: Task, {coincidence, isEarly, isAlone, isHidden = false}: CrashEvidence): void {
 	if (isHidden) {
--- a/packages/workflows/src/crash-evidence.ts
+++ b/packages/workflows/src/crash-evidence.ts
@@ -9,6 +9,8 @@
 	readonly ratePerS: number;
 	/** Number of other suspects of the crash. */
 	readonly otherSuspects: number;
+	/** Share of the pool's other workers that were lost at the same time; `undefined` if there were other suspects. */
+	readonly commonLoss: number | undefined;
 };
 
 /** Evidence of one crash against one task. */
@@ -17,7 +19,7 @@
 	readonly coincidence: number;
 	/** Whether the worker was not known to have survived the start of the run. */
 	readonly isEarly: boolean;
-	/** Whether no other run can have been the cause. */
+	/** Whether no other run can have been the cause, and no common cause is likely. */
 	readonly isAlone: boolean;
 	/** Whether a takeover hides what became of the run, so that its crash is only possible; false by default. */
 	readonly isHidden?: boolean;
--- a/packages/workflows/src/crash-histories.ts
+++ b/packages/workflows/src/crash-histories.ts
@@ -9,14 +9,30 @@
 const longestWindowMs = Math.max(...windowsMs);
 /** Crashes that are added to those of the longest interval, so that a pool without any does not count as one that can't crash. */
 const assumedCrashes = 0.5;
+/** Time between the losses of workers that may have a common cause, in milliseconds: a rack or its network. */
+const commonLossMs = 50;
 /** Interval in which crashes of one worker count against it, in milliseconds. */
 const workerWindowMs = 30_000;
 /** Crashes in this interval from which a worker gets tasks only when no other has capacity: a single one is ordinary. */
 const minWorkerCrashes = 2;
 
+/** Time within which a worker was lost, on the monotonic clock. */
+export type LossInterval = {
+	readonly worker: VmId;
+	/** When the worker was last known to be up. */
+	readonly seenAt: number;
+	/** When it was found to be gone. */
+	readonly lostAt: number;
+};
+
+/** The loss of a worker with the tasks that ran on it. */
+export type Loss = LossInterval & {readonly tasks: ReadonlySet<Task>};
+
 /** The crash of a worker. */
 export type Crash = {
 	readonly worker: VmId;
+	/** When the worker was last known to be up, on the monotonic clock. */
+	readonly seenAt: number;
 	/** Time of the crash, on the monotonic clock. */
 	readonly at: number;
 	/** Tasks that ran on the worker. */
@@ -49,6 +65,13 @@
 		return Math.max(...rates);
 	}
 
+	/** Lists the losses of other workers in the interval in which a worker was lost, one for each; `lost` are those whose end is not known yet. */
+	listCommonLosses({worker, seenAt, lostAt}: LossInterval, lost: readonly Loss[]): Loss[] {
+		const losses = [...this.#crashes.map(({at, ...crash}) => ({...crash, lostAt: at})), ...lost]
+			.filter(other => other.worker !== worker && other.seenAt <= lostAt + commonLossMs && other.lostAt >= seenAt - commonLossMs);
+		return [...new Map(losses.map(loss => [loss.worker, loss])).values()];
+	}
+
 	/** Counts the crashes of workers that ran the given task. */
 	countCrashes(task: Task): number {
 		return this.#crashes.filter(({tasks}) => tasks.has(task)).length;
--- a/packages/workflows/src/pool-schedulers.ts
+++ b/packages/workflows/src/pool-schedulers.ts
@@ -11,7 +11,7 @@
 import {type ChargeMonitor} from './charge-monitors.js';
 import {type JobChange, type JobFeed, type JobSubscriber} from './job-feeds.js';
 import {
-	computeEvidence, computeUnobservedEvidence, isSuspect, isUnproven, recordCrash,
+	computeEvidence, computeUnobservedEvidence, isSuspect, isUnproven, recordCrash, type LostWorker,
 } from './crash-budgets.js';
 import {type CrashEvidence} from './crash-evidence.js';
 import {CrashHistory} from './crash-histories.js';
@@ -354,17 +354,38 @@
 	#computeLossEvidence(session: WorkerSession): Map<Task, CrashEvidence> {
 		const lostAt = session.lostAt ?? this.#options.clock.readMonotonic();
 		const {record, tasks, seenAt} = session;
+		const lost = this.#describeLoss(session, lostAt);
 		const unobserved = [...tasks].flatMap(task => {
 			const crash = computeUnobservedEvidence(task, lostAt);
 			return crash === undefined ? [] : [[task, crash] as const];
 		});
-		const evidence = new Map([...session.crashAtExpiry, ...unobserved, ...computeEvidence({tasks, seenAt, lostAt}, this.#crashes, this.#sessions.size)]);
+		const evidence = new Map([...session.crashAtExpiry, ...unobserved, ...computeEvidence(lost, this.#crashes, this.#sessions.size)]);
 		this.#crashes.record({
-			worker: record.id, at: lostAt, tasks: new Set(tasks), isExplained: [...evidence.keys()].some(task => isSuspect(task)),
+			worker: record.id, seenAt, at: lostAt, tasks: new Set(tasks), isExplained: [...evidence.keys()].some(task => isSuspect(task)),
 		});
 		return evidence;
 	}
 
+	#describeLoss(session: WorkerSession, lostAt: number): LostWorker {
+		const {tasks, seenAt} = session;
+		return {
+			tasks, seenAt, lostAt, computeCommonLoss: task => this.#computeCommonLoss(session, lostAt, task),
+		};
+	}
+
+	/** Computes the share of the other workers that were lost at the same time without running a task; some of them may only be unreachable yet. */
+	#computeCommonLoss({record, seenAt}: WorkerSession, lostAt: number, task: Task): number {
+		const others = [...this.#sessions.values()].filter(other => other.record.id !== record.id);
+		const unreachable = others.flatMap(({record: {id: worker}, seenAt: otherSeenAt, lostAt: otherLostAt, tasks}) => otherLostAt === undefined
+			? []
+			: [{
+				worker, seenAt: otherSeenAt, lostAt: otherLostAt, tasks,
+			}]);
+		const losses = this.#crashes.listCommonLosses({worker: record.id, seenAt, lostAt}, unreachable);
+		const otherWorkers = new Set([...others.map(other => other.record.id), ...losses.map(({worker}) => worker)]);
+		return losses.filter(loss => !loss.tasks.has(task)).length / Math.max(1, otherWorkers.size);
+	}
+
 	/** Counts the crash of a worker against a task that may have caused it. */
 	#recordCrash(task: Task, worker: string, evidence: CrashEvidence): void {
 		const {log} = this.#options;
@@ -701,7 +722,7 @@
 		if (expired.length > 0) {
 			this.#options.log.info('lease lapsed', {worker: session.name, tasks: expired.length, unlisted: session.tasks.size - expired.length});
 			// The worker may be cut off rather than crashed; that shows once it answers again or its VM is found down.
-			const evidence = computeEvidence({tasks: session.tasks, seenAt: session.seenAt, lostAt: session.lostAt ?? now}, this.#crashes, this.#sessions.size);
+			const evidence = computeEvidence(this.#describeLoss(session, session.lostAt ?? now), this.#crashes, this.#sessions.size);
 			for (const [task, crash] of [...evidence].filter(([task]) => expired.includes(task))) {
 				session.crashAtExpiry.set(task, crash);
 			}
--- a/packages/workflows/tests/crash-budgets.test.ts
+++ b/packages/workflows/tests/crash-budgets.test.ts
@@ -20,7 +20,7 @@
 	const history = CrashHistory.create();
 	for (let at = until - 60_000; at < until; at += intervalMs) {
 		history.record({
-			worker: 'other' as VmId, at, tasks: new Set(), isExplained: false,
+			worker: 'other' as VmId, seenAt: at, at, tasks: new Set(), isExplained: false,
 		});
 	}
 
@@ -55,6 +55,8 @@
 	readonly crashIntervalMs?: number;
 	/** Earlier runs that takeovers hide, each of which may have crashed its worker. */
 	readonly hiddenRuns?: number;
+	/** Number of the other workers that are lost at the same time each time. */
+	readonly commonLosses?: number;
 	/** Crashes in a row after which the task is given up; `undefined` if ten do not suffice. */
 	readonly givenUpAfter: number | undefined;
 };
@@ -84,6 +86,12 @@
 	{
 		name: 'that starts beside the same five others each time is given up after five, whatever takeovers may hide', others: 5, areSame: true, afterMs: 10, hiddenRuns: 9, givenUpAfter: 5,
 	},
+	{
+		name: 'in a pool whose workers keep crashing is given up after four if a quarter of the others are lost each time', others: 0, afterMs: 250, crashIntervalMs: 300, commonLosses: 2, givenUpAfter: 4,
+	},
+	{
+		name: 'in a pool whose workers keep crashing is given up after five if all others are lost each time', others: 0, afterMs: 250, crashIntervalMs: 300, commonLosses: 7, givenUpAfter: 5,
+	},
 	{
 		name: 'whose workers crash later is given up if other workers do not', others: 0, afterMs: 2000, givenUpAfter: 3,
 	},
@@ -95,7 +103,7 @@
 	},
 ];
 
-for (const {name, others, areSame = false, afterMs, crashIntervalMs, hiddenRuns = 0, givenUpAfter} of cases) {
+for (const {name, others, areSame = false, afterMs, crashIntervalMs, hiddenRuns = 0, commonLosses = 0, givenUpAfter} of cases) {
 	test(`crashes in a row: a task ${name}`, t => {
 		const task = createTask({orderedAt: seenAt});
 		task.hiddenRuns = hiddenRuns;
@@ -106,7 +114,10 @@
 		for (let crash = 1; crash <= 10 && givenUpAt === undefined; crash++) {
 			const tasks = [task, ...(areSame ? sameOthers : createOthers())];
 			const lostAt = seenAt + afterMs;
-			for (const [suspect, evidence] of computeEvidence({tasks, seenAt: lostAt, lostAt}, history, workers)) {
+			const lost = {
+				tasks, seenAt: lostAt, lostAt, computeCommonLoss: () => commonLosses / (workers - 1),
+			};
+			for (const [suspect, evidence] of computeEvidence(lost, history, workers)) {
 				recordCrash(suspect, evidence);
 			}
 
@@ -194,6 +205,41 @@
 	});
 }
 
+type LossCase = {readonly name: string; readonly worker?: string; readonly seenAt: number; readonly lostAt: number; readonly isCommon: boolean};
+
+const lossCases: readonly LossCase[] = [
+	{
+		name: 'within the same interval is common', seenAt: 1010, lostAt: 1090, isCommon: true,
+	},
+	{
+		name: 'just after it is common', seenAt: 1150, lostAt: 1300, isCommon: true,
+	},
+	{
+		name: 'just before it is common', seenAt: 800, lostAt: 950, isCommon: true,
+	},
+	{
+		name: 'long after it is not', seenAt: 1151, lostAt: 1300, isCommon: false,
+	},
+	{
+		name: 'long before it is not', seenAt: 800, lostAt: 949, isCommon: false,
+	},
+	{
+		name: 'of the same worker is not', worker: 'one', seenAt: 1010, lostAt: 1090, isCommon: false,
+	},
+];
+
+// Guards against sound tasks that count as the only cause of a crash when workers of a rack are lost together (LOST).
+for (const {name, worker = 'two', seenAt: otherSeenAt, lostAt, isCommon} of lossCases) {
+	test(`the loss of another worker ${name}`, t => {
+		const other = {worker: worker as VmId, seenAt: otherSeenAt, tasks: new Set<Task>()};
+		const history = CrashHistory.create();
+		const loss = {worker: 'one' as VmId, seenAt: 1000, lostAt: 1100};
+		t.is(history.listCommonLosses(loss, [{...other, lostAt}]).length, isCommon ? 1 : 0);
+		history.record({...other, at: lostAt, isExplained: false});
+		t.is(history.listCommonLosses(loss, [{...other, lostAt}]).length, isCommon ? 1 : 0);
+	});
+}
+
 type SuspicionCase = {readonly name: string; readonly crashes: ReadonlyArray<{readonly worker: string; readonly at: number; readonly isExplained?: boolean}>; readonly suspicion: number};
 
 const suspicionCases: readonly SuspicionCase[] = [
@@ -209,7 +255,7 @@
 		const history = CrashHistory.create();
 		for (const {worker, at, isExplained = false} of crashes) {
 			history.record({
-				worker: worker as VmId, at, tasks: new Set(), isExplained,
+				worker: worker as VmId, seenAt: at, at, tasks: new Set(), isExplained,
 			});
 		}
 
