Start a job again on a worker that has failed it once no other one can hold it

What callers see: a job waits without an end beside an idle worker, the only one that can hold it, after one failure there. Cause: the worker is excluded for the job, the check for jobs that no worker can hold leaves exclusions out, and the number of remaining workers counted those that can't hold the job. A state that is left only by an event which it prevents. Ruled out: an end of the job at once; the failure may have been the worker's. Change: exclusions are dropped when they leave no worker that can hold the job. Only workers that can hold it count as remaining, so that its next failure there ends it.

--- a/packages/jobs/src/job-schedulers.ts
+++ b/packages/jobs/src/job-schedulers.ts
@@ -14,6 +14,7 @@
 import {kindPolicies} from './kinds.js';
 import {maxBatchJobs, JobStore, type JobChange} from './job-stores.js';
 import {planOverruns} from './overruns.js';
+import {createPlacementNode, explainUnplaceable} from './nodes.js';
 import {BestFitPlacement, type PlacementStrategy} from './placements.js';
 import {type Plan} from './scheduling-rounds.js';
 import {buildHoldKey, jobTables, type Hold} from './rows.js';
@@ -221,7 +222,10 @@
 			isLeaseExpired: this.#monitor.isLeaseExpired(run, isListed && vm === undefined),
 			isCancelled: this.#inbox.isCancelled(row.jobId),
 			now: this.#options.clock.readWall(),
-			remainingWorkers: [...vms.keys()].filter(vmId => vmId !== run.task.vmId && !row.failedVms.includes(vmId)).length,
+			countRemainingWorkers() {
+				const request = {size: run.size, spec: row.spec, excludedVms: new Set([...row.failedVms, run.task.vmId])};
+				return [...vms.values()].filter(other => explainUnplaceable(request, [createPlacementNode(other)]) === undefined).length;
+			},
 		});
 		if (transition === undefined && run.observation === 'absent' && row.state === 'starting') {
 			this.#actions.revokeStart(run);
--- a/packages/jobs/src/job-transitions.ts
+++ b/packages/jobs/src/job-transitions.ts
@@ -16,8 +16,8 @@
 	readonly isCancelled: boolean;
 	/** Wall-clock time, in milliseconds. */
 	readonly now: number;
-	/** Number of other workers on which the job has not failed. */
-	readonly remainingWorkers: number;
+	/** Counts the other workers that can hold the job and on which it has not failed. */
+	readonly countRemainingWorkers: () => number;
 };
 
 /** Fields to write, and whether the run has ended; `undefined` if nothing changes. */
@@ -98,7 +98,7 @@
 		return resolveInterrupted(row, context, reason);
 	}
 
-	const isLast = failedVms.length >= maxFailedWorkers || context.remainingWorkers === 0 || row.spec.kind === 'refresh';
+	const isLast = failedVms.length >= maxFailedWorkers || context.countRemainingWorkers() === 0 || row.spec.kind === 'refresh';
 	return isLast
 		? endJob({
 			state: 'failed', reason, failedVms, endedAt: context.now,
--- a/packages/jobs/src/turns.ts
+++ b/packages/jobs/src/turns.ts
@@ -77,11 +77,12 @@
 
 function buildQueuedJob({usage, notBefore, now, wallNow, snapshot}: TurnInput, row: JobRow): {readonly row: JobRow; readonly job: QueuedJob} {
 	const estimate = usage.computeEstimate(row.spec, row.caller);
+	const size = chooseSize(row, estimate, snapshot);
 	const job: QueuedJob = {
 		jobId: row.jobId,
 		team: row.team ?? noTeam,
 		workClass: row.spec.workClass,
-		request: {size: chooseSize(row, estimate, snapshot), spec: row.spec, excludedVms: new Set(row.failedVms)},
+		request: {size, spec: row.spec, excludedVms: listExcludedVms(row, size, snapshot)},
 		queuedAt: now - Math.max(0, wallNow - row.submittedAt),
 		runMs: estimate.runMs,
 		canCheckpoint: kindPolicies[row.spec.kind].canCheckpoint,
@@ -90,6 +91,13 @@
 	return {row, job};
 }
 
+/** Lists the workers on which a job has failed, unless no other worker can hold it: it is tried there again, and its next failure ends it. */
+function listExcludedVms({spec, failedVms}: JobRow, size: TaskResources, {allNodes}: PlacementSnapshot): Set<string> {
+	const excludedVms = new Set(failedVms);
+	const isFailedEverywhere = failedVms.length > 0 && explainUnplaceable({size, spec, excludedVms}, allNodes) !== undefined;
+	return isFailedEverywhere ? new Set() : excludedVms;
+}
+
 /** Chooses the estimate if it fits some worker, else the declared size; raises it to the minimum size of the row if that fits. */
 function chooseSize(row: JobRow, {cores, memoryMb, accelerators}: Estimate, {allNodes}: PlacementSnapshot): TaskResources {
 	const declared = {cores: row.spec.cores, memoryMb: row.spec.memoryMb, accelerators: row.spec.accelerators};
