Refuse a job at its submission if no row of the store holds its progress

Callers saw: nothing on the platform's sites, whose rows hold 65,536 bytes of base64. Where rows are under 2,410 bytes, a sound job could be accepted and end as failed, as the store rejects its progress (isUnrecordable). Cause: the submission checked the row of the job only; the layout did not count what a head row holds besides tasks and the owner, and a row holds one task however small it is. Ruled out: that accounts or large jobs meet a limit first at 49,152 decoded bytes. Change: the layout reserves 100 bytes for the head row, and a submission is refused with 413 if a row can't hold the progress of one task. Test: progress-layouts.test.ts. Left open: a service name of over 191 bytes makes a partition name that the store does not take; by reading only.

--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -10,6 +10,7 @@
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type Job} from './jobs.js';
 import {type Principal} from './principals.js';
+import {computeMinRowBytes} from './progress-layouts.js';
 import {getCancelKey, getJobKey, getSubmissionPartition} from './table-keys.js';
 import {encodeJob, tombstone, type SubmissionRow} from './records.js';
 
@@ -89,11 +90,16 @@
 		this.#suspicionTimeout = AdaptiveTimeout.create({clock: options.clock, ...suspicion});
 	}
 
-	/** Returns an error message that names the limit if the table service can't keep a job; `undefined` otherwise. */
+	/** Returns an error message that names the limit if the table service can't keep a job or its progress; `undefined` otherwise. */
 	findSizeError(job: Job): string | undefined {
 		const {valueBytes} = this.#options.tables.limits;
 		const bytes = countBytes(encodeJob(job));
-		return bytes > valueBytes ? `job takes ${bytes} bytes, more than the ${valueBytes} bytes that a row of the store holds` : undefined;
+		if (bytes > valueBytes) {
+			return `job takes ${bytes} bytes, more than the ${valueBytes} bytes that a row of the store holds`;
+		}
+
+		const progressBytes = computeMinRowBytes(job);
+		return progressBytes > valueBytes ? `progress of the job may take ${progressBytes} bytes, more than the ${valueBytes} bytes that a row of the store holds` : undefined;
 	}
 
 	/** Reports whether a job is being submitted by some request. */
--- a/packages/workflows/src/progress-layouts.ts
+++ b/packages/workflows/src/progress-layouts.ts
@@ -8,6 +8,8 @@
 
 /** Upper bound of the encoded size of one task and of its share of a step, in bytes: the longest worker id, checkpoint and numbers. */
 const maxTaskBytes = 800;
+/** Upper bound of the encoded size of what else a head row holds, without the account, in bytes. */
+const headBytes = 100;
 /** Maximum number of tasks of a job with one row. */
 const maxSingleRowTasks = 64;
 /** Maximum number of tasks in a further row of a larger job: each change of one of them writes all. */
@@ -25,8 +27,7 @@
 export class ProgressLayout {
 	/** Creates the layout for a job without progress; the first row also holds the account of the job. */
 	static create(spec: JobSpec & Pick<Job, 'account'>, {valueBytes}: TableLimits): ProgressLayout {
-		const accountBytes = spec.account === undefined ? 0 : Buffer.byteLength(JSON.stringify({account: spec.account}));
-		const limit = Math.max(1, Math.floor((valueBytes - accountBytes) / maxTaskBytes));
+		const limit = Math.max(1, Math.floor((valueBytes - headBytes - countAccountBytes(spec)) / maxTaskBytes));
 		return new ProgressLayout(spec, countTasks(spec) <= Math.min(maxSingleRowTasks, limit) ? undefined : Math.min(maxTasksPerRow, limit));
 	}
 
@@ -90,6 +91,15 @@
 /** Separates the id of a job from the index of a further progress row in its key. */
 export const partSeparator = '/';
 
+/** Computes the size of a row that holds the progress of one task of a job whatever becomes of it, in bytes. */
+export function computeMinRowBytes(spec: Pick<Job, 'account'>): number {
+	return headBytes + countAccountBytes(spec) + maxTaskBytes;
+}
+
+function countAccountBytes({account}: Pick<Job, 'account'>): number {
+	return account === undefined ? 0 : Buffer.byteLength(JSON.stringify({account}));
+}
+
 /** Counts the tasks of a job over all of its occurrences. */
 function countTasks({steps, schedule}: JobSpec): number {
 	return steps.reduce((sum, {count}) => sum + count, 0) * (schedule?.repetitions ?? 1);
--- a/packages/workflows/tests/progress-layouts.test.ts
+++ b/packages/workflows/tests/progress-layouts.test.ts
@@ -1,10 +1,11 @@
 import {
-	type AccountName, type JobId, type ServiceName, type VmId,
+	Log, ManualClock, type AccountName, type JobId, type ServiceName, type VmId,
 } from '@tamarackwind/core';
+import {MemoryTableService} from '@tamarackwind/clients';
 import {type StepSpec} from '@tamarackwind/scheduling';
 import test from 'ava';
 import {
-	ActiveJob, decodeProgress, decodeProgressPart, headRow, maxCheckpointBytes, ProgressLayout, type Job, type Progress,
+	ActiveJob, decodeProgress, decodeProgressPart, headRow, JobSubmitter, maxCheckpointBytes, ProgressLayout, RateLimitedLog, type Job, type Progress,
 } from '../src/index.js';
 
 const limits = {valueBytes: 49_152, transactionBytes: 690_000, transactionEntries: 100};
@@ -38,6 +39,7 @@
 		task.run = Number.MAX_SAFE_INTEGER;
 		task.failures = Number.MAX_SAFE_INTEGER;
 		task.crashes = Number.MAX_SAFE_INTEGER;
+		task.guilt = 0.123_456_789;
 		task.checkpoint = 'c'.repeat(maxCheckpointBytes - 2);
 		task.incarnation = {id: '"'.repeat(200) as VmId, startedAt: Number.MAX_SAFE_INTEGER};
 		task.phase = 'starting';
@@ -158,3 +160,42 @@
 		}
 	});
 }
+
+type SizeCase = {readonly name: string; readonly steps: ReadonlyArray<Partial<StepSpec>>; readonly repetitions?: number};
+
+const sizeCases: readonly SizeCase[] = [
+	{name: 'one task', steps: [{}]},
+	{name: 'two steps', steps: [{}, {}]},
+	{name: '60 steps', steps: Array.from({length: 60}, () => ({}))},
+	{name: '61 tasks', steps: [{count: 61}]},
+	{name: '30 repetitions', steps: [{}, {}], repetitions: 30},
+];
+
+for (const {name, steps, repetitions} of sizeCases) {
+	for (const account of [undefined, 'a', '\u0000'.repeat(128)]) {
+		// Guards against sound jobs that end as failed because the store rejects their progress.
+		test(`a job of ${name} with ${account === undefined ? 'no owner' : `an owner of ${account.length} characters`} is refused at its submission, or its progress fits whatever becomes of it`, t => {
+			const job = {...createJob(steps, repetitions), ...(account === undefined ? {} : {account: account as AccountName})};
+			let accepted = 0;
+			for (const valueBytes of [300, 500, 800, 900, 1000, 1600, 1700, 2400, 4096, limits.valueBytes]) {
+				const clock = ManualClock.create();
+				const tables = MemoryTableService.create(clock, {...limits, valueBytes});
+				if (JobSubmitter.create({clock, tables, log: RateLimitedLog.create(Log.createSilent(), clock)}).findSizeError(job) !== undefined) {
+					continue;
+				}
+
+				accepted++;
+				const active = ActiveJob.create(job, now, tables.limits);
+				startAll(active);
+				active.state = 'cancelled';
+				active.endedAt = Number.MAX_SAFE_INTEGER;
+				for (let row = headRow; row < active.progressKeys.length - 1; row++) {
+					const bytes = Buffer.byteLength(JSON.stringify(active.encodeProgressRow(row).value));
+					t.true(bytes <= valueBytes, `row ${row} takes ${bytes} of ${valueBytes} bytes`);
+				}
+			}
+
+			t.true(accepted > 0);
+		});
+	}
+}
