Revert the recovery of a home entry that was cut off

Suspected, not shown: a starved entry hears no majority for a moment, and the new broker that it then begins with forgets the loans of the earlier one, whose holders don't all report within 300 ms. A later try should keep the table of loans and only pause.

--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -55,8 +55,6 @@
 	broker: Broker | undefined;
 	/** Whether the broker lends this entry its own share while the home entry is unresponsive. */
 	hasFallbackBroker: boolean;
-	/** Whether this entry heard no majority of the entries at the last update. */
-	wasCutOff: boolean;
 };
 
 /** Provides brokers with the workers that are neither leaving nor set aside. */
@@ -252,7 +250,7 @@
 			},
 		});
 		const state: PoolState = {
-			pool, borrower, retryBudgets: PoolRetryBudgets.create(), broker: undefined, hasFallbackBroker: false, wasCutOff: false,
+			pool, borrower, retryBudgets: PoolRetryBudgets.create(), broker: undefined, hasFallbackBroker: false,
 		};
 		this.#pools.set(pool.name, state);
 		this.#updateWorkers(pool);
@@ -306,16 +304,13 @@
 		const {bus} = this.#options;
 		const self = bus.self.entryId;
 		const home = chooseHomeEntry(state.pool.name, this.#listEntries())!;
-		const isCutOff = this.#isCutOff();
 		if (home === self) {
-			// The others may hold slots that another home entry lent them while this one was cut off.
-			if (state.broker === undefined || state.hasFallbackBroker || (state.wasCutOff && !isCutOff)) {
+			if (state.broker === undefined || state.hasFallbackBroker) {
 				state.broker = this.#createBroker(bus.listPeers().length === 0 ? 0 : brokerRecoveryMs, (total, unreported) => this.#computeHomeShare(total) - (unreported * this.#computeEntryShare(total)));
 				state.borrower.scheduleSync();
 			}
 
 			state.hasFallbackBroker = false;
-			state.wasCutOff = isCutOff;
 		} else if (state.hasFallbackBroker) {
 			state.borrower.probeHome(home);
 			return;
@@ -339,12 +334,6 @@
 		return Math.max(1 + this.#options.bus.listPeers().length, this.#options.countEntries());
 	}
 
-	/** Reports whether other entries are listed and no majority of all is reachable. */
-	#isCutOff(): boolean {
-		const listed = this.#countEntries();
-		return listed > 1 && (1 + this.#options.bus.listPeers().length) * 2 <= listed;
-	}
-
 	/** Computes the slots of a pool that one entry may use on its own. */
 	#computeEntryShare(total: number): number {
 		return Math.max(1, Math.floor(total / this.#countEntries()));
