Count runs of an account as starting only until their orders have an answer or are given up

Cause: a start that exceeds a cap waited for each run of the account that was not confirmed, among them starts that are being stopped for want of an answer, until these are settled; and its claim held up the rest of the account meanwhile. A precaution without a bound. Ruled out: dropping the wait; starts that are about to begin would exceed the cap (cap-overruns.test.ts). Change: a run counts from its assignment until its start is answered, or is stopped after the time limit of orders, 1.2 s. A start that is carried out later than that may still exceed the cap.

--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -79,8 +79,8 @@
 	readonly #uses = AccountUses.create();
 	/** What of it long-running tasks use. */
 	readonly #lastingUses = AccountUses.create();
-	/** What of it tasks use whose runs are not confirmed. */
-	readonly #unconfirmedUses = AccountUses.create();
+	/** What of it tasks use whose runs are about to begin. */
+	readonly #startingUses = AccountUses.create();
 	readonly #pools = new Map<ServiceName, PoolAccounts>();
 	readonly #claims = CapClaims.create();
 	/** Configuration from which the accounts were taken. */
@@ -157,7 +157,7 @@
 	isAllowed(account: AccountName, service: ServiceName, spec: StepSpec): boolean {
 		const cap = this.caps.get(account);
 		return cap === undefined || this.#claims.isAllowed({
-			account, service, spec, cap, used: this.getUse(account), lasting: this.#lastingUses.get(account).used, areAllConfirmed: this.#unconfirmedUses.get(account).tasks === 0, now: this.#options.clock.readMonotonic(),
+			account, service, spec, cap, used: this.getUse(account), lasting: this.#lastingUses.get(account).used, haveAllBegun: this.#startingUses.get(account).tasks === 0, now: this.#options.clock.readMonotonic(),
 		});
 	}
 
@@ -180,7 +180,7 @@
 	closePool(pool: PoolAccounts): void {
 		releaseUses(this.#uses, pool.uses);
 		releaseUses(this.#lastingUses, pool.lastingUses);
-		releaseUses(this.#unconfirmedUses, pool.unconfirmedUses);
+		releaseUses(this.#startingUses, pool.startingUses);
 
 		if (this.#pools.get(pool.service) === pool) {
 			this.#pools.delete(pool.service);
@@ -211,12 +211,12 @@
 		}
 	}
 
-	/** Counts tasks of an account whose runs are not confirmed, or no longer if their number is negative. */
-	addUnconfirmed(account: AccountName | undefined, tasks: number, {resources}: StepSpec): void {
-		this.#unconfirmedUses.add(account, tasks, resources);
+	/** Counts tasks of an account whose runs are about to begin, or no longer if their number is negative. */
+	addStarting(account: AccountName | undefined, tasks: number, {resources}: StepSpec): void {
+		this.#startingUses.add(account, tasks, resources);
 		const cap = account === undefined ? undefined : this.caps.get(account);
-		// From half of its cap on, the account gets no room by the confirmation of a run.
-		if (cap !== undefined && this.#unconfirmedUses.get(account).tasks === 0 && isUnderHalf(cap, this.#uses.get(account).used)) {
+		// From half of its cap on, the account gets no room by the begin of a run.
+		if (cap !== undefined && this.#startingUses.get(account).tasks === 0 && isUnderHalf(cap, this.#uses.get(account).used)) {
 			this.#wakeBlocked(account);
 		}
 	}
@@ -273,7 +273,7 @@
 	readonly charges = ChargeMonitor.create();
 	readonly #uses = AccountUses.create();
 	readonly #lastingUses = AccountUses.create();
-	readonly #unconfirmedUses = AccountUses.create();
+	readonly #startingUses = AccountUses.create();
 	readonly #pastUses: PastUses;
 	/** Accounts whose caps have kept a task of the pool waiting since their use last fell. */
 	readonly #blocked = new Set<AccountName>();
@@ -301,9 +301,9 @@
 		return this.#lastingUses.entries;
 	}
 
-	/** What of it tasks use whose runs are not confirmed. */
-	get unconfirmedUses(): Iterable<[AccountName | undefined, AccountUse]> {
-		return this.#unconfirmedUses.entries;
+	/** What of it tasks use whose runs are about to begin. */
+	get startingUses(): Iterable<[AccountName | undefined, AccountUse]> {
+		return this.#startingUses.entries;
 	}
 
 	/** Caps in force, of the accounts that have one. */
@@ -353,6 +353,10 @@
 			if (isAssigned(task.phase)) {
 				this.#addTask(account, task);
 			}
+
+			if (task.isStarting) {
+				this.#addStarting(account, 1, task.spec);
+			}
 		}
 
 		hooks.onAssigned = (task, isCharged) => {
@@ -363,8 +367,8 @@
 			}
 		};
 
-		hooks.onConfirmed = task => {
-			this.#addUnconfirmed(account, task.isConfirmed ? -1 : 1, task.spec);
+		hooks.onStarting = (task, isStarting) => {
+			this.#addStarting(account, isStarting ? 1 : -1, task.spec);
 		};
 	}
 
@@ -410,10 +414,6 @@
 	#addTask(account: AccountName | undefined, task: Task): void {
 		this.charges.add(task);
 		this.#addTasks(account, 1, task.spec);
-		if (!task.isConfirmed) {
-			this.#addUnconfirmed(account, 1, task.spec);
-		}
-
 		if (account !== undefined) {
 			this.#options.ledger.noteStart(account, this.service, task.spec);
 		}
@@ -422,15 +422,12 @@
 	#removeTask(account: AccountName | undefined, task: Task): void {
 		this.charges.remove(task);
 		this.#addTasks(account, -1, task.spec);
-		if (!task.isConfirmed) {
-			this.#addUnconfirmed(account, -1, task.spec);
-		}
 	}
 
-	#addUnconfirmed(account: AccountName | undefined, tasks: number, spec: StepSpec): void {
+	#addStarting(account: AccountName | undefined, tasks: number, spec: StepSpec): void {
 		if (!this.#isClosed) {
-			this.#unconfirmedUses.add(account, tasks, spec.resources);
-			this.#options.ledger.addUnconfirmed(account, tasks, spec);
+			this.#startingUses.add(account, tasks, spec.resources);
+			this.#options.ledger.addStarting(account, tasks, spec);
 		}
 	}
 
--- a/packages/workflows/src/cap-claims.ts
+++ b/packages/workflows/src/cap-claims.ts
@@ -18,7 +18,7 @@
 	/** The part of it that long-running tasks use, which does not become free. */
 	readonly lasting: Resources;
 	/** Whether each run of the account has begun: one that has not would count as exceeding the cap if it begins after a start that exceeds it. */
-	readonly areAllConfirmed: boolean;
+	readonly haveAllBegun: boolean;
 	/** Time on the monotonic clock. */
 	readonly now: number;
 };
@@ -60,10 +60,10 @@
 
 	/** Reports whether the cap of an account allows a start, beside what a step claims that has waited for longer. Passes ask for each queue, so this allocates little. */
 	isAllowed(start: CappedStepStart): boolean {
-		const {account, spec, cap, used, areAllConfirmed} = start;
+		const {account, spec, cap, used, haveAllBegun} = start;
 		const count = countTogether(spec);
 		const claims = this.#claims.get(account);
-		let isAllowed = areAllConfirmed
+		let isAllowed = haveAllBegun
 			? isWithinCap({
 				cap, used, task: spec.resources, count,
 			})
--- a/packages/workflows/src/job-hooks.ts
+++ b/packages/workflows/src/job-hooks.ts
@@ -18,8 +18,8 @@
 	/** Called when a task is assigned to a worker, and when its run is known to have ended. */
 	onAssigned: ((task: Task, isAssigned: boolean) => void) | undefined;
 
-	/** Called when the run of an assigned task is confirmed, or no longer is. */
-	onConfirmed: ((task: Task) => void) | undefined;
+	/** Called when the run of a task is about to begin, and when it has begun, is being stopped or has ended. */
+	onStarting: ((task: Task, isStarting: boolean) => void) | undefined;
 
 	private constructor() {}
 }
--- a/packages/workflows/src/tasks.ts
+++ b/packages/workflows/src/tasks.ts
@@ -62,6 +62,7 @@
 
 	set phase(phase: TaskPhase) {
 		const before = this.#phase;
+		const wasStarting = this.isStarting;
 		this.stepState.counts.replace(before, phase);
 		this.job.counts.replace(before, phase);
 		this.#phase = phase;
@@ -69,6 +70,7 @@
 			this.job.hooks.onAssigned?.(this, isAssigned(phase));
 		}
 
+		this.#reportStarting(wasStarting);
 		this.job.markChanged(this);
 		if (phase === 'done' && this.stepState.isDone) {
 			this.job.markStepsChanged();
@@ -166,11 +168,14 @@
 	}
 
 	set isConfirmed(isConfirmed: boolean) {
-		const isChanged = isConfirmed !== this.#isConfirmed;
+		const wasStarting = this.isStarting;
 		this.#isConfirmed = isConfirmed;
-		if (isChanged && isAssigned(this.phase)) {
-			this.job.hooks.onConfirmed?.(this);
-		}
+		this.#reportStarting(wasStarting);
+	}
+
+	/** Whether the task is assigned and its run may be about to begin; a start without an answer in time is stopped, and counts no longer. */
+	get isStarting(): boolean {
+		return (this.phase === 'recorded' || this.phase === 'starting') && !this.isConfirmed;
 	}
 
 	get spec(): StepSpec {
@@ -195,6 +200,12 @@
 	get name(): string {
 		return formatTask(this.key);
 	}
+
+	#reportStarting(wasStarting: boolean): void {
+		if (this.isStarting !== wasStarting) {
+			this.job.hooks.onStarting?.(this, this.isStarting);
+		}
+	}
 }
 
 /** One step of one occurrence. */
--- a/packages/workflows/tests/cap-claims.test.ts
+++ b/packages/workflows/tests/cap-claims.test.ts
@@ -136,7 +136,7 @@
 		const claims = CapClaims.create();
 		for (const {at, spec, usedCpu, lastingCpu = 0, isOpen = false, isAllowed, isAssigned = false} of steps) {
 			t.is(claims.isAllowed({
-				account, service, spec, cap, used: {...noResources, cpu: usedCpu}, lasting: {...noResources, cpu: lastingCpu}, areAllConfirmed: !isOpen, now: at,
+				account, service, spec, cap, used: {...noResources, cpu: usedCpu}, lasting: {...noResources, cpu: lastingCpu}, haveAllBegun: !isOpen, now: at,
 			}), isAllowed);
 			if (isAssigned) {
 				claims.noteStart(account, service, spec);
@@ -165,7 +165,7 @@
 					}
 
 					if (claims.isAllowed({
-						account, service, spec, cap, used, lasting: noResources, areAllConfirmed: true, now,
+						account, service, spec, cap, used, lasting: noResources, haveAllBegun: true, now,
 					})) {
 						const isWithin = isWithinCap({
 							cap, used, task: spec.resources, count: 1,
