--- a/packages/workflows/src/cap-claims.ts
+++ b/packages/workflows/src/cap-claims.ts
@@ -17,7 +17,7 @@
 	readonly used: Resources;
 	/** The part of it that long-running tasks use, which does not become free. */
 	readonly lasting: Resources;
-	/** Whether each run of the account has begun: one that has not would count as exceeding the cap if it begins after a start that exceeds it. */
+	/** Whether no run of the account is about to begin: one that begins after a start which exceeds the cap would exceed it, too. */
 	readonly haveAllBegun: boolean;
 	/** Time on the monotonic clock. */
 	readonly now: number;
@@ -72,7 +72,7 @@
 		if (isAllowed && claims !== undefined && claims.length > 0) {
 			const claim = findFirst(claims, start);
 			cappedAt = claim?.cappedAt ?? start.now;
-			// A claim that has to exceed the cap waits until no other start is open.
+			// A claim that has to exceed the cap waits until no other run is about to begin.
 			isAllowed = claim === undefined || !isHeldBy(claim, start) || hasCapRoom(cap, addResources(used, spec.resources, count), claim.spec.resources, countTogether(claim.spec));
 		}
 
