--- /dev/null
+++ b/packages/workflows/tests/placement-tickets.test.ts
@@ -0,0 +1,86 @@
+import {
+	Log, ManualClock, type JobId, type VmId,
+} from '@tamarackwind/core';
+import test from 'ava';
+import {
+	AdviceCache, PlacementAdvisor, RateLimitedLog, type PlacementAdvice, type Task,
+} from '../src/index.js';
+
+/** Decides serially, with a time for each request and each worker, as the platform's policy does. */
+class SerialAdvisor extends PlacementAdvisor {
+	#last: Promise<unknown> = Promise.resolve();
+
+	constructor(private readonly clock: ManualClock, private readonly validMs: number) {
+		super();
+	}
+
+	override async requestTickets(_step: unknown, workers: readonly VmId[]): Promise<PlacementAdvice> {
+		const decided = this.#decide(this.#last, workers.length);
+		this.#last = decided;
+		await decided;
+		return {tickets: new Map(workers.map(id => [id, 'ticket'])), validMs: this.validMs};
+	}
+
+	async #decide(previous: Promise<unknown>, workers: number): Promise<void> {
+		await previous;
+		await this.clock.sleep(decideMs + (workers * perWorkerMs));
+	}
+}
+
+const decideMs = 20;
+const perWorkerMs = 4;
+const intervalMs = 20;
+const workers = 120;
+const playMs = 60_000;
+
+type Case = {
+	readonly name: string;
+	readonly steps: number;
+	readonly validMs: number;
+	/** Number of workers with room, the last of the pool. */
+	readonly withRoom: number;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'the last worker has room for one step, and tickets are valid for a minute', steps: 1, validMs: 60_000, withRoom: 1,
+	},
+	{
+		name: 'the last worker has room for one step, and tickets are valid for as long as four requests take', steps: 1, validMs: 600, withRoom: 1,
+	},
+	{
+		name: 'all workers have room for 20 steps, and tickets are valid for 3 s', steps: 20, validMs: 3000, withRoom: workers,
+	},
+	{
+		name: 'all workers have room for 100 steps, and tickets are valid for a minute', steps: 100, validMs: 60_000, withRoom: workers,
+	},
+	{
+		name: 'all workers have room for 100 steps, and tickets are valid for 3 s', steps: 100, validMs: 3000, withRoom: workers,
+	},
+];
+
+// Guards against tickets that expire on the way, or before those of a worker with room are asked for, so that the same ones are requested again without an end.
+for (const {
+	name, steps, validMs, withRoom,
+} of cases) {
+	test(`each step gets a ticket of a worker with room if ${name}`, async t => {
+		const clock = ManualClock.create();
+		const cache = AdviceCache.create({
+			clock, advisor: new SerialAdvisor(clock, validMs), log: RateLimitedLog.create(Log.createSilent(), clock), onResponse() {},
+		});
+		const candidates = Array.from({length: workers}, (_, index) => ({id: `worker-${index}` as VmId}));
+		const rooms = new Set(candidates.slice(-withRoom));
+		const open = new Set(Array.from({length: steps}, (_, step) => ({key: {job: '5c0e7a21d94b36f8' as JobId, occurrence: 0, step}}) as unknown as Task));
+		for (let elapsedMs = 0; elapsedMs < playMs && open.size > 0; elapsedMs += intervalMs) {
+			for (const task of open) {
+				if (cache.filterAllowed(task, candidates).some(candidate => rooms.has(candidate))) {
+					open.delete(task);
+				}
+			}
+
+			await clock.advance(intervalMs);
+		}
+
+		t.is(open.size, 0, `${open.size} of ${steps} steps found no worker`);
+	});
+}
