Let steps without room make no claim to the cap of their account

What callers saw: a job of an account that uses more than half of its cap stands for as long as another step of the account has no room in its pool, although the cap allows its start and workers are idle. Cause: a pass asked for the cap before it asked for room, so that a step that could not start renewed its claim to the cap in each pass, and the claim held back all starts of the account that would not leave room for it: a precaution without a bound. Ruled out: asking for room alone first: the reason would be no-room for a step that the cap forbids as well, and pools would lend reserves for it. Change: a step for which its pool has no room is still told that the cap forbids its start, but makes no claim.

--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -8,7 +8,7 @@
 } from '@tamarackwind/scheduling';
 import {minAccountWeight, type ClientAccount} from './accounts.js';
 import {type ActiveJob} from './active-jobs.js';
-import {CapClaims} from './cap-claims.js';
+import {CapClaims, type CappedStepStart} from './cap-claims.js';
 import {ChargeMonitor, noCharges, type ChargeSummary} from './charge-monitors.js';
 import {type Configuration} from './configurations.js';
 import {PastUses} from './past-uses.js';
@@ -154,10 +154,10 @@
 	}
 
 	/** Reports whether the cap of an account allows a start in a pool, beside what another step of the account claims that has waited for it. */
-	isAllowed(account: AccountName, service: ServiceName, spec: StepSpec): boolean {
+	isAllowed(account: AccountName, service: ServiceName, {spec, isClaiming}: Pick<CappedStepStart, 'spec' | 'isClaiming'>): boolean {
 		const cap = this.caps.get(account);
 		return cap === undefined || this.#claims.isAllowed({
-			account, service, spec, cap, used: this.getUse(account), lasting: this.#lastingUses.get(account).used, haveAllBegun: this.#startingUses.get(account).tasks === 0, now: this.#options.clock.readMonotonic(),
+			account, service, spec, isClaiming, cap, used: this.getUse(account), lasting: this.#lastingUses.get(account).used, haveAllBegun: this.#startingUses.get(account).tasks === 0, now: this.#options.clock.readMonotonic(),
 		});
 	}
 
@@ -378,15 +378,15 @@
 		this.#options.ledger.noteLoaded();
 	}
 
-	/** Tells why the cap of an account forbids the start of a task, or of a gang; `undefined` if it does not. */
-	explainStart(account: AccountName, spec: StepSpec): WaitReason | undefined {
+	/** Tells why the cap of an account forbids the start of a task, or of a gang; `undefined` if it does not. A start that is denied makes a claim to the cap if `isClaiming`. */
+	explainStart(account: AccountName, spec: StepSpec, isClaiming = true): WaitReason | undefined {
 		const {ledger} = this.#options;
 		const cap = ledger.getCap(account);
 		if (cap === undefined) {
 			return undefined;
 		}
 
-		const isAllowed = ledger.isComplete && ledger.isAllowed(account, this.service, spec);
+		const isAllowed = ledger.isComplete && ledger.isAllowed(account, this.service, {spec, isClaiming});
 		if (isAllowed) {
 			return undefined;
 		}
--- a/packages/workflows/src/cap-claims.ts
+++ b/packages/workflows/src/cap-claims.ts
@@ -21,6 +21,8 @@
 	readonly haveAllBegun: boolean;
 	/** Time on the monotonic clock. */
 	readonly now: number;
+	/** Whether the start makes a claim if it is denied; true by default. */
+	readonly isClaiming?: boolean;
 };
 
 /** Steps of a pool that ask for the same, and wait for the cap of their account. */
@@ -60,7 +62,7 @@
 
 	/** Reports whether the cap of an account allows a start, beside what a step claims that has waited for longer. Passes ask for each queue, so this allocates little. */
 	isAllowed(start: CappedStepStart): boolean {
-		const {account, spec, cap, used, haveAllBegun} = start;
+		const {account, spec, cap, used, haveAllBegun, isClaiming = true} = start;
 		const count = countTogether(spec);
 		const claims = this.#claims.get(account);
 		let isAllowed = haveAllBegun
@@ -76,7 +78,7 @@
 			isAllowed = claim === undefined || !isHeldBy(claim, start) || hasCapRoom(cap, addResources(used, spec.resources, count), claim.spec.resources, countTogether(claim.spec));
 		}
 
-		if (!isAllowed) {
+		if (!isAllowed && isClaiming) {
 			this.#record(start, claims, cappedAt);
 		}
 
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -101,13 +101,14 @@
 
 	/** Tells why no step like the given one can have a place now, if that is known without looking at each worker. */
 	explainWait(waiting: WaitingDemand): WaitReason | undefined {
-		return this.#explainCap(waiting) ?? this.explainDemand(waiting.demand);
+		const reason = this.explainDemand(waiting.demand);
+		return this.#explainCap(waiting, reason === undefined) ?? reason;
 	}
 
-	/** Tells why the cap of an account forbids a start; `undefined` if it does not. */
-	#explainCap(waiting: AccountDemand): WaitReason | undefined {
+	/** Tells why the cap of an account forbids a start; `undefined` if it does not. A start without room makes no claim to the cap, which it could not use. */
+	#explainCap(waiting: AccountDemand, hasRoom = true): WaitReason | undefined {
 		const {account} = waiting;
-		return account === undefined || !this.#caps.has(account) ? undefined : this.#options.accounts?.explainStart(account, waiting.spec);
+		return account === undefined || !this.#caps.has(account) ? undefined : this.#options.accounts?.explainStart(account, waiting.spec, hasRoom);
 	}
 
 	/** Tells why a demand can have no place now, if that is known without looking at each worker. */
