Give the room of a VM back for tasks that only this VM could hold

What callers saw: a long-running task stands beside a worker that a wave has cordoned and cannot take down, for as long as the wave cannot go on. Cause: passes do not look at cordoned workers, so a task that no other worker is large enough for, or may run by its label or ticket, is told that no worker matches. Cordons that cannot go on were given back only for tasks that wait for room: a state that is left only by an event which it prevents. Ruled out: counting all reasons; a task that waits for the cap of its account, or for its last run to end, gains nothing by the room. Change: tasks without a matching worker or a ticket count when the drain of a VM is stuck.

--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -252,8 +252,8 @@
 	}
 
 	/**
-	 * Gives the room of a VM back that cannot be drained because of a disruption budget, or whose order is not carried out, if tasks of its pool wait for room.
-	 * They may be the ones that the budget waits for.
+	 * Gives the room of a VM back that cannot be drained because of a disruption budget, or whose order is not carried out, if tasks of its pool wait that
+	 * it may be able to run. They may be the ones that the budget waits for.
 	 */
 	#releaseStuck({wave, draining, stuckSince, postponed}: WaveProgress, vm: FleetVm, {isOrdered, safeWorkers}: {readonly isOrdered: boolean; readonly safeWorkers: SafeWorkers}): void {
 		const {clock, log, timings} = this.#options;
@@ -267,7 +267,7 @@
 
 		const since = stuckSince.get(vm.id) ?? now;
 		stuckSince.set(vm.id, since);
-		const waitMs = this.#options.listPools().find(pool => pool.service as string === vm.pool as string)?.waits.longestRoomWaitMs ?? 0;
+		const waitMs = this.#options.listPools().find(pool => pool.service as string === vm.pool as string)?.waits.longestWorkerWaitMs ?? 0;
 		if (waitMs < maxStuckMs || now - since < maxStuckMs) {
 			return;
 		}
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -6,7 +6,9 @@
 import {type StepState} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {StepWaits, WaitSums, type ReasonSum} from './wait-counts.js';
-import {roomReasons, unplacedReasons, type WaitReason} from './wait-reasons.js';
+import {
+	roomReasons, unplacedReasons, workerReasons, type WaitReason,
+} from './wait-reasons.js';
 
 /** Waiting tasks with one reason. */
 export type WaitSummary = {readonly tasks: number; readonly longestMs: number};
@@ -66,8 +68,12 @@
 
 	/** Longest time for which a task had waited for room, or for any worker that takes work, at the last observation, in milliseconds; 0 if none did. */
 	get longestRoomWaitMs(): number {
-		const reasons = this.#hasWorkers ? roomReasons : [...roomReasons, ...unplacedReasons];
-		return Math.max(0, ...reasons.map(reason => this.#summaries.get(reason)?.longestMs ?? 0));
+		return this.#findLongestMs(this.#hasWorkers ? roomReasons : [...roomReasons, ...unplacedReasons]);
+	}
+
+	/** Longest time for which a task had waited that a worker which takes no work could run, at the last observation, in milliseconds; 0 if none did. */
+	get longestWorkerWaitMs(): number {
+		return this.#findLongestMs(this.#hasWorkers ? workerReasons : [...roomReasons, ...unplacedReasons]);
 	}
 
 	/** Longest time for which a task had waited for any reason at the last observation, in milliseconds; 0 if none did. */
@@ -94,6 +100,10 @@
 		}
 	}
 
+	#findLongestMs(reasons: readonly WaitReason[]): number {
+		return Math.max(0, ...reasons.map(reason => this.#summaries.get(reason)?.longestMs ?? 0));
+	}
+
 	* #observeJobs(jobs: Iterable<ActiveJob>, sums: WaitSums, now: number): Generator<void> {
 		const stepWaits = new Map<StepState, StepWaits>();
 		for (const job of jobs) {
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -21,6 +21,9 @@
 /** Reasons of tasks that a further worker of the pool could run. */
 export const roomReasons = ['no-room', 'gang-no-room', 'account-share', 'deferred'] as const satisfies readonly WaitReason[];
 
+/** Reasons of tasks that a worker which takes no work now could run: passes do not look at such workers, so a task that no other could hold is not told that it waits for room. */
+export const workerReasons = [...roomReasons, 'no-matching-worker', 'no-ticket'] as const satisfies readonly WaitReason[];
+
 /** Further reasons of tasks that have no worker assigned. While no worker of the pool takes work, passes judge none of them, and any worker could run them. */
 export const unplacedReasons = ['no-matching-worker', 'suspect', 'no-ticket', 'account-cap', 'not-reached'] as const satisfies readonly WaitReason[];
 
