Tell a task that waits for room on the workers that its policy allows

What callers saw: a task whose allowed workers are full waits although VMs of other pools are idle, as no reserve is lent for it. Cause: the reason of a task with a placement policy that found no place was no-ticket as long as any worker of the pool had room, allowed or not; reserves are lent only for tasks that wait for room. Ruled out: that the policy has allowed nothing yet; then the reason stays no-ticket. Change: the reason is no-room if the allowed workers are full.

--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -232,13 +232,9 @@
 		readonly demand: Demand;
 		readonly occupancy: StepOccupancy;
 	}): WaitReason {
-		if (allowed !== group.candidates) {
-			return 'no-ticket';
-		}
-
 		const withRoom = allowed.filter(candidate => hasRoom(candidate, spec, occupancy));
 		if (withRoom.length === 0) {
-			return 'no-room';
+			return allowed !== group.candidates && allowed.length === 0 ? 'no-ticket' : 'no-room';
 		}
 
 		return withRoom.every(({startSlots}) => startSlots === 0) ? 'start-queued' : 'suspect';
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -5,7 +5,7 @@
  * - `suspect`: a worker has crashed under it, and those with room are testing other suspects.
  * - `account-share`: the workers that could run it are full, and its account uses its share of the pool.
  * - `gang-no-room`: its gang does not fit.
- * - `no-ticket`: the placement policy has allowed no worker with room yet.
+ * - `no-ticket`: the placement policy has allowed no worker yet.
  * - `account-cap`: its account uses all that it may have running, what is left is kept for a step of the account that has waited for longer, or the
  *   holder does not know yet what the account uses.
  * - `deferred`: the pool's capacity is not enough for all jobs that can be in time, and others are served before its own.
