Commit starts again in the same turn after a conflict with cancellations

What callers saw: no job started for as long as another caller cancelled jobs every 100 ms, or every 250 ms beside a slow store. Cause: each cancellation rewrites one row, and all starts of a turn check the version of it that was read when the turn began. A cancellation of any job in between voided the starts of all jobs, and the next turn met the next cancellation. Ruled out: the fence and the rows of the jobs, which only the holder of the scheduler lease writes; they did not conflict. Change: on a conflict with this row alone, the rows of the jobs count as unchanged, the new cancellations are read, and the starts of the other jobs are committed with the new version, up to five attempts a turn. The check stays in each attempt, so that the start of a job does not commit after its cancellation. Selectors without job ids are applied too.

--- a/packages/jobs/src/inboxes.ts
+++ b/packages/jobs/src/inboxes.ts
@@ -69,20 +69,19 @@
 	/** Reads new cancellations, jobs and requests for explanations. */
 	async readInbox(): Promise<void> {
 		const {tables} = this.#options;
-		const cancelsRow = await tables.getRow(cancelsKey);
-		this.#reads++;
-		const version = cancelsRow?.version ?? absentVersion;
-		if (version !== this.#cancelsVersion) {
-			await this.#readCancellations();
-			this.#cancelsVersion = version;
-		}
-
+		await this.#readNewCancellations();
 		const rows = await tables.scanRows(jobTables.inbox, {after: lastCancelledKey, limit: scanLimit});
 		this.#reads += Math.max(1, rows.length);
 		await this.#handleRows(rows);
 		this.#applySelectors(rows.length < scanLimit);
 	}
 
+	/** Reads cancellations accepted since the last read and applies them to the jobs already read. */
+	async readCancellations(): Promise<void> {
+		await this.#readNewCancellations();
+		this.#applySelectors(false);
+	}
+
 	/** Deletes the inbox rows of cancellations whose jobs have all ended. */
 	async deleteCompleted(): Promise<void> {
 		const {store} = this.#options;
@@ -119,7 +118,18 @@
 		return {table: jobTables.answers, key: token, value: {text: this.#options.explainJob(jobId)}};
 	}
 
-	async #readCancellations(): Promise<void> {
+	/** Reads the version of the cancellation row before the cancellations, so that none up to this version is missed. */
+	async #readNewCancellations(): Promise<void> {
+		const cancelsRow = await this.#options.tables.getRow(cancelsKey);
+		this.#reads++;
+		const version = cancelsRow?.version ?? absentVersion;
+		if (version !== this.#cancelsVersion) {
+			await this.#listCancellations();
+			this.#cancelsVersion = version;
+		}
+	}
+
+	async #listCancellations(): Promise<void> {
 		const rows = await this.#options.tables.listRows(jobTables.inbox, 'cancelled-');
 		this.#reads += Math.max(1, rows.length);
 		for (const row of rows) {
--- a/packages/jobs/src/job-schedulers.ts
+++ b/packages/jobs/src/job-schedulers.ts
@@ -17,7 +17,9 @@
 import {createPlacementNode, explainUnplaceable} from './nodes.js';
 import {BestFitPlacement, type PlacementStrategy} from './placements.js';
 import {type Plan} from './scheduling-rounds.js';
-import {buildHoldKey, jobTables, type Hold} from './rows.js';
+import {
+	buildHoldKey, cancelsKey, jobTables, type Hold,
+} from './rows.js';
 import {isPossiblyRunning, RunMonitor, type Run} from './run-monitors.js';
 import {type JobRow} from './schemas.js';
 import {resolveRun, type JobTransition} from './job-transitions.js';
@@ -51,6 +53,8 @@
 const initialStartLimit = 5;
 /** Maximum number of transactions per turn for each kind of job change. */
 const maxBatchesPerTurn = 10;
+/** Maximum number of attempts per turn to commit the starts. The limit bounds the age of the plan on which the starts are based. */
+const maxStartAttempts = 5;
 const maxRestartDelayMs = 60_000;
 const baseRestartDelayMs = 500;
 
@@ -366,12 +370,33 @@
 		}
 	}
 
-	/** Commits the starts before sending them. The check of the cancellation row prevents a cancelled job from starting. */
+	/**
+	 * Commits the starts before sending them. The check of the cancellation row prevents a cancelled job from starting. Since every
+	 * cancellation rewrites this row, a conflict with it alone leads to another attempt without the jobs that were cancelled.
+	 */
 	async #commitStarts({starts}: Plan, vms: ReadonlyMap<string, VmRecord>): Promise<void> {
+		for (let attempt = 1; attempt <= maxStartAttempts; attempt++) {
+			const changes = this.#buildStarts(starts, vms);
+			if (changes.length === 0) {
+				return;
+			}
+
+			const check = {...cancelsKey, version: this.#inbox.cancelsVersion};
+			if (await this.#store.commitChanges(changes, {checks: [check]})) {
+				this.#sendStarts(changes);
+				return;
+			}
+
+			await this.#inbox.readCancellations();
+		}
+	}
+
+	/** Builds the changes of the planned starts, except of jobs that are cancelled or whose rows must be reread. */
+	#buildStarts(starts: Plan['starts'], vms: ReadonlyMap<string, VmRecord>): JobChange[] {
 		const wallNow = this.#options.clock.readWall();
-		const changes = starts.flatMap(({jobId, vmId, size, reason}): JobChange[] => {
+		return starts.flatMap(({jobId, vmId, size, reason}): JobChange[] => {
 			const row = this.#store.getJob(jobId);
-			return row === undefined
+			return row === undefined || this.#inbox.isCancelled(jobId)
 				? []
 				: [{
 					jobId,
@@ -381,11 +406,9 @@
 					writes: buildHolds(row, vmId),
 				}];
 		});
-		const check = {table: jobTables.control, key: 'cancels', version: this.#inbox.cancelsVersion};
-		if (changes.length === 0 || !await this.#store.commitChanges(changes, {checks: [check]})) {
-			return;
-		}
+	}
 
+	#sendStarts(changes: readonly JobChange[]): void {
 		for (const {jobId} of changes) {
 			const row = this.#store.getJob(jobId)!;
 			this.#counts.starts++;
--- a/packages/jobs/src/job-stores.ts
+++ b/packages/jobs/src/job-stores.ts
@@ -3,7 +3,7 @@
  */
 import {VerdictError, type Clock, type RandomSource} from '@tamarackwind/core';
 import {
-	absentVersion, type Check, type RowKey, type TableService, type Transaction, type Write,
+	absentVersion, type Check, type CommitOutcome, type RowKey, type TableService, type Transaction, type Write,
 } from '@tamarackwind/clients';
 import {type JobSchedulerLease} from './job-scheduler-leases.js';
 import {buildJobKey, jobTables} from './rows.js';
@@ -109,7 +109,8 @@
 	}
 
 	/**
-	 * Commits changes in one transaction; resolves to `false` on a conflict, after which `readUncertain` rereads the rows.
+	 * Commits changes in one transaction; resolves to `false` on a conflict, after which `readUncertain` rereads the rows. If only the
+	 * additional checks conflicted, the rows are unchanged and can be committed again at once.
 	 *
 	 * @throws {VerdictError} when the outcome is unknown or nothing was written; the rows count as uncertain until they are reread.
 	 */
@@ -121,13 +122,17 @@
 			writes: [...nextRows.flatMap(row => buildRowWrites(row)), ...changes.flatMap(change => change.writes ?? []), ...extras.writes ?? []],
 		};
 		this.#markUncertain(changes);
-		const version = await this.#commit(transaction, nextRows[0]);
-		if (version === undefined) {
+		const outcome = await this.#commit(transaction, nextRows[0]);
+		if (outcome.status === 'conflict') {
+			if (isWithinChecks(outcome.conflicts, extras.checks ?? [])) {
+				this.#markUnchanged(changes);
+			}
+
 			return false;
 		}
 
 		for (const row of nextRows) {
-			this.#storeRow(row.jobId, row, version, this.getInsertedVersion(row.jobId));
+			this.#storeRow(row.jobId, row, outcome.version, this.getInsertedVersion(row.jobId));
 		}
 
 		return true;
@@ -135,7 +140,8 @@
 
 	/** Commits writes that change no job's row. */
 	async commitWrites(writes: readonly Write[]): Promise<boolean> {
-		return await this.#commit({checks: [this.#options.schedulerLease.fence], writes}, undefined) !== undefined;
+		const outcome = await this.#commit({checks: [this.#options.schedulerLease.fence], writes}, undefined);
+		return outcome.status === 'committed';
 	}
 
 	#markUncertain(changes: readonly JobChange[]): void {
@@ -144,6 +150,12 @@
 		}
 	}
 
+	#markUnchanged(changes: readonly JobChange[]): void {
+		for (const {jobId} of changes) {
+			this.#uncertain.delete(jobId);
+		}
+	}
+
 	#storeRow(jobId: string, row: JobRow | undefined, version: number, insertedVersion: number): void {
 		this.#uncertain.delete(jobId);
 		if (row === undefined || isFinal(row.state)) {
@@ -154,18 +166,18 @@
 	}
 
 	/** Retries a transaction while its outcome is unknown. A retry is safe, since after a commit the transaction's own checks make it conflict. */
-	async #commit(transaction: Transaction, writtenRow: JobRow | undefined): Promise<number | undefined> {
+	async #commit(transaction: Transaction, writtenRow: JobRow | undefined): Promise<CommitOutcome> {
 		let isUncertain = false;
 		for (let attempt = 1; ; attempt++) {
 			try {
 				this.#commits++;
 				const outcome = await this.#options.tables.commit(transaction);
 				if (outcome.status === 'committed') {
-					return outcome.version;
+					return outcome;
 				}
 
 				this.#checkFenceConflict(outcome.conflicts);
-				return isUncertain && writtenRow !== undefined ? await this.#findOwnWrite(writtenRow) : undefined;
+				return isUncertain && writtenRow !== undefined ? await this.#findOwnWrite(writtenRow) : outcome;
 			} catch (error) {
 				isUncertain ||= !(error instanceof VerdictError) || error.verdict !== 'not-run';
 				if (!isUncertain || attempt === maxCommitAttempts) {
@@ -177,10 +189,13 @@
 		}
 	}
 
-	async #findOwnWrite(writtenRow: JobRow): Promise<number | undefined> {
+	/** Reads whether an earlier attempt of a transaction has committed; otherwise any of its checks may have conflicted. */
+	async #findOwnWrite(writtenRow: JobRow): Promise<CommitOutcome> {
 		this.#reads++;
 		const row = await this.#options.tables.getRow(buildJobKey(writtenRow.jobId));
-		return (row?.value as JobRow | undefined)?.writeId === writtenRow.writeId ? row!.version : undefined;
+		return (row?.value as JobRow | undefined)?.writeId === writtenRow.writeId
+			? {status: 'committed', version: row!.version}
+			: {status: 'conflict', conflicts: []};
 	}
 
 	#checkFenceConflict(conflicts: readonly RowKey[]): void {
@@ -191,6 +206,11 @@
 	}
 }
 
+/** Reports whether the conflicts are known and all of them are with some of the given checks. */
+function isWithinChecks(conflicts: readonly RowKey[], checks: readonly Check[]): boolean {
+	return conflicts.length > 0 && conflicts.every(conflict => checks.some(({table, key}) => table === conflict.table && key === conflict.key));
+}
+
 function buildRowWrites(row: JobRow): Write[] {
 	const write = {...buildJobKey(row.jobId), value: row};
 	return isFinal(row.state) ? [write, {table: jobTables.open, key: row.jobId}] : [write];
--- a/packages/testing/tests/job-freezes.test.ts
+++ b/packages/testing/tests/job-freezes.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {type JobRow} from '@tamarackwind/jobs';
+import {type CancelSelector, type JobRow} from '@tamarackwind/jobs';
 import {type Transaction} from '@tamarackwind/clients';
 import {JobSimulation, findTaskViolations, type JobSimulationEntry} from '../src/index.js';
 
@@ -26,6 +26,30 @@
 	t.deepEqual(simulation.listStarts(jobId), []);
 });
 
+const selectors: ReadonlyArray<{readonly name: string; readonly selector: (jobId: string) => CancelSelector}> = [
+	{name: 'by its id', selector: jobId => ({jobIds: [jobId]})},
+	{name: 'by its kind', selector: () => ({kind: 'refresh'})},
+	{name: 'among ten thousand ids', selector: jobId => ({jobIds: [...Array.from({length: 10_000}, (_, index) => `other-${index}`), jobId]})},
+];
+
+// Guards against a start of the cancelled job, and against other starts that wait for a later turn because of the conflict.
+for (const {name, selector} of selectors) {
+	test(`a cancellation of a job ${name} before the starts are committed does not void the other starts of the turn`, async t => {
+		const simulation = JobSimulation.create({seed: 1, workers: 2});
+		const leaseHolder = await waitForLeaseHolder(simulation);
+		leaseHolder.gate.freezeAtCommit = hasStart;
+		const cancelled = await simulation.submit({kind: 'refresh'});
+		const other = await simulation.submit({kind: 'build'});
+		t.true(await simulation.runUntil(() => leaseHolder.gate.isFrozen, minuteMs));
+		await simulation.client.cancelJobs(selector(cancelled.jobId), 'caller-1');
+		leaseHolder.gate.thaw();
+		await simulation.run(250);
+		t.is(simulation.listStarts(other.jobId).length, 1);
+		t.true(await simulation.runUntil(async () => (await simulation.client.getJob(cancelled.jobId)).state === 'cancelled', minuteMs));
+		t.deepEqual(simulation.listStarts(cancelled.jobId), []);
+	});
+}
+
 test('an entry that lost the leader lease while frozen commits no start', async t => {
 	const simulation = JobSimulation.create({seed: 1, workers: 2, entries: 2});
 	const leaseHolder = await waitForLeaseHolder(simulation);
