Size open pools and go on with their waves while another pool is not open

Callers saw: tasks wait with no-room in one pool beside idle VMs of another, and waves stand, for as long as a third pool is not opened by the holder. Cause: VMs were ordered only once all pools of the configuration were open, since a holder knows neither the tasks nor the disruption budgets of a pool that it has not opened. One pool whose fence row could not be written, or whose rows could not be read, held all of them up without a bound. Ruled out: a pool that is added while all others are open; the condition was never taken back within a term. Change: the maintainer asks per pool whether its workers are known (open, and the registry read since). Pools that are known are sized among themselves, and waves go on with their VMs. The VMs of a pool that is not known are not moved and not drained; those that are down still count for the cap of a wave. For the first 2 s after the first pool is known nothing is ordered while another one is not.

--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -34,8 +34,10 @@
 	readonly timings: Timings;
 	readonly fleetOrdersPerS: number;
 	readonly canOrder: () => boolean;
-	/** Reports whether the tasks on all VMs are known: all pools are open and the registry was read. */
+	/** Reports whether VMs may be ordered: the pools are known, or those that are not have been waited for. */
 	readonly isReady: () => boolean;
+	/** Reports whether the tasks on the VMs of a pool and their disruption budgets are known; the VMs of other pools are left alone. */
+	readonly isPoolKnown: (pool: PoolName) => boolean;
 	/** Returns the commit condition that the scheduler lease is still held; `undefined` when it is not. */
 	readonly getCheck: () => Check | undefined;
 	readonly listPools: () => readonly PoolScheduler[];
@@ -206,9 +208,9 @@
 		return progress;
 	}
 
-	/** Updates which VMs are up again, which no longer exist, and which are in maintenance without a known order. */
+	/** Updates which VMs are up again, which no longer exist, and which are in maintenance without a known order. Those of pools that are not known count too. */
 	#observeVms({wave, begun, down, draining, missing}: WaveProgress, vms: ReadonlyMap<VmId, FleetVm>): void {
-		const {clock, bounds, timings, log} = this.#options;
+		const {clock, bounds, timings, log, isPoolKnown} = this.#options;
 		const now = clock.readMonotonic();
 		for (const id of wave.vms) {
 			const vm = vms.get(id);
@@ -227,6 +229,11 @@
 			}
 
 			missing.delete(id);
+			// A late order of an earlier holder may have moved the VM there.
+			if (!isPoolKnown(vm.pool)) {
+				draining.delete(id);
+			}
+
 			if (vm.state === 'upkeep') {
 				down.set(id, Math.min(now, down.get(id) ?? now));
 			} else if (now - (down.get(id) ?? now) > (vm.state === 'up' ? bounds.returnMs : timings.missingVmMs) && this.#orders.isOrderable(id)) {
@@ -238,11 +245,13 @@
 	/** Starts to drain VMs up to the wave's cap, those with the fewest tasks first. */
 	#startDraining(progress: WaveProgress, vms: ReadonlyMap<VmId, FleetVm>): void {
 		const {wave, begun, down, draining, postponed} = progress;
-		const now = this.#options.clock.readMonotonic();
+		const {clock, isPoolKnown} = this.#options;
+		const now = clock.readMonotonic();
+		const isAvailable = (vm: FleetVm | undefined) => vm?.state === 'up' && isPoolKnown(vm.pool);
 		// A VM that got its work back may still be taken down by the order that it had.
 		const ordered = wave.vms.filter(id => this.#orders.isPending(id) && !begun.has(id) && !draining.has(id) && !down.has(id));
 		const freeSlots = wave.cap - down.size - draining.size - ordered.length;
-		const candidates = wave.vms.filter(id => !begun.has(id) && !draining.has(id) && !down.has(id) && now >= (postponed.get(id) ?? now) && vms.get(id)?.state === 'up')
+		const candidates = wave.vms.filter(id => !begun.has(id) && !draining.has(id) && !down.has(id) && now >= (postponed.get(id) ?? now) && isAvailable(vms.get(id)))
 			.map(id => ({id, tasks: this.#findSession(vms.get(id)!)?.tasks.size ?? 0}))
 			.toSorted((a, b) => a.tasks - b.tasks);
 		for (const {id} of candidates.slice(0, Math.max(0, freeSlots))) {
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -28,6 +28,8 @@
 	readonly fleetOrdersPerS: number;
 	readonly timings: Timings;
 	readonly listPools: () => readonly PoolScheduler[];
+	/** Reports whether the tasks on the VMs of a pool are known; the VMs of other pools are left alone. */
+	readonly isPoolKnown: (pool: PoolName) => boolean;
 };
 
 /** Minimum interval between log lines on pool sizes, in milliseconds. */
@@ -163,7 +165,8 @@
 
 	#describePools(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): SizedPool[] {
 		const schedulers = new Map(this.#options.listPools().map(pool => [pool.service as string, pool]));
-		return (this.#options.declarations.configuration?.pools ?? []).map(({name, isSpare}) => {
+		const configured = this.#options.declarations.configuration?.pools ?? [];
+		return configured.filter(({name}) => this.#options.isPoolKnown(name as string as PoolName)).map(({name, isSpare}) => {
 			const pool = name as string as PoolName;
 			const scheduler = schedulers.get(name);
 			const load = scheduler?.computeLoad();
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -67,6 +67,11 @@
 const registryWaitMs = 300;
 /** Pause between two watches on the registry, in milliseconds: batches changes. */
 const registryPauseMs = 20;
+/**
+ * Time after the first pool of a term is known for which no VM is ordered while another pool is not, in milliseconds. Pools usually open
+ * within some ten milliseconds of each other, and moves that are planned without one of them take VMs that it is about to need.
+ */
+const maxOpeningMs = 2000;
 /** Share of a row's maximum size that the status may take; the rest is left to the renewal around it. */
 const maxStatusShare = 0.75;
 /** Time from which services that are not loaded are logged while they hold back accounts, in milliseconds: the users' limit for accepted work. */
@@ -95,8 +100,10 @@
 	/** Epoch under which this entry schedules; `undefined` while it does not. */
 	#epoch: number | undefined;
 	#acquiredAt = 0;
-	/** Whether the registry has been read since all pools were opened. */
-	#isRegistryRead = false;
+	/** Open pools for which the registry has been read since they were opened, so that their workers are known. */
+	readonly #knownPools = new Set<PoolScheduler>();
+	/** Time since which the first of them is known, on the monotonic clock; `undefined` before. */
+	#knownSince: number | undefined;
 	#isClosed = false;
 
 	private constructor(options: SchedulerOptions) {
@@ -209,7 +216,8 @@
 				...this.#options,
 				epoch,
 				canOrder: () => this.#canOrder,
-				isReady: () => this.#isRegistryRead,
+				isReady: () => this.#isFleetReady,
+				isPoolKnown: pool => this.#isPoolKnown(pool),
 				getCheck: () => this.#canOrder ? this.#lease.check : undefined,
 				listPools: () => [...this.#pools.values()],
 			});
@@ -274,7 +282,8 @@
 
 	#closePools(): void {
 		this.#epoch = undefined;
-		this.#isRegistryRead = false;
+		this.#knownPools.clear();
+		this.#knownSince = undefined;
 		this.#fleetMaintainer?.close();
 		this.#fleetMaintainer = undefined;
 		this.#feed?.close();
@@ -302,17 +311,48 @@
 		}
 	}
 
+	/** Whether VMs may be ordered: the tasks on the VMs of all pools are known, or the time in which pools usually open has passed since the first one was known. */
+	get #isFleetReady(): boolean {
+		if (this.#knownSince === undefined) {
+			return false;
+		}
+
+		const isOpeningOver = this.#options.clock.readMonotonic() - this.#knownSince > maxOpeningMs;
+		return isOpeningOver || this.#listConfiguredPools().every(name => this.#isPoolKnown(name));
+	}
+
+	#listConfiguredPools(): PoolName[] {
+		return (this.#options.declarations.configuration?.pools ?? []).map(({name}) => name as string as PoolName);
+	}
+
+	/**
+	 * Reports whether the tasks on the VMs of a pool are known: the pool is open and its workers are known. A pool that is not in the
+	 * configuration is not opened.
+	 */
+	#isPoolKnown(pool: PoolName): boolean {
+		const scheduler = this.#pools.get(pool as string as ServiceName);
+		if (scheduler !== undefined) {
+			return this.#knownPools.has(scheduler);
+		}
+
+		return !this.#listConfiguredPools().includes(pool);
+	}
+
 	async #updateWorkers(): Promise<void> {
-		const epoch = this.#epoch;
-		const areAllOpen = (this.#options.declarations.configuration?.pools ?? []).every(({name}) => this.#pools.has(name));
-		const records = await this.#options.registry.watchWorkers(this.#isRegistryRead ? registryWaitMs : 1);
+		const openPools = [...this.#pools.values()];
+		const isSettled = openPools.every(pool => this.#knownPools.has(pool)) && this.#isFleetReady;
+		const records = await this.#options.registry.watchWorkers(isSettled ? registryWaitMs : 1);
 		this.#options.meter.track('update workers', () => {
 			for (const pool of this.#pools.values()) {
 				pool.updateWorkers(records.filter(record => record.pool as string === pool.service as string));
 			}
 		});
 
-		this.#isRegistryRead ||= areAllOpen && epoch !== undefined && epoch === this.#epoch;
+		for (const pool of openPools.filter(known => this.#pools.get(known.service) === known)) {
+			this.#knownPools.add(pool);
+			this.#knownSince ??= this.#options.clock.readMonotonic();
+		}
+
 		await this.#endDeadWorkers();
 	}
 
--- a/packages/workflows/tests/pool-sizers.test.ts
+++ b/packages/workflows/tests/pool-sizers.test.ts
@@ -59,6 +59,7 @@
 			fleetOrdersPerS: 32,
 			timings: computeTimings(defaultBounds),
 			listPools: () => pools as unknown as PoolScheduler[],
+			isPoolKnown: () => true,
 		});
 		await sizer.update(vms, () => false);
 		const visits = pools.reduce((sum, pool) => sum + pool.visits, 0);
@@ -89,6 +90,7 @@
 		fleetOrdersPerS: 32,
 		timings: computeTimings(defaultBounds),
 		listPools: () => [north],
+		isPoolKnown: () => true,
 	});
 	const incoming: number[] = [];
 	for (const vms of [spare, spare, [createVm(0, 'north'), spare[1]!], [createVm(0, 'north'), createVm(1, 'north')]]) {
