Leave the VMs of a removed pool alone until the runs of earlier holders there have ended

Callers saw: long-running tasks of a pool that a configuration had removed were ended by upkeeps beyond their disruption budget, when another holder had taken over since. Cause: a holder opens the pools of its configuration only. The workers of any other pool had no session, and such a VM counted as one without work. Ruled out: the holder under which the pool is removed; it keeps the pool open and knows its tasks. Change: the VMs of a pool that is neither open nor in the configuration are drained only once each run that an earlier holder may have started has ended, as nobody renews the leases there.

--- a/packages/testing/tests/unopened-pools.test.ts
+++ b/packages/testing/tests/unopened-pools.test.ts
@@ -159,3 +159,20 @@
 		t.true(orderedAt.every(position => position > openedAt));
 	});
 }
+
+// Guards against upkeeps that end runs of an earlier holder in a pool which the configuration has no longer, and against waves that such a pool holds up for good.
+test('a wave leaves the VMs of a removed pool alone until the runs of earlier holders there have ended', async t => {
+	const system = await EmulatedSystem.create({seed: 7, pools: [['north', 6], ['south', 6]]});
+	const {clock, fleet, tables} = system;
+	await clock.run(warmUpMs);
+	void system.submit([createLastingStep({count: 6, mayMiss: 1})], 1000, {pool: 'south'});
+	await clock.run(3000);
+	const configuration = system.holder!.watcher.configuration!;
+	void tables.commit({checks: [], writes: [{table: 'op', key: 'config', value: {...configuration, version: 9, pools: configuration.pools.filter(({name}) => name as string !== 'south')}}]});
+	await clock.run(1000);
+	system.killEntry(system.holder!);
+	void system.startWave('wave-1', [...listVms(system, 'south'), ...listVms(system, 'north')], 2);
+	await clock.run(unopenedMs);
+	t.is((await readBegun(system, 'wave-1')).length, 12);
+	t.deepEqual(fleet.violations, []);
+});
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -327,7 +327,7 @@
 
 	/**
 	 * Reports whether the tasks on the VMs of a pool are known: the pool is open and its workers are known. A pool that is not in the
-	 * configuration is not opened.
+	 * configuration is not opened, and has no tasks once the runs of earlier holders have ended.
 	 */
 	#isPoolKnown(pool: PoolName): boolean {
 		const scheduler = this.#pools.get(pool as string as ServiceName);
@@ -335,7 +335,7 @@
 			return this.#knownPools.has(scheduler);
 		}
 
-		return !this.#listConfiguredPools().includes(pool);
+		return !this.#listConfiguredPools().includes(pool) && this.#options.clock.readMonotonic() > this.#earlierRunsEndBy;
 	}
 
 	async #updateWorkers(): Promise<void> {
