Size pools without the tasks that no VM of the fleet can hold

Callers saw: a gang or a task that nothing can run drew VMs from other pools. Of 3 pools of 6 VMs, one with a gang of 400 tasks had 8 after 10 s and 12 after 110 s; a job of another pool that needed its 6 VMs then had 3 of its 6 tasks running at once and all after 9.3 s. With 6 spare VMs, a task of 100 cores switched all of them on for as long as it waited. Cause: such tasks count as waiting CPU, and a gang without room as waiting for room, whatever the fleet has. The growth was bounded only by what pools keep when they lend. Ruled out: growth by tasks with a label that no VM has, or larger than a VM, beyond the surplus and the spare VMs of other pools: no such task is told to wait for room, so that no reserve is lent for it. Change: the capacity of the VMs of all pools, by kind, tells which steps the empty fleet could hold. Others count neither as waiting CPU, nor for the spread of long-running steps, nor as waiting for room; their wait reason is fleet-too-small. The judgement follows the list of VMs. Accounts that wait for nothing else do not count as contending for a pool any more.

--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -91,7 +91,7 @@
 }
 
 /** Counts the tasks of a step for which eligible workers have room together. */
-function countPlaces(step: StepSpec, candidates: readonly Candidate[]): number {
+export function countPlaces(step: StepSpec, candidates: ReadonlyArray<Pick<Candidate, 'free'>>): number {
 	const required = getReservation(step);
 	const limit = Math.min(step.count, step.antiAffinity ?? Number.POSITIVE_INFINITY);
 	let places = 0;
--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -10,6 +10,7 @@
 import {type Bounds} from './bounds.js';
 import {type WaveRequest} from './configurations.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
+import {type FleetCapacity} from './fleet-capacities.js';
 import {FleetOrders} from './fleet-orders.js';
 import {type LoadMeter} from './load-meters.js';
 import {fleetOrdersKey} from './table-keys.js';
@@ -103,6 +104,11 @@
 		return this.#sizer.getIncomingCpu(pool);
 	}
 
+	/** Capacity of the VMs of all pools; `undefined` while it is not known. */
+	get fleet(): FleetCapacity | undefined {
+		return this.#sizer.fleet;
+	}
+
 	close(): void {
 		this.#isClosed = true;
 	}
--- a/packages/workflows/src/index.ts
+++ b/packages/workflows/src/index.ts
@@ -55,6 +55,7 @@
 export * from './progress-readers.js';
 export * from './pool-planners.js';
 export * from './pool-schedulers.js';
+export * from './fleet-capacities.js';
 export * from './fleet-orders.js';
 export * from './fleet-maintainers.js';
 export * from './job-submitters.js';
--- a/packages/workflows/src/pool-backlogs.ts
+++ b/packages/workflows/src/pool-backlogs.ts
@@ -7,6 +7,7 @@
 	computeObjectiveMs, DeferredJobs, estimatePool, estimateStartMs, findTier, type BacklogJob, type JobOrder, type PoolEstimate, type RankTier,
 } from '@tamarackwind/scheduling';
 import {type ActiveJob} from './active-jobs.js';
+import {type FleetCapacity} from './fleet-capacities.js';
 import {type Task} from './tasks.js';
 import {type JobRank} from './job-ranks.js';
 import {type LoadMeter} from './load-meters.js';
@@ -22,6 +23,8 @@
 	readonly service: ServiceName;
 	/** Overload of all pools; without it jobs are neither deferred nor refused. */
 	readonly overload?: OverloadTerm;
+	/** Returns the capacity of the fleet; `undefined` while it is not known. */
+	readonly getFleet?: () => FleetCapacity | undefined;
 };
 
 /** Minimum interval between two plans of deferred jobs, in milliseconds: a plan costs by the number of waiting jobs. */
@@ -40,7 +43,7 @@
 	}
 
 	readonly #options: PoolBacklogOptions;
-	readonly #loads = JobLoads.create();
+	readonly #loads: JobLoads;
 	readonly #deferred = DeferredJobs.create<JobRank>();
 	/** Jobs of which a task was placed while the order defers. */
 	readonly #startedJobs = new WeakSet<ActiveJob>();
@@ -55,6 +58,7 @@
 
 	private constructor(options: PoolBacklogOptions) {
 		this.#options = options;
+		this.#loads = JobLoads.create(options.getFleet);
 	}
 
 	/** Number of jobs that are deferred. */
@@ -160,7 +164,7 @@
 		return this.#estimate;
 	}
 
-	/** Sums up the CPU that waits, by account, in thousandths of a core. */
+	/** Sums up the CPU that waits and that the fleet could hold, by account, in thousandths of a core. */
 	computeWaitingCpu(): Map<AccountName | undefined, number> {
 		const sums = new Map<AccountName | undefined, number>();
 		for (const [{job: {account}}, {waitingCpu}] of this.#loads.contributions) {
--- a/packages/workflows/src/pool-loads.ts
+++ b/packages/workflows/src/pool-loads.ts
@@ -1,7 +1,9 @@
 /**
  * Sums up the demand of a pool's jobs. What a job adds to the sums is kept until it changes.
  */
+import {type StepSpec} from '@tamarackwind/scheduling';
 import {type ActiveJob} from './active-jobs.js';
+import {type FleetCapacity} from './fleet-capacities.js';
 
 /** Demand of jobs; CPU is in thousandths of a core. */
 export type JobLoad = {
@@ -9,9 +11,9 @@
 	readonly work: number;
 	/** CPU in use or assigned. */
 	readonly usedCpu: number;
-	/** CPU requested by waiting tasks whose preceding steps are done. */
+	/** CPU requested by waiting tasks whose preceding steps are done, without those that the fleet could not hold if nothing else ran. */
 	readonly waitingCpu: number;
-	/** Workers needed by the widest long-running step with anti-affinity. */
+	/** Workers needed by the widest long-running step with anti-affinity that the fleet can hold. */
 	readonly antiAffinityVms: number;
 };
 
@@ -29,8 +31,9 @@
 
 /** The demand of one pool's jobs. */
 export class JobLoads {
-	static create(): JobLoads {
-		return new JobLoads();
+	/** `getFleet` returns the capacity of the fleet; `undefined` while it is not known. */
+	static create(getFleet?: () => FleetCapacity | undefined): JobLoads {
+		return new JobLoads(getFleet);
 	}
 
 	readonly #contributions = new Map<ActiveJob, Contribution>();
@@ -38,7 +41,10 @@
 
 	#changes = 0;
 
-	private constructor() {}
+	/** Capacity of the fleet by which the contributions were described. */
+	#fleet: FleetCapacity | undefined;
+
+	private constructor(private readonly getFleet?: () => FleetCapacity | undefined) {}
 
 	/** Number of changes so far. */
 	get changes(): number {
@@ -102,15 +108,19 @@
 	}
 
 	#update(): void {
-		for (const job of this.#changedJobs) {
-			this.#contributions.set(job, describeJob(job));
+		const fleet = this.getFleet?.();
+		const changed = fleet === this.#fleet ? this.#changedJobs : [...this.#contributions.keys(), ...this.#changedJobs];
+		this.#fleet = fleet;
+		for (const job of changed) {
+			this.#contributions.set(job, describeJob(job, fleet));
 		}
 
 		this.#changedJobs.clear();
 	}
 }
 
-function describeJob(job: ActiveJob): Contribution {
+function describeJob(job: ActiveJob, fleet: FleetCapacity | undefined): Contribution {
+	const isPossible = (spec: StepSpec) => fleet?.hasPlacesFor(spec) ?? true;
 	let work = 0;
 	let usedCpu = 0;
 	let waitingCpu = 0;
@@ -124,12 +134,12 @@
 		usedCpu += (unfinished - waiting) * cpu;
 		longRunningCpu += spec.isLongRunning ? (unfinished - waiting) * cpu : 0;
 		waitingWork += spec.isLongRunning ? 0 : waiting * cpu * spec.estimatedMs;
-		antiAffinityVms = Math.max(antiAffinityVms, spec.isLongRunning && spec.antiAffinity !== undefined ? Math.ceil(spec.count / spec.antiAffinity) : 0);
+		antiAffinityVms = Math.max(antiAffinityVms, spec.isLongRunning && spec.antiAffinity !== undefined && isPossible(spec) ? Math.ceil(spec.count / spec.antiAffinity) : 0);
 		work += spec.isLongRunning ? 0 : unfinished * cpu * spec.estimatedMs;
 	}
 
 	for (const {spec, counts, demand: {resources: {cpu}}} of job.listOpenSteps()) {
-		waitingCpu += counts.get('waiting') * cpu;
+		waitingCpu += isPossible(spec) ? counts.get('waiting') * cpu : 0;
 		openWork += spec.isLongRunning ? 0 : counts.get('waiting') * cpu * spec.estimatedMs;
 	}
 
--- a/packages/workflows/src/pool-planners.ts
+++ b/packages/workflows/src/pool-planners.ts
@@ -15,6 +15,7 @@
 import {PlacementPass, type PlanCandidate} from './placement-passes.js';
 import {PoolBacklog} from './pool-backlogs.js';
 import {computeWorkerCapacity} from './pool-capacities.js';
+import {type FleetCapacity} from './fleet-capacities.js';
 import {type JobLoad} from './pool-loads.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {Signal} from './signals.js';
@@ -36,6 +37,8 @@
 	readonly canOrder: () => boolean;
 	/** Overload of all pools; without it jobs are neither deferred nor refused. */
 	readonly overload?: OverloadTerm;
+	/** Returns the capacity of the fleet; `undefined` while it is not known. */
+	readonly getFleet?: () => FleetCapacity | undefined;
 };
 
 export type PoolPlannerOptions = PlanningEnvironment & {
--- a/packages/workflows/src/pool-sizers.ts
+++ b/packages/workflows/src/pool-sizers.ts
@@ -8,6 +8,7 @@
 	DemandTrend, planSizes, type SizedPool, type SizingMove,
 } from '@tamarackwind/scheduling';
 import {type RateLimitedLog} from './rate-limited-logs.js';
+import {FleetCapacity} from './fleet-capacities.js';
 import {type FleetOrders} from './fleet-orders.js';
 import {type DeclarationWatcher} from './declaration-watchers.js';
 import {type LoadMeter} from './load-meters.js';
@@ -58,6 +59,7 @@
 	readonly #options: PoolSizerOptions;
 	readonly #trend = DemandTrend.create();
 	readonly #moving = new Map<VmId, OrderedMove>();
+	#fleet: FleetCapacity | undefined;
 	#loggedAt = Number.NEGATIVE_INFINITY;
 	#plannedAt: number;
 	/** CPU of the VMs that were moving to each pool at the last update, in thousandths of a core. */
@@ -73,6 +75,11 @@
 		return this.#incomingCpu.get(pool) ?? 0;
 	}
 
+	/** Capacity of the fleet at the last update; the same object while it does not change. */
+	get fleet(): FleetCapacity | undefined {
+		return this.#fleet;
+	}
+
 	/** Plans and orders moves for the current fleet; `isReserved` reports the VMs that a wave drains or has taken down. */
 	async update(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): Promise<void> {
 		const {pools, moves} = this.#options.meter.track('size pools', () => this.#planMoves(vms, isReserved));
@@ -85,12 +92,20 @@
 	}
 
 	#planMoves(vms: readonly FleetVm[], isReserved: (vm: VmId) => boolean): {readonly pools: SizedPool[]; readonly moves: SizingMove[]} {
+		const fleet = this.#describeFleet(vms);
+		this.#fleet = this.#fleet?.isEqual(fleet) ? this.#fleet : fleet;
 		this.#updateMoving(vms);
 		this.#incomingCpu = this.#sumIncomingCpu(vms);
 		const pools = this.#describePools(vms, isReserved);
 		return {pools, moves: planSizes(pools).slice(0, this.#countOrders())};
 	}
 
+	/** Describes the capacity of the VMs, by what their workers report of themselves where they are known, since that decides on starts. */
+	#describeFleet(vms: readonly FleetVm[]): FleetCapacity {
+		const schedulers = new Map(this.#options.listPools().map(pool => [pool.service as string, pool]));
+		return FleetCapacity.create(vms.map(vm => (vm.worker === undefined ? undefined : schedulers.get(vm.pool)?.findWorkerSession(vm.worker))?.record ?? vm));
+	}
+
 	#sumIncomingCpu(vms: readonly FleetVm[]): Map<PoolName, number> {
 		const sums = new Map<PoolName, number>();
 		for (const {id, capacity} of vms) {
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -257,6 +257,7 @@
 			service,
 			epoch,
 			overload: this.#overload,
+			getFleet: () => this.#epoch === epoch ? this.#fleetMaintainer?.fleet : undefined,
 			canOrder: () => this.#canOrder && this.#epoch === epoch,
 			isRenewalAllowed: () => this.#isRenewalAllowed && this.#epoch === epoch,
 			earlierRunsEndBy: this.#earlierRunsEndBy,
--- a/packages/workflows/src/wait-counts.ts
+++ b/packages/workflows/src/wait-counts.ts
@@ -4,6 +4,7 @@
 import {type JobId} from '@tamarackwind/core';
 import {type StepState, type Task} from './tasks.js';
 import {isSuspect} from './crash-budgets.js';
+import {type FleetCapacity} from './fleet-capacities.js';
 import {type WaitQueue, type WaitReason} from './wait-reasons.js';
 
 /** Why a task has no run, as far as its own state tells; the step tells why a task has no place. */
@@ -42,10 +43,10 @@
 		return this.#changes === this.step.changes && !this.#counts.has('restart-delay');
 	}
 
-	/** Adds the tasks to the sums of their reasons. */
-	addTo(sums: WaitSums): void {
+	/** Adds the tasks to the sums of their reasons; those that wait for a place are judged by the fleet too, if it is known. */
+	addTo(sums: WaitSums, fleet?: FleetCapacity): void {
 		for (const [category, tasksBySince] of this.#counts) {
-			const reason = resolveReason(category, this.step);
+			const reason = resolveReason(category, this.step, fleet);
 			for (const [since, tasks] of tasksBySince) {
 				sums.add(reason, since, tasks);
 			}
@@ -175,7 +176,11 @@
 	return isDeferred && capacityReasons.has(reason) ? 'deferred' : reason;
 }
 
-function resolveReason(category: WaitCategory, step: StepState): WaitReason {
+function resolveReason(category: WaitCategory, step: StepState, fleet: FleetCapacity | undefined): WaitReason {
+	if ((category === 'place' || category === 'suspect-place') && fleet?.hasPlacesFor(step.spec) === false) {
+		return 'fleet-too-small';
+	}
+
 	const {waitReason, suspectWaitReason, queue} = step;
 	const placeReason = resolvePlaceReason(waitReason ?? queue?.reason ?? 'not-reached', step);
 	if (category === 'place') {
--- a/packages/workflows/src/wait-monitors.ts
+++ b/packages/workflows/src/wait-monitors.ts
@@ -3,6 +3,7 @@
  */
 import {type ServiceName} from '@tamarackwind/core';
 import {type ActiveJob} from './active-jobs.js';
+import {type FleetCapacity} from './fleet-capacities.js';
 import {type StepState} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {StepWaits, WaitSums, type ReasonSum} from './wait-counts.js';
@@ -11,7 +12,12 @@
 /** Waiting tasks with one reason. */
 export type WaitSummary = {readonly tasks: number; readonly longestMs: number};
 
-export type WaitMonitorOptions = {readonly log: RateLimitedLog; readonly service: ServiceName};
+export type WaitMonitorOptions = {
+	readonly log: RateLimitedLog;
+	readonly service: ServiceName;
+	/** Returns the capacity of the fleet; `undefined` while it is not known. */
+	readonly getFleet?: () => FleetCapacity | undefined;
+};
 
 /** Capacity of a pool and what is in use of it, in thousandths of a core. */
 export type PoolUse = {
@@ -70,9 +76,9 @@
 		return Math.max(0, ...reasons.map(reason => this.#summaries.get(reason)?.longestMs ?? 0));
 	}
 
-	/** Longest time for which a task had waited for any reason at the last observation, in milliseconds; 0 if none did. */
+	/** Longest time for which a task had waited for any reason but the size of the fleet at the last observation, in milliseconds; 0 if none did. */
 	get longestWaitMs(): number {
-		return Math.max(0, ...[...this.#summaries.values()].map(({longestMs}) => longestMs));
+		return Math.max(0, ...[...this.#summaries].filter(([reason]) => reason !== 'fleet-too-small').map(([, {longestMs}]) => longestMs));
 	}
 
 	/** Observes the pool's jobs if that is due, or continues an observation that was over its budget. */
@@ -96,13 +102,14 @@
 
 	* #observeJobs(jobs: Iterable<ActiveJob>, sums: WaitSums, now: number): Generator<void> {
 		const stepWaits = new Map<StepState, StepWaits>();
+		const fleet = this.options.getFleet?.();
 		for (const job of jobs) {
 			if (!job.isTerminal) {
 				for (const step of job.listOpenSteps()) {
 					const known = this.#stepWaits.get(step);
 					const waits = known?.isCurrent ? known : StepWaits.create(step, now);
 					stepWaits.set(step, waits);
-					waits.addTo(sums);
+					waits.addTo(sums, fleet);
 				}
 
 				sums.finishJob(job.job.id);
--- a/packages/workflows/src/wait-reasons.ts
+++ b/packages/workflows/src/wait-reasons.ts
@@ -1,6 +1,7 @@
 /**
  * Why a task that could run has no run:
  * - `no-matching-worker`: no worker that accepts work has the label and the size that it needs.
+ * - `fleet-too-small`: no VM of any pool could hold it, or all of them together its gang, if nothing else ran there.
  * - `no-room`: the workers that could run it are full.
  * - `suspect`: a worker has crashed under it, and those with room are testing other suspects.
  * - `account-share`: the workers that could run it are full, and its account uses its share of the pool.
@@ -16,7 +17,7 @@
  * - `unconfirmed`: its worker has not confirmed the start.
  * - `stopping`: its last run is not known to have ended.
  */
-export type WaitReason = 'no-matching-worker' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'account-cap' | 'account-share' | 'deferred' | 'not-reached' | 'restart-delay' | 'recording' | 'start-queued' | 'unconfirmed' | 'stopping';
+export type WaitReason = 'no-matching-worker' | 'fleet-too-small' | 'no-room' | 'suspect' | 'gang-no-room' | 'no-ticket' | 'account-cap' | 'account-share' | 'deferred' | 'not-reached' | 'restart-delay' | 'recording' | 'start-queued' | 'unconfirmed' | 'stopping';
 
 /** Reasons of tasks that a further worker of the pool could run. */
 export const roomReasons = ['no-room', 'gang-no-room', 'account-share', 'deferred'] as const satisfies readonly WaitReason[];
--- a/packages/workflows/tests/pool-sizers.test.ts
+++ b/packages/workflows/tests/pool-sizers.test.ts
@@ -14,7 +14,7 @@
 	readonly #sessions: ReadonlyMap<VmId, WorkerSession>;
 
 	constructor(readonly service: ServiceName, workers: readonly VmId[]) {
-		this.#sessions = new Map(workers.map(id => [id, {record: {id}, isSchedulable: true, idleSince: undefined} as unknown as WorkerSession]));
+		this.#sessions = new Map(workers.map(id => [id, {record: {id, labels: [], capacity: noResources}, isSchedulable: true, idleSince: undefined} as unknown as WorkerSession]));
 	}
 
 	get sessions(): Iterable<WorkerSession> {
