Let placement tickets expire by request, and bound the open requests by the time they take

What callers saw: steps of queues with a placement policy stood for ever although all workers had room. Cause: the policy decides one call at a time for each calling machine, and the validity of a ticket counts from the sending. 24 requests for 30 workers each were kept open: once 24 calls take longer than 0.7 of the validity, tickets are expired on arrival. An expired entry was replaced by an empty one, so that the same workers were asked again, and a worker late in the order was never asked. Ruled out: the timeout of a request and the policy itself; each call was answered in time. Change: the open requests are limited so that a response takes at most a fifth of the shortest validity, by the time of the last response and the number of requests that were open; at least one. Answers expire by request and are kept, so that the next request names the workers that were asked least recently; those with room come first. The new case of advice-caches.test.ts guards the order by room; it does not compile before.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -20,10 +20,18 @@
 const maxOpenRequests = 24;
 /** Share of a ticket's validity for which it is used, since a start takes time to arrive. */
 const usableValidityShare = 0.7;
+/** Largest share of a ticket's validity that may pass before the response: validity counts from the sending, and the service handles one request at a time. */
+const maxResponseShare = 0.2;
 /** Delay before a failed request may be repeated, in milliseconds. */
 const retryDelayMs = 200;
 
-type StepTickets = {readonly tickets: Map<VmId, string>; readonly requested: Set<VmId>; expiresAt: number; isRequesting: boolean};
+/** Answer of the policy for a worker, without a ticket if the worker may not run the step. */
+type Answer = {readonly ticket: string | undefined; readonly expiresAt: number};
+
+/** Answers for a step by worker. Expired ones are kept, so that the workers that were asked least recently are asked next. */
+type StepAnswers = {readonly byWorker: Map<VmId, Answer>; isRequesting: boolean};
+
+type Worker = {readonly id: VmId};
 
 /** Requests and caches the tickets of each step. */
 export class AdviceCache {
@@ -32,73 +40,76 @@
 	}
 
 	readonly #options: AdviceCacheOptions;
-	readonly #entries = new Map<string, StepTickets>();
+	readonly #entries = new Map<string, StepAnswers>();
 	#openRequests = 0;
+	/** Number of requests that may be open, by the time that responses take. */
+	#openLimit = maxOpenRequests;
+	/** Shortest validity of tickets so far, in milliseconds. */
+	#shortestValidMs = Number.POSITIVE_INFINITY;
 
 	private constructor(options: AdviceCacheOptions) {
 		this.#options = options;
 	}
 
-	/** Returns the candidates for which the task's step holds tickets, and requests tickets for candidates that were not requested yet. */
-	filterAllowed<T extends {readonly id: VmId}>(task: Task, candidates: readonly T[]): T[] {
+	/**
+	 * Returns the candidates for which the task's step holds tickets, and requests tickets for candidates that were not requested yet or whose answers have expired.
+	 * Those for which `hasRoom` holds are requested first.
+	 */
+	filterAllowed<T extends Worker>(task: Task, candidates: readonly T[], hasRoom: (candidate: T) => boolean = () => true): T[] {
 		const now = this.#options.clock.readMonotonic();
-		const key = formatStep(task);
-		let entry = this.#entries.get(key);
-		if (entry === undefined || (now >= entry.expiresAt && !entry.isRequesting)) {
-			entry = {
-				tickets: new Map(), requested: new Set(), expiresAt: Number.POSITIVE_INFINITY, isRequesting: false,
-			};
-			this.#entries.set(key, entry);
-		}
-
-		const {tickets, requested} = entry;
-		const unrequested = candidates.filter(({id}) => !requested.has(id)).slice(0, maxRequestedWorkers);
-		if (!entry.isRequesting && unrequested.length > 0 && this.#openRequests < maxOpenRequests) {
-			void this.#requestTickets(task, entry, unrequested.map(({id}) => id));
+		const entry = this.#openEntry(task);
+		if (!entry.isRequesting && this.#openRequests < this.#openLimit) {
+			const due = candidates.filter(({id}) => readExpiry(entry, id) <= now);
+			if (due.length > 0) {
+				void this.#requestTickets(task, entry, chooseRequested(entry, due, hasRoom));
+			}
 		}
 
-		return candidates.filter(({id}) => tickets.has(id));
+		return candidates.filter(({id}) => entry.byWorker.get(id)?.ticket !== undefined && readExpiry(entry, id) > now);
 	}
 
 	/** Returns the ticket for a task on a worker; `undefined` when there is none, as for queues without a placement policy. */
 	getTicket(task: Task, worker: VmId): string | undefined {
-		return this.#entries.get(formatStep(task))?.tickets.get(worker);
+		return this.#entries.get(formatStep(task))?.byWorker.get(worker)?.ticket;
 	}
 
 	/** Drops the tickets for a worker whose incarnation has ended; tickets are valid for one incarnation. */
 	clearWorker(worker: VmId): void {
-		for (const {tickets, requested} of this.#entries.values()) {
-			tickets.delete(worker);
-			requested.delete(worker);
+		for (const {byWorker} of this.#entries.values()) {
+			byWorker.delete(worker);
 		}
 	}
 
 	/** Drops the ticket of a task's step for a worker that refused it, so that it is requested again. */
 	clearTicket(task: Task, worker: VmId): void {
-		const entry = this.#entries.get(formatStep(task));
-		entry?.tickets.delete(worker);
-		entry?.requested.delete(worker);
+		this.#entries.get(formatStep(task))?.byWorker.delete(worker);
+	}
+
+	#openEntry(task: Task): StepAnswers {
+		const key = formatStep(task);
+		const entry = this.#entries.get(key) ?? {byWorker: new Map<VmId, Answer>(), isRequesting: false};
+		this.#entries.set(key, entry);
+		return entry;
 	}
 
-	async #requestTickets(task: Task, entry: StepTickets, workers: readonly VmId[]): Promise<void> {
+	async #requestTickets(task: Task, entry: StepAnswers, workers: readonly VmId[]): Promise<void> {
 		const {clock, advisor, log, onResponse} = this.#options;
 		const {job, occurrence, step} = task.key;
 		entry.isRequesting = true;
 		this.#openRequests++;
+		const openRequests = this.#openRequests;
 		const requestedAt = clock.readMonotonic();
 		try {
 			const {tickets, validMs} = await advisor.requestTickets({job, occurrence, step}, workers);
-			entry.expiresAt = Math.min(entry.expiresAt, requestedAt + (validMs * usableValidityShare));
+			const afterMs = clock.readMonotonic() - requestedAt;
+			this.#updateOpenLimit(validMs, afterMs / openRequests);
+			const expiresAt = requestedAt + (validMs * usableValidityShare);
 			for (const worker of workers) {
-				entry.requested.add(worker);
-			}
-
-			for (const [worker, ticket] of tickets) {
-				entry.tickets.set(worker, ticket);
+				entry.byWorker.set(worker, {ticket: tickets.get(worker), expiresAt});
 			}
 
 			log.info('placement tickets received', {
-				job, step, asked: workers.length, allowed: tickets.size, afterMs: Math.round(clock.readMonotonic() - requestedAt),
+				job, step, asked: workers.length, allowed: tickets.size, afterMs: Math.round(afterMs),
 			});
 		} catch (error) {
 			log.warn('requesting placement tickets failed', {
@@ -111,6 +122,25 @@
 			onResponse();
 		}
 	}
+
+	/** Limits the open requests so that tickets arrive with most of their validity left; `requestMs` is the time that each of the requests took. */
+	#updateOpenLimit(validMs: number, requestMs: number): void {
+		this.#shortestValidMs = Math.min(this.#shortestValidMs, validMs);
+		const limit = Math.floor(this.#shortestValidMs * maxResponseShare / Math.max(1, requestMs));
+		this.#openLimit = Math.max(1, Math.min(maxOpenRequests, limit));
+	}
+}
+
+/** Returns the time at which the answer for a worker expires, which has passed if there is none. */
+function readExpiry(entry: StepAnswers, worker: VmId): number {
+	return entry.byWorker.get(worker)?.expiresAt ?? Number.NEGATIVE_INFINITY;
+}
+
+/** Chooses the workers of the next request: those with room first, and of these the ones that were asked least recently. */
+function chooseRequested<T extends Worker>(entry: StepAnswers, due: readonly T[], hasRoom: (candidate: T) => boolean): VmId[] {
+	const ranked = due.map(candidate => ({id: candidate.id, expiresAt: readExpiry(entry, candidate.id), isFull: !hasRoom(candidate)}));
+	ranked.sort((a, b) => Number(a.isFull) - Number(b.isFull) || (a.expiresAt === b.expiresAt ? 0 : a.expiresAt - b.expiresAt));
+	return ranked.slice(0, maxRequestedWorkers).map(({id}) => id);
 }
 
 function formatStep(task: Task): string {
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -43,6 +43,9 @@
 /** Wait after which a suspect that starts alone shares its worker with runs that are not proven, in milliseconds. */
 const maxSoleWaitMs = 1000;
 
+/** No places of a step's other tasks. */
+const noOccupancy: StepOccupancy = new Map<string, number>();
+
 /** Share in the demand of a suspect that shares its worker with no unproven run: more than one that starts alone asks for. */
 const soleShare = 2;
 
@@ -215,7 +218,8 @@
 
 	/** Returns the candidates that the placement policy allows for a task's step; all of them without a policy. */
 	#listAllowed(task: Task): readonly PassCandidate[] {
-		return task.job.job.policy.advice === undefined ? this.#groups.get(task.spec.requirement).candidates : this.#options.advice.filterAllowed(task, this.#candidates);
+		const {spec} = task;
+		return task.job.job.policy.advice === undefined ? this.#groups.get(spec.requirement).candidates : this.#options.advice.filterAllowed(task, this.#candidates, candidate => hasRoom(candidate, spec, noOccupancy));
 	}
 
 	#explainFailure(spec: StepSpec, allowed: readonly PassCandidate[], demand: Demand, occupancy: StepOccupancy): WaitReason {
--- a/packages/workflows/tests/advice-caches.test.ts
+++ b/packages/workflows/tests/advice-caches.test.ts
@@ -86,3 +86,20 @@
 	t.deepEqual(tasks.filter(waiting => cache.filterAllowed(waiting, candidates).length < candidates.length), []);
 	t.is(mostOpen, 24);
 });
+
+// Guards against calls that each take as long as 30 workers do, for workers on which the step cannot start.
+test('tickets of workers with room are requested first', async t => {
+	const clock = ManualClock.create();
+	const advisor = new CountingAdvisor();
+	const cache = AdviceCache.create({
+		clock, advisor, log: RateLimitedLog.create(Log.createSilent(), clock), onResponse() {},
+	});
+	const many = Array.from({length: 70}, (_, index) => ({id: `worker-${index}` as VmId}));
+	const rooms = new Set(many.slice(-2));
+	for (let pass = 0; pass < 5; pass++) {
+		cache.filterAllowed(task, many, candidate => rooms.has(candidate));
+		await clock.advance(10);
+	}
+
+	t.deepEqual(advisor.requests, [[...rooms, ...many.slice(0, 28)], many.slice(28, 58), many.slice(58, 68)].map(workers => workers.map(({id}) => id)));
+});
