Request placement tickets for steps in turn

What callers saw: steps behind 24 or more steps with full workers, which asked again as their tickets expired, never got a ticket, although workers had room for them. Cause: each pass sees the steps in one order, so that the first ones take each request that becomes free. Change: a step that finds the limit of open requests reached waits behind the steps that found it reached before, as long as passes look at it. A step that can start with the tickets it holds takes no turn. Measured result: two of the three new cases of placement-tickets.test.ts fail before; the third fails if steps that start leave their turns behind.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -22,6 +22,8 @@
 const usableValidityShare = 0.7;
 /** Largest share of a ticket's validity that may pass before the response: validity counts from the sending, and the service handles one request at a time. */
 const maxResponseShare = 0.2;
+/** Time after its last look for tickets for which a step keeps its turn to request them, in milliseconds: passes look every 115 ms at least, and not at steps that are gone. */
+const turnRetentionMs = 500;
 /** Delay before a failed request may be repeated, in milliseconds. */
 const retryDelayMs = 200;
 
@@ -29,7 +31,7 @@
 type Answer = {readonly ticket: string | undefined; readonly expiresAt: number};
 
 /** Answers for a step by worker. Expired ones are kept, so that the workers that were asked least recently are asked next. */
-type StepAnswers = {readonly byWorker: Map<VmId, Answer>; isRequesting: boolean};
+type StepAnswers = {readonly byWorker: Map<VmId, Answer>; isRequesting: boolean; lookedAt: number};
 
 type Worker = {readonly id: VmId};
 
@@ -41,6 +43,8 @@
 
 	readonly #options: AdviceCacheOptions;
 	readonly #entries = new Map<string, StepAnswers>();
+	/** Steps that found the limit of open requests reached, in the order of their turns. */
+	readonly #turns = new Set<StepAnswers>();
 	#openRequests = 0;
 	/** Number of requests that may be open, by the time that responses take. */
 	#openLimit = maxOpenRequests;
@@ -57,15 +61,19 @@
 	 */
 	filterAllowed<T extends Worker>(task: Task, candidates: readonly T[], hasRoom: (candidate: T) => boolean = () => true): T[] {
 		const now = this.#options.clock.readMonotonic();
-		const entry = this.#openEntry(task);
-		if (!entry.isRequesting && this.#openRequests < this.#openLimit) {
-			const due = candidates.filter(({id}) => readExpiry(entry, id) <= now);
-			if (due.length > 0) {
-				void this.#requestTickets(task, entry, chooseRequested(entry, due, hasRoom));
-			}
+		const entry = this.#openEntry(task, now);
+		const allowed = candidates.filter(({id}) => entry.byWorker.get(id)?.ticket !== undefined && readExpiry(entry, id) > now);
+		const due = entry.isRequesting ? [] : candidates.filter(({id}) => readExpiry(entry, id) <= now);
+		if (due.length > 0 && this.#takeTurn(entry, now)) {
+			void this.#requestTickets(task, entry, chooseRequested(entry, due, hasRoom));
+		}
+
+		// A step that can start now neither needs a turn nor may delay others by one that it leaves behind.
+		if (due.length === 0 || allowed.some(candidate => hasRoom(candidate))) {
+			this.#turns.delete(entry);
 		}
 
-		return candidates.filter(({id}) => entry.byWorker.get(id)?.ticket !== undefined && readExpiry(entry, id) > now);
+		return allowed;
 	}
 
 	/** Returns the ticket for a task on a worker; `undefined` when there is none, as for queues without a placement policy. */
@@ -85,13 +93,37 @@
 		this.#entries.get(formatStep(task))?.byWorker.delete(worker);
 	}
 
-	#openEntry(task: Task): StepAnswers {
+	#openEntry(task: Task, now: number): StepAnswers {
 		const key = formatStep(task);
-		const entry = this.#entries.get(key) ?? {byWorker: new Map<VmId, Answer>(), isRequesting: false};
+		const entry = this.#entries.get(key) ?? {byWorker: new Map<VmId, Answer>(), isRequesting: false, lookedAt: now};
+		entry.lookedAt = now;
 		this.#entries.set(key, entry);
 		return entry;
 	}
 
+	/** Reports whether a step may send a request now; otherwise the step waits behind those that found the limit reached before. */
+	#takeTurn(entry: StepAnswers, now: number): boolean {
+		let free = this.#openLimit - this.#openRequests;
+		this.#turns.add(entry);
+		for (const waiting of this.#turns) {
+			if (free <= 0) {
+				return false;
+			}
+
+			if (waiting === entry) {
+				return this.#turns.delete(entry);
+			}
+
+			if (now - waiting.lookedAt > turnRetentionMs) {
+				this.#turns.delete(waiting);
+			} else {
+				free--;
+			}
+		}
+
+		return false;
+	}
+
 	async #requestTickets(task: Task, entry: StepAnswers, workers: readonly VmId[]): Promise<void> {
 		const {clock, advisor, log, onResponse} = this.#options;
 		const {job, occurrence, step} = task.key;
--- a/packages/workflows/tests/placement-tickets.test.ts
+++ b/packages/workflows/tests/placement-tickets.test.ts
@@ -84,3 +84,53 @@
 		t.is(open.size, 0, `${open.size} of ${steps} steps found no worker`);
 	});
 }
+
+type ContendedCase = {
+	readonly name: string;
+	readonly others: number;
+	readonly validMs: number;
+	/** Whether the other steps find no room on the workers that they are allowed. */
+	readonly areFull: boolean;
+	/** Time by which the step has a ticket. */
+	readonly withinMs: number;
+};
+
+const contendedCases: readonly ContendedCase[] = [
+	{
+		name: '30 steps before it renew theirs', others: 30, validMs: 3000, areFull: true, withinMs: 10_000,
+	},
+	{
+		name: '30 steps before it, which have the turns of one request at a time, find room', others: 30, validMs: 600, areFull: false, withinMs: 10_000,
+	},
+	{
+		name: 'two steps before it, which have the turns of one request at a time, find room', others: 2, validMs: 600, areFull: false, withinMs: 600,
+	},
+];
+
+// Guards against steps whose allowed workers are full and which renew their tickets before others get any, and against turns that steps leave behind.
+for (const {
+	name, others, validMs, areFull, withinMs,
+} of contendedCases) {
+	test(`a step gets a ticket while ${name}`, async t => {
+		const clock = ManualClock.create();
+		const cache = AdviceCache.create({
+			clock, advisor: new SerialAdvisor(clock, validMs), log: RateLimitedLog.create(Log.createSilent(), clock), onResponse() {},
+		});
+		const candidates = Array.from({length: workers}, (_, index) => ({id: `worker-${index}` as VmId}));
+		const tasks = Array.from({length: others + 1}, (_, step) => ({key: {job: '5c0e7a21d94b36f8' as JobId, occurrence: 0, step}}) as unknown as Task);
+		const last = tasks.at(-1)!;
+		const open = new Set(tasks);
+		for (let elapsedMs = 0; elapsedMs < withinMs && open.has(last); elapsedMs += intervalMs) {
+			for (const task of open) {
+				const isFull = areFull && task !== last;
+				if (cache.filterAllowed(task, candidates, () => !isFull).length > 0 && !isFull) {
+					open.delete(task);
+				}
+			}
+
+			await clock.advance(intervalMs);
+		}
+
+		t.false(open.has(last));
+	});
+}
