Bound the open requests for placement tickets by the time of a response

What callers saw: steps with a placement policy stood for ever, the log full of requests that failed after 3 s, with tickets valid for a minute too. Found by reading the client of the policy. Cause: a request is given up after 3 s, and the policy, which decides one at a time, still handles it. With 24 requests of 0.14 s or more open the last ones are given up and sent again behind those that nobody awaits. Ruled out: the validity of the tickets, and 429 responses, of which there are none at 24 requests. Change: a response is to take at most 1 s, and a failed request halves the limit of open requests. Measured result: of placement-tickets.test.ts, whose policy now has the timeout, two cases fail before: 16 of 20 steps (0.74 s a request) and 79 of 100 steps (0.14 s a request) without a ticket after 60 s; now each has one.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -24,6 +24,8 @@
 const maxResponseShare = 0.2;
 /** Time after its last look for tickets for which a step keeps its turn to request them, in milliseconds: passes look every 115 ms at least, and not at steps that are gone. */
 const turnRetentionMs = 500;
+/** Longest time that may pass before a response, in milliseconds: a client that gives up after 3 s asks again while the service still handles its earlier requests. */
+const maxResponseMs = 1000;
 /** Delay before a failed request may be repeated, in milliseconds. */
 const retryDelayMs = 200;
 
@@ -144,6 +146,7 @@
 				job, step, asked: workers.length, allowed: tickets.size, afterMs: Math.round(afterMs),
 			});
 		} catch (error) {
+			this.#openLimit = Math.max(1, Math.floor(Math.min(this.#openLimit, openRequests) / 2));
 			log.warn('requesting placement tickets failed', {
 				job, step, asked: workers.length, error: readErrorMessage(error),
 			});
@@ -155,10 +158,11 @@
 		}
 	}
 
-	/** Limits the open requests so that tickets arrive with most of their validity left; `requestMs` is the time that each of the requests took. */
+	/** Limits the open requests so that tickets arrive in time and with most of their validity left; `requestMs` is the time that each of the requests took. */
 	#updateOpenLimit(validMs: number, requestMs: number): void {
 		this.#shortestValidMs = Math.min(this.#shortestValidMs, validMs);
-		const limit = Math.floor(this.#shortestValidMs * maxResponseShare / Math.max(1, requestMs));
+		const responseMs = Math.min(maxResponseMs, this.#shortestValidMs * maxResponseShare);
+		const limit = Math.floor(responseMs / Math.max(1, requestMs));
 		this.#openLimit = Math.max(1, Math.min(maxOpenRequests, limit));
 	}
 }
--- a/packages/workflows/tests/placement-tickets.test.ts
+++ b/packages/workflows/tests/placement-tickets.test.ts
@@ -6,29 +6,34 @@
 	AdviceCache, PlacementAdvisor, RateLimitedLog, type PlacementAdvice, type Task,
 } from '../src/index.js';
 
-/** Decides serially, with a time for each request and each worker, as the platform's policy does. */
+/** Decides serially, with a time for each request and each worker, as the platform's policy does, also those that the client has given up. */
 class SerialAdvisor extends PlacementAdvisor {
 	#last: Promise<unknown> = Promise.resolve();
 
-	constructor(private readonly clock: ManualClock, private readonly validMs: number) {
+	constructor(private readonly clock: ManualClock, private readonly validMs: number, private readonly workerMs = perWorkerMs) {
 		super();
 	}
 
 	override async requestTickets(_step: unknown, workers: readonly VmId[]): Promise<PlacementAdvice> {
 		const decided = this.#decide(this.#last, workers.length);
 		this.#last = decided;
-		await decided;
+		const isTimely = await Promise.race([decided.then(() => true), this.clock.sleep(timeoutMs).then(() => false)]);
+		if (!isTimely) {
+			throw new Error('no response in time');
+		}
+
 		return {tickets: new Map(workers.map(id => [id, 'ticket'])), validMs: this.validMs};
 	}
 
 	async #decide(previous: Promise<unknown>, workers: number): Promise<void> {
 		await previous;
-		await this.clock.sleep(decideMs + (workers * perWorkerMs));
+		await this.clock.sleep(decideMs + (workers * this.workerMs));
 	}
 }
 
 const decideMs = 20;
 const perWorkerMs = 4;
+const timeoutMs = 3000;
 const intervalMs = 20;
 const workers = 120;
 const playMs = 60_000;
@@ -39,6 +44,8 @@
 	readonly validMs: number;
 	/** Number of workers with room, the last of the pool. */
 	readonly withRoom: number;
+	/** Time that the policy takes for each worker of a request. */
+	readonly workerMs?: number;
 };
 
 const cases: readonly Case[] = [
@@ -57,16 +64,19 @@
 	{
 		name: 'all workers have room for 100 steps, and tickets are valid for 3 s', steps: 100, validMs: 3000, withRoom: workers,
 	},
+	{
+		name: 'all workers have room for 20 steps, and a request takes a quarter of the time after which it is given up', steps: 20, validMs: 60_000, withRoom: workers, workerMs: 24,
+	},
 ];
 
-// Guards against tickets that expire on the way, or before those of a worker with room are asked for, so that the same ones are requested again without an end.
+// Guards against requests that are given up and repeated while the policy handles those before, and against tickets that expire on the way, or before those of a worker with room are asked for, so that the same ones are requested again without an end.
 for (const {
-	name, steps, validMs, withRoom,
+	name, steps, validMs, withRoom, workerMs,
 } of cases) {
 	test(`each step gets a ticket of a worker with room if ${name}`, async t => {
 		const clock = ManualClock.create();
 		const cache = AdviceCache.create({
-			clock, advisor: new SerialAdvisor(clock, validMs), log: RateLimitedLog.create(Log.createSilent(), clock), onResponse() {},
+			clock, advisor: new SerialAdvisor(clock, validMs, workerMs), log: RateLimitedLog.create(Log.createSilent(), clock), onResponse() {},
 		});
 		const candidates = Array.from({length: workers}, (_, index) => ({id: `worker-${index}` as VmId}));
 		const rooms = new Set(candidates.slice(-withRoom));
