Remove the placement tickets of steps that are gone

What callers saw: nothing yet; the memory of an entry grows by each step of a queue with a placement policy. Found by reading: no code deleted the entry of a step, also before tickets expired by request. Ruled out: removal as a job ends; a step that waits for room at the time would lose tickets which are valid. Change: from 1000 steps on, and then at twice those that are left, the cache removes the steps that have not looked for tickets for 10 s and hold no valid answer. Measured result: the new case of advice-caches.test.ts fails before (1000 of 1000 steps keep expired tickets, now 1, which still looks for them); valid tickets are kept.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -24,6 +24,10 @@
 const maxResponseShare = 0.2;
 /** Time after its last look for tickets for which a step keeps its turn to request them, in milliseconds: passes look every 115 ms at least, and not at steps that are gone. */
 const turnRetentionMs = 500;
+/** Number of steps below which none is removed. */
+const minRemovalSize = 1000;
+/** Time after its last look for tickets for which a step without a valid one is kept, in milliseconds: a step that waits for room is not looked at. */
+const entryRetentionMs = 10_000;
 /** Longest time that may pass before a response, in milliseconds: a client that gives up after 3 s asks again while the service still handles its earlier requests. */
 const maxResponseMs = 1000;
 /** Delay before a failed request may be repeated, in milliseconds. */
@@ -48,6 +52,8 @@
 	/** Steps that found the limit of open requests reached, in the order of their turns. */
 	readonly #turns = new Set<StepAnswers>();
 	#openRequests = 0;
+	/** Number of steps at which those that are gone are removed. */
+	#maxEntries = minRemovalSize;
 	/** Number of requests that may be open, by the time that responses take. */
 	#openLimit = maxOpenRequests;
 	/** Shortest validity of tickets so far, in milliseconds. */
@@ -97,12 +103,34 @@
 
 	#openEntry(task: Task, now: number): StepAnswers {
 		const key = formatStep(task);
-		const entry = this.#entries.get(key) ?? {byWorker: new Map<VmId, Answer>(), isRequesting: false, lookedAt: now};
-		entry.lookedAt = now;
+		const known = this.#entries.get(key);
+		if (known !== undefined) {
+			known.lookedAt = now;
+			return known;
+		}
+
+		if (this.#entries.size >= this.#maxEntries) {
+			this.#removeEntries(now);
+		}
+
+		const entry: StepAnswers = {byWorker: new Map<VmId, Answer>(), isRequesting: false, lookedAt: now};
 		this.#entries.set(key, entry);
 		return entry;
 	}
 
+	/** Removes the entries of steps that have not looked for tickets for a while and hold no valid answer, such as those of jobs that have ended. */
+	#removeEntries(now: number): void {
+		for (const [key, entry] of this.#entries) {
+			const isUsed = entry.isRequesting || now - entry.lookedAt < entryRetentionMs;
+			if (!isUsed && [...entry.byWorker.values()].every(({expiresAt}) => expiresAt <= now)) {
+				this.#entries.delete(key);
+				this.#turns.delete(entry);
+			}
+		}
+
+		this.#maxEntries = Math.max(minRemovalSize, this.#entries.size * 2);
+	}
+
 	/** Reports whether a step may send a request now; otherwise the step waits behind those that found the limit reached before. */
 	#takeTurn(entry: StepAnswers, now: number): boolean {
 		let free = this.#openLimit - this.#openRequests;
--- a/packages/workflows/tests/advice-caches.test.ts
+++ b/packages/workflows/tests/advice-caches.test.ts
@@ -103,3 +103,28 @@
 
 	t.deepEqual(advisor.requests, [[...rooms, ...many.slice(0, 28)], many.slice(28, 58), many.slice(58, 68)].map(workers => workers.map(({id}) => id)));
 });
+
+// Guards against memory that grows with each step that ever looked for a ticket.
+test('tickets of steps that are gone are removed once they expire, and those of others are kept', async t => {
+	const clock = ManualClock.create();
+	const cache = AdviceCache.create({
+		clock, advisor: new CountingAdvisor(), log: RateLimitedLog.create(Log.createSilent(), clock), onResponse() {},
+	});
+	const tasks = Array.from({length: 2100}, (_, step) => ({key: {job: '5c0e7a21d94b36f8' as JobId, occurrence: 0, step}}) as unknown as Task);
+	const lookAt = async (looking: readonly Task[]): Promise<void> => {
+		for (const waiting of looking) {
+			cache.filterAllowed(waiting, candidates);
+			await clock.advance(0);
+		}
+	};
+
+	const countKept = (): number => tasks.slice(0, 1000).filter(waiting => cache.getTicket(waiting, restarted!.id) !== undefined).length;
+	await lookAt(tasks.slice(0, 1000));
+	await clock.advance(40_000);
+	t.is(countKept(), 1000);
+	await lookAt(tasks.slice(1000, 1002));
+	t.is(countKept(), 1000);
+	await clock.advance(10_000);
+	await lookAt([tasks[0]!, ...tasks.slice(1002)]);
+	t.is(countKept(), 1);
+});
