Look for room on allowed workers only for steps with a turn

Cause: each look of a pass at a step with tickets compared the step with its allowed workers until one had room. Change: this is done only for a step that waits for its turn to request tickets; nothing else depends on it.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -77,7 +77,7 @@
 		}
 
 		// A step that can start now neither needs a turn nor may delay others by one that it leaves behind.
-		if (due.length === 0 || allowed.some(candidate => hasRoom(candidate))) {
+		if (this.#turns.has(entry) && (due.length === 0 || allowed.some(candidate => hasRoom(candidate)))) {
 			this.#turns.delete(entry);
 		}
 
