Judge the need for placement tickets by the workers on which a step can start

What callers saw: gangs that need more than 30 workers, steps with anti-affinity and steps whose allowed workers are reserved or have no start slot would wait behind others. Found by a review of the turns before a release. Cause: a step took no turn if one allowed worker had room for one task, whatever else keeps it from starting there. Ruled out: that the pass order alone is to blame; it does not matter to a step with a turn. Change: the pass tells how many workers the step needs at once, and counts neither reserved workers, nor those without a start slot, nor those that hold as many tasks of the step as anti-affinity allows. The same rule orders the workers of a request.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -41,6 +41,14 @@
 
 type Worker = {readonly id: VmId};
 
+/** What a step looks for. */
+export type TicketNeed<T> = {
+	/** Reports whether a task of the step has room on a candidate. */
+	readonly hasRoom?: (candidate: T) => boolean;
+	/** Number of workers with room that the step needs at once, one without. */
+	readonly workers?: number;
+};
+
 /** Requests and caches the tickets of each step. */
 export class AdviceCache {
 	static create(options: AdviceCacheOptions): AdviceCache {
@@ -67,7 +75,7 @@
 	 * Returns the candidates for which the task's step holds tickets, and requests tickets for candidates that were not requested yet or whose answers have expired.
 	 * Those for which `hasRoom` holds are requested first.
 	 */
-	filterAllowed<T extends Worker>(task: Task, candidates: readonly T[], hasRoom: (candidate: T) => boolean = () => true): T[] {
+	filterAllowed<T extends Worker>(task: Task, candidates: readonly T[], {hasRoom = () => true, workers = 1}: TicketNeed<T> = {}): T[] {
 		const now = this.#options.clock.readMonotonic();
 		const entry = this.#openEntry(task, now);
 		const allowed = candidates.filter(({id}) => entry.byWorker.get(id)?.ticket !== undefined && readExpiry(entry, id) > now);
@@ -77,7 +85,7 @@
 		}
 
 		// A step that can start now neither needs a turn nor may delay others by one that it leaves behind.
-		if (this.#turns.has(entry) && (due.length === 0 || allowed.some(candidate => hasRoom(candidate)))) {
+		if (this.#turns.has(entry) && (due.length === 0 || allowed.filter(candidate => hasRoom(candidate)).length >= workers)) {
 			this.#turns.delete(entry);
 		}
 
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -218,8 +218,16 @@
 
 	/** Returns the candidates that the placement policy allows for a task's step; all of them without a policy. */
 	#listAllowed(task: Task): readonly PassCandidate[] {
-		const {spec} = task;
-		return task.job.job.policy.advice === undefined ? this.#groups.get(spec.requirement).candidates : this.#options.advice.filterAllowed(task, this.#candidates, candidate => hasRoom(candidate, spec, noOccupancy));
+		const {spec, stepState} = task;
+		if (task.job.job.policy.advice === undefined) {
+			return this.#groups.get(spec.requirement).candidates;
+		}
+
+		const occupancy = spec.antiAffinity === undefined ? noOccupancy : stepState.occupancy;
+		return this.#options.advice.filterAllowed(task, this.#candidates, {
+			hasRoom: candidate => !candidate.isReserved && candidate.startSlots !== 0 && hasRoom(candidate, spec, occupancy),
+			workers: spec.isGang ? spec.count : 1,
+		});
 	}
 
 	#explainFailure(spec: StepSpec, allowed: readonly PassCandidate[], demand: Demand, occupancy: StepOccupancy): WaitReason {
--- a/packages/workflows/tests/advice-caches.test.ts
+++ b/packages/workflows/tests/advice-caches.test.ts
@@ -97,7 +97,7 @@
 	const many = Array.from({length: 70}, (_, index) => ({id: `worker-${index}` as VmId}));
 	const rooms = new Set(many.slice(-2));
 	for (let pass = 0; pass < 5; pass++) {
-		cache.filterAllowed(task, many, candidate => rooms.has(candidate));
+		cache.filterAllowed(task, many, {hasRoom: candidate => rooms.has(candidate)});
 		await clock.advance(10);
 	}
 
--- a/packages/workflows/tests/placement-tickets.test.ts
+++ b/packages/workflows/tests/placement-tickets.test.ts
@@ -101,6 +101,8 @@
 	readonly validMs: number;
 	/** Whether the other steps find no room on the workers that they are allowed. */
 	readonly areFull: boolean;
+	/** Number of workers with room that the step needs, as a gang does. */
+	readonly needed?: number;
 	/** Time by which the step has a ticket. */
 	readonly withinMs: number;
 };
@@ -115,11 +117,14 @@
 	{
 		name: 'two steps before it, which have the turns of one request at a time, find room', others: 2, validMs: 600, areFull: false, withinMs: 600,
 	},
+	{
+		name: '30 steps before it ask for theirs, and it needs more workers than a request names', others: 30, validMs: 60_000, areFull: true, needed: 45, withinMs: 10_000,
+	},
 ];
 
 // Guards against steps whose allowed workers are full and which renew their tickets before others get any, and against turns that steps leave behind.
 for (const {
-	name, others, validMs, areFull, withinMs,
+	name, others, validMs, areFull, needed = 1, withinMs,
 } of contendedCases) {
 	test(`a step gets a ticket while ${name}`, async t => {
 		const clock = ManualClock.create();
@@ -133,7 +138,7 @@
 		for (let elapsedMs = 0; elapsedMs < withinMs && open.has(last); elapsedMs += intervalMs) {
 			for (const task of open) {
 				const isFull = areFull && task !== last;
-				if (cache.filterAllowed(task, candidates, () => !isFull).length > 0 && !isFull) {
+				if (cache.filterAllowed(task, candidates, {hasRoom: () => !isFull, workers: needed}).length >= needed && !isFull) {
 					open.delete(task);
 				}
 			}
