--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -43,6 +43,9 @@
 /** Wait after which a suspect that starts alone shares its worker with runs that are not proven, in milliseconds. */
 const maxSoleWaitMs = 1000;
 
+/** No places of a step's other tasks. */
+const noOccupancy: StepOccupancy = new Map<string, number>();
+
 /** Share in the demand of a suspect that shares its worker with no unproven run: more than one that starts alone asks for. */
 const soleShare = 2;
 
@@ -216,7 +219,16 @@
 
 	/** Returns the candidates that the placement policy allows for a task's step; all of them without a policy. */
 	#listAllowed(task: Task): readonly PassCandidate[] {
-		return task.job.job.policy.advice === undefined ? this.#groups.get(task.spec.requirement).candidates : this.#options.advice.filterAllowed(task, this.#candidates);
+		const {spec, stepState} = task;
+		if (task.job.job.policy.advice === undefined) {
+			return this.#groups.get(spec.requirement).candidates;
+		}
+
+		const occupancy = spec.antiAffinity === undefined ? noOccupancy : stepState.occupancy;
+		return this.#options.advice.filterAllowed(task, this.#candidates, {
+			hasRoom: candidate => !candidate.isReserved && candidate.startSlots !== 0 && hasRoom(candidate, spec, occupancy),
+			workers: spec.isGang ? spec.count : 1,
+		});
 	}
 
 	#explainFailure(spec: StepSpec, allowed: readonly PassCandidate[], demand: Demand, occupancy: StepOccupancy): WaitReason {
