Confirm an outdated configuration as soon as the store answers

Cause: a watch of the declarations confirms the configuration as of its start. The watch that was open during the pause, or failed during the outage, is too old, and the next one waited for a change for its usual 0.7 s before it confirmed anything.

Ruled out: a longer validity of the configuration, which would break CONFIG and the bound for revoked keys; a shorter wait of all watches, which would cost every entry more calls.

Change: a watch that would end too late to keep the configuration valid does not wait for a change.

--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -10,6 +10,8 @@
 
 /** Time by which two watches together end before the configuration counts as stale, in milliseconds. */
 const watchMarginMs = 50;
+/** Wait of a watch that confirms the configuration as soon as the store answers, in milliseconds. */
+const immediateWatchMs = 1;
 
 /** A decoded row of the operator. */
 export type Declaration
@@ -141,11 +143,18 @@
 		this.#version = outcome.version;
 	}
 
-	/** Computes the wait of the next watch. A watch confirms the configuration as of its start, so two of them have to end before it counts as stale, for keys or at all. */
+	/**
+	 * Computes the wait of the next watch. A watch confirms the configuration as of its start, so two of them have to end before it counts as
+	 * stale, for keys or at all. Once the next one would end too late, as after a pause of the process or an outage of the store, it doesn't wait
+	 * for a change.
+	 */
 	#computeWaitMs(): number {
 		const {declarationWatchMs, staleKeysMs} = this.#options.timings;
-		const remainingMs = (staleKeysMs / 2) - this.#answerMs - watchMarginMs;
-		return Math.floor(Math.max(minDeclarationWatchMs, Math.min(declarationWatchMs, remainingMs)));
+		const spareMs = this.#answerMs + watchMarginMs;
+		const remainingMs = staleKeysMs - this.ageMs - spareMs;
+		return remainingMs < minDeclarationWatchMs
+			? immediateWatchMs
+			: Math.floor(Math.max(minDeclarationWatchMs, Math.min(declarationWatchMs, (staleKeysMs / 2) - spareMs, remainingMs)));
 	}
 
 	#apply(key: string, value: unknown): void {
