Let requests wait for the confirmation of an outdated configuration

Cause: an entry answered 503 as soon as the last confirmation of its configuration was older than 1.6 s. Two watches of up to 0.75 s each lie between two confirmations, so that a watch which is late by 0.1 s, as on a busy machine, is enough; after a start, the first read was not waited for.

Ruled out: answers by the outdated configuration, as a key may have been revoked or a queue moved since; waits while two attempts in a row have failed or the store has no configuration: such requests are refused at once, and those that wait are refused when the second attempt fails.

Change: a request that meets an outdated configuration waits for its next confirmation, up to 0.5 s and a quarter of the caller's timeout, and is then checked again in full, its key and queue included. At most 1,024 requests wait; further ones are refused at once.

--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -1,7 +1,7 @@
 /**
  * Watches the operator's declarations: the waves and the newest configuration. An older configuration never replaces a newer one.
  */
-import {readErrorMessage, type Clock} from '@tamarackwind/core';
+import {readErrorMessage, waitAtMost, type Clock} from '@tamarackwind/core';
 import {type WatchableTableService} from '@tamarackwind/clients';
 import {AccountDirectory} from './account-directories.js';
 import {type Configuration, type WaveRequest} from './configurations.js';
@@ -12,6 +12,10 @@
 const watchMarginMs = 50;
 /** Wait of a watch that confirms the configuration as soon as the store answers, in milliseconds. */
 const immediateWatchMs = 1;
+/** Failed attempts in a row from which the store counts as out of reach. A single one may be a lost answer, or a time-out that ended while the process was paused. */
+const unreachableAttempts = 2;
+/** Maximum number of requests that wait for a confirmation. */
+export const maxConfirmationWaits = 1024;
 
 /** A decoded row of the operator. */
 export type Declaration
@@ -53,6 +57,10 @@
 	#version: number | undefined;
 	/** Time beyond its wait that the last watch without a change took, in milliseconds. */
 	#answerMs = 0;
+	/** Failed attempts since the last one that succeeded. */
+	#failedAttempts = 0;
+	/** Ends each wait for a confirmation. */
+	readonly #waits = new Set<(isConfirmed: boolean) => void>();
 	#isClosed = false;
 
 	private constructor(options: DeclarationWatcherOptions) {
@@ -83,8 +91,47 @@
 		return this.#configuration !== undefined && this.ageMs < this.#options.timings.staleKeysMs;
 	}
 
+	/**
+	 * Waits for the next confirmation of the configuration, which may still leave it outdated if it was requested long ago. Returns `false`
+	 * if none came within `ms`, and immediately if none can come soon: the store is out of reach or has no configuration, or too many
+	 * requests wait.
+	 */
+	async waitForConfirmation(ms: number): Promise<boolean> {
+		if (!this.#isConfirmable || this.#waits.size >= maxConfirmationWaits) {
+			return false;
+		}
+
+		let isConfirmed = false;
+		let end = (_isConfirmed: boolean): void => {};
+		const ended = new Promise<void>(resolve => {
+			end = outcome => {
+				isConfirmed = outcome;
+				resolve();
+			};
+		});
+		this.#waits.add(end);
+		try {
+			await waitAtMost(this.#options.clock, ended, ms);
+		} finally {
+			this.#waits.delete(end);
+		}
+
+		return isConfirmed;
+	}
+
 	close(): void {
 		this.#isClosed = true;
+		this.#endWaits(false);
+	}
+
+	get #isConfirmable(): boolean {
+		return !this.#isClosed && this.#failedAttempts < unreachableAttempts && (this.#configuration !== undefined || this.#version === undefined);
+	}
+
+	#endWaits(isConfirmed: boolean): void {
+		for (const end of this.#waits) {
+			end(isConfirmed);
+		}
 	}
 
 	async #run(): Promise<void> {
@@ -95,11 +142,18 @@
 			try {
 				await (this.#version === undefined ? this.#load() : this.#watch(this.#version));
 				this.#confirmedAt = startedAt;
+				this.#failedAttempts = 0;
+				this.#endWaits(true);
 				if (isLost) {
 					isLost = false;
 					log.info('store regained', {configuration: this.#configuration?.version});
 				}
 			} catch (error) {
+				this.#failedAttempts++;
+				if (!this.#isConfirmable) {
+					this.#endWaits(false);
+				}
+
 				if (!isLost) {
 					isLost = true;
 					log.warn('store lost', {configuration: this.#configuration?.version, error: readErrorMessage(error)});
