Look a job up before refusing it because the store turns its insert away

What callers saw: a job that one entry had stored, its answer lost, was answered 503 by another entry when the store turned the second insert away.

Cause: a transaction that the store turned away was taken as the outcome of the job. It only says that this attempt has written nothing.

Ruled out: a lookup for submissions that are refused at once while earlier ones are in doubt, as the store does not answer then; a failed lookup as an unknown outcome, as each refusal during an outage would become a 504.

Change: after the store has turned a transaction away, the entry reads the rows of its jobs, for up to 0.3 s, and accepts those that exist. Other submissions of the service are not held up meanwhile.

--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -2,7 +2,7 @@
  * Accepts submitted jobs at an entry. Each job is one conditional insert; inserts are batched into one transaction at a time per partition.
  */
 import {
-	readErrorMessage, VerdictError, type AccountName, type Clock, type JobId, type ServiceName,
+	readErrorMessage, VerdictError, waitAtMost, type AccountName, type Clock, type JobId, type ServiceName,
 } from '@tamarackwind/core';
 import {
 	absentVersion, AdaptiveTimeout, platformBusyCode, type Row, type WatchableTableService,
@@ -53,6 +53,8 @@
 const maxSettleMs = 4000;
 /** Minimum number of attempts to determine an outcome. */
 const minSettleAttempts = 2;
+/** Maximum time for which the refusal of a submission that the store turned away waits for the lookup of its job, in milliseconds. */
+const maxLookupMs = 300;
 /** Minimum interval between attempts to determine an outcome, in milliseconds. */
 const settleIntervalMs = 100;
 /** Time for which an outcome is kept for the retries of its job, and the number of outcomes that are kept. */
@@ -328,18 +330,49 @@
 
 	/** Determines the outcome of a batch whose transaction failed. */
 	async #settle(batch: readonly PendingSubmission[], error: unknown): Promise<void> {
-		const services = new Set(batch.map(({job}) => job.service));
-		this.#countUnsettled(services, 1);
 		const isUnsent = error instanceof VerdictError && error.verdict === 'not-run';
 		this.#options.log.warn('submissions not written', {
 			jobs: batch.map(({job}) => job.id).slice(0, 5), count: batch.length, isUnsent, error: readErrorMessage(error),
 		});
+		if (isUnsent) {
+			await Promise.all(batch.map(async pending => {
+				pending.resolve(await this.#readOutcome(pending.job));
+			}));
+			return;
+		}
+
+		const services = new Set(batch.map(({job}) => job.service));
+		this.#countUnsettled(services, 1);
 		await Promise.all(batch.map(async pending => {
-			pending.resolve(isUnsent ? {outcome: 'refused'} : await this.#settleJob(pending));
+			pending.resolve(await this.#settleJob(pending));
 		}));
 		this.#countUnsettled(services, -1);
 	}
 
+	/**
+	 * Determines the outcome of one job whose transaction the store turned away: another entry may have submitted the job before. A lookup
+	 * that fails or takes long tells nothing.
+	 */
+	async #readOutcome({id, queue}: Job): Promise<Settlement> {
+		const {clock, tables, log} = this.#options;
+		let row: Row | undefined;
+		const read = async (): Promise<void> => {
+			try {
+				row = await tables.getRow(getJobKey(id));
+			} catch {
+				// The store turns reads away as well.
+			}
+		};
+
+		await waitAtMost(clock, read(), maxLookupMs);
+		if (row === undefined || isTombstone(row)) {
+			return {outcome: 'refused'};
+		}
+
+		log.info('job accepted before', {job: id, queue, version: row.version});
+		return {outcome: 'accepted', account: getOwner(row)};
+	}
+
 	#countUnsettled(services: ReadonlySet<ServiceName>, change: 1 | -1): void {
 		for (const service of services) {
 			this.#unsettled.set(service, (this.#unsettled.get(service) ?? 0) + change);
