Confirm the configuration beside a watch that gets no answer

Cause: only the watch that is under way could confirm the configuration. One whose answer is lost ends by its time-out, up to 1.4 s after its start, and the configuration is outdated for up to 0.5 s by then.

Ruled out: shorter waits or time-outs of all watches, which would cost every entry more calls of the store.

Change: the first request that waits beside a watch that waits for a change has the entry ask the store at once. At most one such call is under way, and one is sent each 60 ms. An answer to an earlier watch does not replace what a later one has read.

--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -2,7 +2,7 @@
  * Watches the operator's declarations: the waves and the newest configuration. An older configuration never replaces a newer one.
  */
 import {readErrorMessage, waitAtMost, type Clock} from '@tamarackwind/core';
-import {type WatchableTableService} from '@tamarackwind/clients';
+import {type WatchableTableService, type WatchOutcome} from '@tamarackwind/clients';
 import {AccountDirectory} from './account-directories.js';
 import {type Configuration, type WaveRequest} from './configurations.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
@@ -33,6 +33,8 @@
 	abstract encodeWaveStatus(wave: WaveRequest, state: 'running' | 'succeeded'): {readonly table: string; readonly key: string; readonly value: unknown};
 }
 
+type WatchedChanges = Extract<WatchOutcome, {readonly status: 'changes'}>;
+
 export type DeclarationWatcherOptions = {
 	readonly clock: Clock;
 	readonly tables: WatchableTableService;
@@ -57,6 +59,11 @@
 	#version: number | undefined;
 	/** Time beyond its wait that the last watch without a change took, in milliseconds. */
 	#answerMs = 0;
+	/** Whether the watch that is under way waits for a change. */
+	#isWaiting = false;
+	/** Time at which the last confirmation beside a watch was requested, on the monotonic clock, and whether it is under way. */
+	#requestedAt = Number.NEGATIVE_INFINITY;
+	#isRequesting = false;
 	/** Failed attempts since the last one that succeeded. */
 	#failedAttempts = 0;
 	/** Ends each wait for a confirmation. */
@@ -92,9 +99,9 @@
 	}
 
 	/**
-	 * Waits for the next confirmation of the configuration, which may still leave it outdated if it was requested long ago. Returns `false`
-	 * if none came within `ms`, and immediately if none can come soon: the store is out of reach or has no configuration, or too many
-	 * requests wait.
+	 * Waits for the next confirmation of the configuration, and requests one beside a watch that waits for a change. The confirmation may still
+	 * leave the configuration outdated if it was requested long ago. Returns `false` if none came within `ms`, and immediately if none can come
+	 * soon: the store is out of reach or has no configuration, or too many requests wait.
 	 */
 	async waitForConfirmation(ms: number): Promise<boolean> {
 		if (!this.#isConfirmable || this.#waits.size >= maxConfirmationWaits) {
@@ -110,6 +117,7 @@
 			};
 		});
 		this.#waits.add(end);
+		void this.#requestConfirmation();
 		try {
 			await waitAtMost(this.#options.clock, ended, ms);
 		} finally {
@@ -141,9 +149,8 @@
 			const startedAt = clock.readBootTime();
 			try {
 				await (this.#version === undefined ? this.#load() : this.#watch(this.#version));
-				this.#confirmedAt = startedAt;
+				this.#recordConfirmation(startedAt);
 				this.#failedAttempts = 0;
-				this.#endWaits(true);
 				if (isLost) {
 					isLost = false;
 					log.info('store regained', {configuration: this.#configuration?.version});
@@ -164,6 +171,48 @@
 		}
 	}
 
+	#recordConfirmation(startedAt: number): void {
+		this.#confirmedAt = Math.max(this.#confirmedAt, startedAt);
+		this.#endWaits(true);
+	}
+
+	/** Requests a confirmation beside a watch that waits for a change, whose answer may be lost. At most one is under way, and one is requested each `declarationRetryMs`. */
+	async #requestConfirmation(): Promise<void> {
+		const {tables, codec, clock} = this.#options;
+		const now = clock.readMonotonic();
+		if (!this.#isWaiting || this.#isRequesting || now - this.#requestedAt < declarationRetryMs) {
+			return;
+		}
+
+		this.#isRequesting = true;
+		this.#requestedAt = now;
+		const startedAt = clock.readBootTime();
+		try {
+			const outcome = await tables.watchRows(codec.table, {after: this.#version!, waitMs: immediateWatchMs});
+			if (outcome.status === 'changes') {
+				this.#applyChanges(outcome);
+				this.#recordConfirmation(startedAt);
+			}
+		} catch {
+			// The watch that is under way finds out whether the store answers.
+		} finally {
+			this.#isRequesting = false;
+		}
+	}
+
+	/** Applies the changes of a watch, unless those of a later one have been applied. */
+	#applyChanges({changes, version}: WatchedChanges): void {
+		if (this.#version !== undefined && version < this.#version) {
+			return;
+		}
+
+		for (const {key, value} of changes) {
+			this.#apply(key, value);
+		}
+
+		this.#version = version;
+	}
+
 	async #load(): Promise<void> {
 		const {tables, codec} = this.#options;
 		const {rows, version} = await tables.listRange(codec.table);
@@ -175,10 +224,10 @@
 	}
 
 	async #watch(after: number): Promise<void> {
-		const {tables, codec, clock} = this.#options;
+		const {clock} = this.#options;
 		const waitMs = this.#computeWaitMs();
 		const startedAt = clock.readMonotonic();
-		const outcome = await tables.watchRows(codec.table, {after, waitMs});
+		const outcome = await this.#waitForChange(after, waitMs);
 		const elapsedMs = clock.readMonotonic() - startedAt;
 		if (elapsedMs >= waitMs) {
 			this.#answerMs = elapsedMs - waitMs;
@@ -190,11 +239,17 @@
 			return;
 		}
 
-		for (const {key, value} of outcome.changes) {
-			this.#apply(key, value);
-		}
+		this.#applyChanges(outcome);
+	}
 
-		this.#version = outcome.version;
+	async #waitForChange(after: number, waitMs: number): Promise<WatchOutcome> {
+		const {tables, codec} = this.#options;
+		this.#isWaiting = waitMs > immediateWatchMs;
+		try {
+			return await tables.watchRows(codec.table, {after, waitMs});
+		} finally {
+			this.#isWaiting = false;
+		}
 	}
 
 	/**
