--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -1,8 +1,8 @@
 /**
  * Watches the operator's declarations: the waves and the newest configuration. An older configuration never replaces a newer one.
  */
-import {readErrorMessage, type Clock} from '@tamarackwind/core';
-import {type WatchableTableService} from '@tamarackwind/clients';
+import {readErrorMessage, waitAtMost, type Clock} from '@tamarackwind/core';
+import {type WatchableTableService, type WatchOutcome} from '@tamarackwind/clients';
 import {AccountDirectory} from './account-directories.js';
 import {type Configuration, type WaveRequest} from './configurations.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
@@ -10,6 +10,12 @@
 
 /** Time by which two watches together end before the configuration counts as stale, in milliseconds. */
 const watchMarginMs = 50;
+/** Wait of a watch that confirms the configuration as soon as the store answers, in milliseconds. */
+const immediateWatchMs = 1;
+/** Failed attempts in a row from which the store counts as out of reach. A single one may be a lost answer, or a time-out that ended while the process was paused. */
+const unreachableAttempts = 2;
+/** Maximum number of requests that wait for a confirmation. */
+export const maxConfirmationWaits = 1024;
 
 /** A decoded row of the operator. */
 export type Declaration
@@ -27,6 +33,8 @@
 	abstract encodeWaveStatus(wave: WaveRequest, state: 'running' | 'succeeded'): {readonly table: string; readonly key: string; readonly value: unknown};
 }
 
+type WatchedChanges = Extract<WatchOutcome, {readonly status: 'changes'}>;
+
 export type DeclarationWatcherOptions = {
 	readonly clock: Clock;
 	readonly tables: WatchableTableService;
@@ -51,6 +59,15 @@
 	#version: number | undefined;
 	/** Time beyond its wait that the last watch without a change took, in milliseconds. */
 	#answerMs = 0;
+	/** Whether the watch that is under way waits for a change. */
+	#isWaiting = false;
+	/** Time at which the last confirmation beside a watch was requested, on the monotonic clock, and whether it is under way. */
+	#requestedAt = Number.NEGATIVE_INFINITY;
+	#isRequesting = false;
+	/** Failed attempts since the last one that succeeded. */
+	#failedAttempts = 0;
+	/** Ends each wait for a confirmation. */
+	readonly #waits = new Set<(isConfirmed: boolean) => void>();
 	#isClosed = false;
 
 	private constructor(options: DeclarationWatcherOptions) {
@@ -81,8 +98,48 @@
 		return this.#configuration !== undefined && this.ageMs < this.#options.timings.staleKeysMs;
 	}
 
+	/**
+	 * Waits for the next confirmation of the configuration, and requests one beside a watch that waits for a change. The confirmation may still
+	 * leave the configuration outdated if it was requested long ago. Returns `false` if none came within `ms`, and immediately if none can come
+	 * soon: the store is out of reach or has no configuration, or too many requests wait.
+	 */
+	async waitForConfirmation(ms: number): Promise<boolean> {
+		if (!this.#isConfirmable || this.#waits.size >= maxConfirmationWaits) {
+			return false;
+		}
+
+		let isConfirmed = false;
+		let end = (_isConfirmed: boolean): void => {};
+		const ended = new Promise<void>(resolve => {
+			end = outcome => {
+				isConfirmed = outcome;
+				resolve();
+			};
+		});
+		this.#waits.add(end);
+		void this.#requestConfirmation();
+		try {
+			await waitAtMost(this.#options.clock, ended, ms);
+		} finally {
+			this.#waits.delete(end);
+		}
+
+		return isConfirmed;
+	}
+
 	close(): void {
 		this.#isClosed = true;
+		this.#endWaits(false);
+	}
+
+	get #isConfirmable(): boolean {
+		return !this.#isClosed && this.#failedAttempts < unreachableAttempts && (this.#configuration !== undefined || this.#version === undefined);
+	}
+
+	#endWaits(isConfirmed: boolean): void {
+		for (const end of this.#waits) {
+			end(isConfirmed);
+		}
 	}
 
 	async #run(): Promise<void> {
@@ -92,12 +149,18 @@
 			const startedAt = clock.readBootTime();
 			try {
 				await (this.#version === undefined ? this.#load() : this.#watch(this.#version));
-				this.#confirmedAt = startedAt;
+				this.#recordConfirmation(startedAt);
+				this.#failedAttempts = 0;
 				if (isLost) {
 					isLost = false;
 					log.info('store regained', {configuration: this.#configuration?.version});
 				}
 			} catch (error) {
+				this.#failedAttempts++;
+				if (!this.#isConfirmable) {
+					this.#endWaits(false);
+				}
+
 				if (!isLost) {
 					isLost = true;
 					log.warn('store lost', {configuration: this.#configuration?.version, error: readErrorMessage(error)});
@@ -108,6 +171,48 @@
 		}
 	}
 
+	#recordConfirmation(startedAt: number): void {
+		this.#confirmedAt = Math.max(this.#confirmedAt, startedAt);
+		this.#endWaits(true);
+	}
+
+	/** Requests a confirmation beside a watch that waits for a change, whose answer may be lost. At most one is under way, and one is requested each `declarationRetryMs`. */
+	async #requestConfirmation(): Promise<void> {
+		const {tables, codec, clock} = this.#options;
+		const now = clock.readMonotonic();
+		if (!this.#isWaiting || this.#isRequesting || now - this.#requestedAt < declarationRetryMs) {
+			return;
+		}
+
+		this.#isRequesting = true;
+		this.#requestedAt = now;
+		const startedAt = clock.readBootTime();
+		try {
+			const outcome = await tables.watchRows(codec.table, {after: this.#version!, waitMs: immediateWatchMs});
+			if (outcome.status === 'changes') {
+				this.#applyChanges(outcome);
+				this.#recordConfirmation(startedAt);
+			}
+		} catch {
+			// The watch that is under way finds out whether the store answers.
+		} finally {
+			this.#isRequesting = false;
+		}
+	}
+
+	/** Applies the changes of a watch, unless those of a later one have been applied. */
+	#applyChanges({changes, version}: WatchedChanges): void {
+		if (this.#version !== undefined && version < this.#version) {
+			return;
+		}
+
+		for (const {key, value} of changes) {
+			this.#apply(key, value);
+		}
+
+		this.#version = version;
+	}
+
 	async #load(): Promise<void> {
 		const {tables, codec} = this.#options;
 		const {rows, version} = await tables.listRange(codec.table);
@@ -119,10 +224,10 @@
 	}
 
 	async #watch(after: number): Promise<void> {
-		const {tables, codec, clock} = this.#options;
+		const {clock} = this.#options;
 		const waitMs = this.#computeWaitMs();
 		const startedAt = clock.readMonotonic();
-		const outcome = await tables.watchRows(codec.table, {after, waitMs});
+		const outcome = await this.#waitForChange(after, waitMs);
 		const elapsedMs = clock.readMonotonic() - startedAt;
 		if (elapsedMs >= waitMs) {
 			this.#answerMs = elapsedMs - waitMs;
@@ -134,18 +239,31 @@
 			return;
 		}
 
-		for (const {key, value} of outcome.changes) {
-			this.#apply(key, value);
-		}
+		this.#applyChanges(outcome);
+	}
 
-		this.#version = outcome.version;
+	async #waitForChange(after: number, waitMs: number): Promise<WatchOutcome> {
+		const {tables, codec} = this.#options;
+		this.#isWaiting = waitMs > immediateWatchMs;
+		try {
+			return await tables.watchRows(codec.table, {after, waitMs});
+		} finally {
+			this.#isWaiting = false;
+		}
 	}
 
-	/** Computes the wait of the next watch. A watch confirms the configuration as of its start, so two of them have to end before it counts as stale, for keys or at all. */
+	/**
+	 * Computes the wait of the next watch. A watch confirms the configuration as of its start, so two of them have to end before it counts as
+	 * stale, for keys or at all. Once the next one would end too late, as after a pause of the process or an outage of the store, it doesn't wait
+	 * for a change.
+	 */
 	#computeWaitMs(): number {
 		const {declarationWatchMs, staleKeysMs} = this.#options.timings;
-		const remainingMs = (staleKeysMs / 2) - this.#answerMs - watchMarginMs;
-		return Math.floor(Math.max(minDeclarationWatchMs, Math.min(declarationWatchMs, remainingMs)));
+		const spareMs = this.#answerMs + watchMarginMs;
+		const remainingMs = staleKeysMs - this.ageMs - spareMs;
+		return remainingMs < minDeclarationWatchMs
+			? immediateWatchMs
+			: Math.floor(Math.max(minDeclarationWatchMs, Math.min(declarationWatchMs, (staleKeysMs / 2) - spareMs, remainingMs)));
 	}
 
 	#apply(key: string, value: unknown): void {
