Count a crash beside the loss of most other workers as hidden

Cause: the last crashes under the task have commonLoss 1 in the evidence, yet each counted towards maxCrashes.any and raised the guilt at a coincidence of 0.01 to 0.18, as if workers crashed independently. commonLoss only kept the task from counting as alone.

--- a/packages/testing/tests/crash-budgets.test.ts
+++ b/packages/testing/tests/crash-budgets.test.ts
@@ -241,3 +241,21 @@
 		});
 	}
 }
+
+// Guards against tasks that crash all workers of a small pool together and are taken for victims of a common cause (BUDGET).
+for (const vms of [1, 2, 4]) {
+	test(`tasks that all crash their workers keep within their budget in a pool of ${vms}`, async t => {
+		for (const seed of [1, 2, 3]) {
+			const system = await EmulatedSystem.create({seed, pools: [['north', vms], ['spare', 0]]});
+			await system.clock.run(warmUpMs);
+			const crashingTasks = new Set(Array.from({length: vms}, (_, index) => `0.${index}`));
+			const step = createStep({count: vms, resources: {cpu: 60, memory: 10, gpu: 0}});
+			const jobs = await submitAll(system, [system.submit([step], 800, {crashingTasks}), system.submit([step], 800, {crashingTasks})]);
+			await system.clock.run(2 * observationMs);
+			const states = Promise.all(jobs.map(async id => system.getState(id)));
+			await system.clock.run(500);
+			t.deepEqual(system.fleet.violations, []);
+			t.deepEqual(await states, ['failed', 'failed'], `seed ${seed}`);
+		}
+	});
+}
--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -4,7 +4,7 @@
  * Each task has a probability of being one that crashes its workers. A crash raises it by how unlikely the crash was without the task, which
  * depends on the rate of crashes in the pool and on the other suspects. A run that outlasts its start lowers it.
  */
-import {type Task} from './tasks.js';
+import {maxHiddenRuns, type Task} from './tasks.js';
 import {priorGuilt, type CrashEvidence} from './crash-evidence.js';
 import {type CrashHistory} from './crash-histories.js';
 
@@ -35,7 +35,7 @@
 const separatedGuilt = 0.1;
 const msPerSecond = 1000;
 const loggedDigits = 3;
-/** Share of the other workers from which their loss at the same time has a common cause, and the suspect of a crash is not the only possible one. At a half, tasks that all crash their workers after a takeover seem to have one. */
+/** Share of the other workers from which their loss at the same time has a common cause, and a crash does not count against its suspect. At a half, tasks that all crash their workers after a takeover seem to have one. */
 const commonCauseShare = 0.75;
 /** Wait after which a suspect of one crash starts beside any number of others, in milliseconds. */
 const maxSuspectWaitMs = 1000;
@@ -82,7 +82,8 @@
 		return [task, {
 			coincidence: Math.max(minCoincidence, coincidence),
 			isEarly: isUnproven(task, seenAt),
-			isAlone: commonLoss !== undefined && commonLoss < commonCauseShare,
+			isAlone: commonLoss !== undefined,
+			hasCommonCause: commonLoss !== undefined && commonLoss >= commonCauseShare,
 			details: {
 				exposureMs: Math.round(exposureMs), ratePerS: formatNumber(rate * msPerSecond), otherSuspects: suspects.length - 1, commonLoss: commonLoss === undefined ? undefined : formatNumber(commonLoss),
 			},
@@ -116,9 +117,11 @@
 	return Number(value.toPrecision(loggedDigits));
 }
 
-/** Counts a crash against a task. */
-export function recordCrash(task: Task, {coincidence, isEarly, isAlone, isHidden = false, details}: CrashEvidence): void {
-	if (isHidden) {
+/** Counts a crash against a task. One that has a common cause with the losses of other workers counts as hidden, and only so often: tasks that crash their workers may have started together. */
+export function recordCrash(task: Task, {
+	coincidence, isEarly, isAlone, hasCommonCause = false, isHidden = false, details,
+}: CrashEvidence): void {
+	if (isHidden || (hasCommonCause && task.hiddenRuns < maxHiddenRuns)) {
 		task.hiddenRuns++;
 		return;
 	}
--- a/packages/workflows/src/crash-evidence.ts
+++ b/packages/workflows/src/crash-evidence.ts
@@ -19,8 +19,10 @@
 	readonly coincidence: number;
 	/** Whether the worker was not known to have survived the start of the run. */
 	readonly isEarly: boolean;
-	/** Whether no other run can have been the cause, and no common cause is likely. */
+	/** Whether no other run can have been the cause. */
 	readonly isAlone: boolean;
+	/** Whether the loss of other workers at the same time shows a common cause, so that the task is not the likely one; false by default. */
+	readonly hasCommonCause?: boolean;
 	/** Whether a takeover hides what became of the run, so that its crash is only possible; false by default. */
 	readonly isHidden?: boolean;
 	/** `undefined` for a run that the worker has not confirmed. */
