--- a/packages/workflows/src/crash-budgets.ts
+++ b/packages/workflows/src/crash-budgets.ts
@@ -35,8 +35,8 @@
 const separatedGuilt = 0.1;
 const msPerSecond = 1000;
 const loggedDigits = 3;
-/** Share of the other workers from which their loss at the same time has a common cause, and a crash does not count against its suspect. At a half, tasks that all crash their workers after a takeover seem to have one. */
-const commonCauseShare = 0.75;
+/** Share of the other workers from which their loss at the same time has a common cause, and a crash does not count against its suspect. At 0.83, many tasks that crash their workers after a takeover seem to have one. */
+const commonCauseShare = 0.85;
 /** Wait after which a suspect of one crash starts beside any number of others, in milliseconds. */
 const maxSuspectWaitMs = 1000;
 /** Probability above which it does not. */
