--- a/packages/testing/tests/claims-in-full-pools.test.ts
+++ b/packages/testing/tests/claims-in-full-pools.test.ts
@@ -46,7 +46,6 @@
 				void system.submit([createCpuStep(1000)], 700 + (index * 137), {account: capped, pool: 'south'});
 			}
 
-			// eslint-disable-next-line no-await-in-loop
 			await clock.run(smallIntervalMs);
 		}
 
