Let a step claim the cap that its account's own tasks use, if their end makes room

What callers saw: a task that needs more than the small tasks of its account leave of the cap waits for as long as these keep coming, where they fill the pool, too. Cause: since a step without room makes no claim; here the small tasks take the room as well as the cap, so that the claim is kept from what would make room. Change: a step makes a claim unless even the end of all tasks of its account in the pool that end by themselves leaves it without room.

--- a/packages/workflows/src/account-ledgers.ts
+++ b/packages/workflows/src/account-ledgers.ts
@@ -378,6 +378,11 @@
 		this.#options.ledger.noteLoaded();
 	}
 
+	/** Returns what an account uses in the pool that becomes free as its tasks end. */
+	getEndingUse(account: AccountName): Resources {
+		return addResources(this.#uses.get(account).used, this.#lastingUses.get(account).used, -1);
+	}
+
 	/** Tells why the cap of an account forbids the start of a task, or of a gang; `undefined` if it does not. A start that is denied makes a claim to the cap if `isClaiming`. */
 	explainStart(account: AccountName, spec: StepSpec, isClaiming = true): WaitReason | undefined {
 		const {ledger} = this.#options;
--- a/packages/workflows/src/candidate-groups.ts
+++ b/packages/workflows/src/candidate-groups.ts
@@ -1,7 +1,9 @@
 /**
  * Groups the workers of a planning pass by label, so that a demand which no worker can meet is recognised without looking at each of them.
  */
-import {isWithin, type Candidate, type Resources} from '@tamarackwind/scheduling';
+import {
+	addResources, isWithin, type Candidate, type Resources,
+} from '@tamarackwind/scheduling';
 
 /** The candidates with one label, or all of them. */
 export class CandidateGroup<T extends Candidate> {
@@ -35,6 +37,12 @@
 		return isWithin(required, this.#maxFree);
 	}
 
+	/** Reports whether some candidate may have room for a demand once `released` has become free; `false` is certain. */
+	hasRoomAfter(required: Resources, released: Resources): boolean {
+		this.#maxFree ??= this.#computeMaxFree();
+		return this.isEligible(required) && isWithin(required, addResources(this.#maxFree, released));
+	}
+
 	/** Lowers the bound of the free resources after a demand within it found no room. */
 	updateMaxFree(): void {
 		this.#maxFree = this.#computeMaxFree();
--- a/packages/workflows/src/placement-passes.ts
+++ b/packages/workflows/src/placement-passes.ts
@@ -104,14 +104,21 @@
 
 	/** Tells why no step like the given one can have a place now, if that is known without looking at each worker. */
 	explainWait(waiting: WaitingDemand): WaitReason | undefined {
-		const reason = this.explainDemand(waiting.demand);
-		return this.#explainCap(waiting, reason === undefined) ?? reason;
+		const {account, spec, demand} = waiting;
+		const reason = this.explainDemand(demand);
+		const {accounts} = this.#options;
+		if (account === undefined || accounts === undefined || !this.#caps.has(account)) {
+			return reason;
+		}
+
+		// A step for which even the end of its account's tasks makes no room claims nothing of the cap, which it could not use.
+		const isClaiming = reason === undefined || this.#groups.get(demand.requirement).hasRoomAfter(demand.resources, accounts.getEndingUse(account));
+		return accounts.explainStart(account, spec, isClaiming) ?? reason;
 	}
 
-	/** Tells why the cap of an account forbids a start; `undefined` if it does not. A start without room makes no claim to the cap, which it could not use. */
-	#explainCap(waiting: AccountDemand, hasRoom = true): WaitReason | undefined {
-		const {account} = waiting;
-		return account === undefined || !this.#caps.has(account) ? undefined : this.#options.accounts?.explainStart(account, waiting.spec, hasRoom);
+	/** Tells why the cap of an account forbids a start; `undefined` if it does not. */
+	#explainCap({account, spec}: AccountDemand): WaitReason | undefined {
+		return account === undefined || !this.#caps.has(account) ? undefined : this.#options.accounts?.explainStart(account, spec);
 	}
 
 	/** Tells why a demand can have no place now, if that is known without looking at each worker. */
