Keep a turn for placement tickets for longer than a round of passes takes

What callers saw: steps with a placement policy stand if a round of passes over all waiting steps takes over 0.5 s. Cause: a turn lapsed 0.5 s after the last look at its step, so that each step found its own turn lapsed: a state that is left only by an event which it prevents. Ruled out: a fixed longer time; the turns of steps that are gone would hold up the others for as long. Change: a turn is kept for twice the longest recent time between two looks at a step, 0.5 to 2.5 s.

--- a/packages/workflows/src/advice-caches.ts
+++ b/packages/workflows/src/advice-caches.ts
@@ -2,6 +2,7 @@
  * Caches the tickets of an external placement policy, which allow workers to run a step. Tickets are requested once and kept until they expire.
  */
 import {readErrorMessage, type Clock, type VmId} from '@tamarackwind/core';
+import {AdaptiveTimeout} from '@tamarackwind/clients';
 import {type Task} from './tasks.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {type PlacementAdvisor} from './workers.js';
@@ -22,8 +23,13 @@
 const usableValidityShare = 0.7;
 /** Largest share of a ticket's validity that may pass before the response: validity counts from the sending, and the service handles one request at a time. */
 const maxResponseShare = 0.2;
-/** Time after its last look for tickets for which a step keeps its turn to request them, in milliseconds: passes look every 115 ms at least, and not at steps that are gone. */
-const turnRetentionMs = 500;
+/**
+ * Bounds of the time after its last look for tickets for which a step keeps its turn to request them, in milliseconds. Passes look at steps that are gone no more; a
+ * round of passes over thousands of steps takes up to a second, and a turn that lapses between two looks is of no use.
+ */
+const turnRetention = {
+	minMs: 500, maxMs: 2500, factor: 2, windowMs: 5000,
+} as const;
 /** Number of steps below which none is removed. */
 const minRemovalSize = 1000;
 /** Time after its last look for tickets for which a step without a valid one is kept, in milliseconds: a step that waits for room is not looked at. */
@@ -57,6 +63,8 @@
 
 	readonly #options: AdviceCacheOptions;
 	readonly #entries = new Map<string, StepAnswers>();
+	/** Time for which a turn is kept, by the longest recent time between two looks at a step. */
+	readonly #turnRetention: AdaptiveTimeout;
 	/** Steps that found the limit of open requests reached, in the order of their turns. */
 	readonly #turns = new Set<StepAnswers>();
 	#openRequests = 0;
@@ -69,6 +77,7 @@
 
 	private constructor(options: AdviceCacheOptions) {
 		this.#options = options;
+		this.#turnRetention = AdaptiveTimeout.create({clock: options.clock, ...turnRetention});
 	}
 
 	/**
@@ -113,6 +122,7 @@
 		const key = formatStep(task);
 		const known = this.#entries.get(key);
 		if (known !== undefined) {
+			this.#turnRetention.recordResponseTime(now - known.lookedAt);
 			known.lookedAt = now;
 			return known;
 		}
@@ -141,6 +151,7 @@
 
 	/** Reports whether a step may send a request now; otherwise the step waits behind those that found the limit reached before. */
 	#takeTurn(entry: StepAnswers, now: number): boolean {
+		const retentionMs = this.#turnRetention.ms;
 		let free = this.#openLimit - this.#openRequests;
 		this.#turns.add(entry);
 		for (const waiting of this.#turns) {
@@ -152,7 +163,7 @@
 				return this.#turns.delete(entry);
 			}
 
-			if (now - waiting.lookedAt > turnRetentionMs) {
+			if (now - waiting.lookedAt > retentionMs) {
 				this.#turns.delete(waiting);
 			} else {
 				free--;
