Limit the lookups of submissions that the store turns away

Cause: each submission that the store turned away sent a read of its own, which goes on until its timeout, at the time at which the store turns work away; leases and watches share the connections. Ruled out: one read for the batch; it would read all rows between the ids. Change: eight lookups are open at most; further submissions are refused at once, as after a failed lookup.

--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -55,6 +55,8 @@
 const minSettleAttempts = 2;
 /** Maximum time for which the refusal of a submission that the store turned away waits for the lookup of its job, in milliseconds. */
 const maxLookupMs = 300;
+/** Number of such lookups that may be open: a part of the connections to the store, which leases and watches share. */
+const maxOpenLookups = 8;
 /** Minimum interval between attempts to determine an outcome, in milliseconds. */
 const settleIntervalMs = 100;
 /** Time for which an outcome is kept for the retries of its job, and the number of outcomes that are kept. */
@@ -86,6 +88,8 @@
 	readonly #suspicionTimeout: AdaptiveTimeout;
 	/** Number of failed transactions of each service whose outcome is being determined. */
 	readonly #unsettled = new Map<ServiceName, number>();
+	/** Number of open lookups of submissions that the store turned away. */
+	#openLookups = 0;
 
 	private constructor(options: JobSubmitterOptions) {
 		this.#options = options;
@@ -351,16 +355,23 @@
 
 	/**
 	 * Determines the outcome of one job whose transaction the store turned away: another entry may have submitted the job before. A lookup
-	 * that fails or takes long tells nothing.
+	 * that fails, takes long or would be one too many tells nothing.
 	 */
 	async #readOutcome({id, queue}: Job): Promise<Settlement> {
 		const {clock, tables, log} = this.#options;
+		if (this.#openLookups >= maxOpenLookups) {
+			return {outcome: 'refused'};
+		}
+
 		let row: Row | undefined;
 		const read = async (): Promise<void> => {
+			this.#openLookups++;
 			try {
 				row = await tables.getRow(getJobKey(id));
 			} catch {
 				// The store turns reads away as well.
+			} finally {
+				this.#openLookups--;
 			}
 		};
 
