--- a/packages/clients/src/response-collectors.ts
+++ b/packages/clients/src/response-collectors.ts
@@ -25,6 +25,9 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#timeoutError: Error | undefined;
 	#status = 0;
+	/** Number of bytes of the body, and how many of them have arrived; `undefined` until the head of the response states it. */
+	#expectedBytes: number | undefined;
+	#receivedBytes = 0;
 
 	private constructor(clock: Clock, timeoutMs: number) {
 		this.response = new Promise((resolve, reject) => {
@@ -55,11 +58,13 @@
 		}
 	}
 
-	onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
 		this.#status = status;
+		this.#expectedBytes = Number(headers['content-length'] ?? Number.NaN);
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		this.#receivedBytes += chunk.length;
 		this.#chunks.push(chunk);
 	}
 
@@ -72,7 +77,9 @@
 	}
 
 	#handleTimeout(timeoutMs: number): void {
-		this.#timeoutError = new Error(`no response within ${timeoutMs} ms`);
+		this.#timeoutError = new Error(this.#expectedBytes === undefined
+			? `no response within ${timeoutMs} ms`
+			: `response is incomplete after ${timeoutMs} ms: ${this.#receivedBytes} of ${this.#expectedBytes} bytes received`);
 		this.#controller?.abort(this.#timeoutError);
 		// A request that is still queued for a connection has no controller yet.
 		this.#reject(this.#timeoutError);
--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -89,6 +89,11 @@
 		return this.#options.clock.readBootTime() - this.#confirmedAt;
 	}
 
+	/** Number of failed attempts to confirm the configuration since the last one that succeeded. */
+	get failedAttempts(): number {
+		return this.#failedAttempts;
+	}
+
 	get isFresh(): boolean {
 		return this.#configuration !== undefined && this.ageMs < this.#options.timings.staleConfigurationMs;
 	}
