Time out responses by their progress, not by their whole time

Cause: the timeout of a watch, 250 to 700 ms beyond its wait, covered the whole response; a transfer that takes longer was cut, and the next attempt began at the first byte. Class: a retry that repeats what could not succeed, and loads the resource that it lacks. Ruled out: a silent store (it answered every call), the processors (at most 3 % in use). Timeouts that adapt learn from the time until the head, since the size of a response says nothing on how fast the next one is answered.

--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -24,11 +24,16 @@
 	readonly json?: unknown;
 	readonly bytes?: Uint8Array;
 	readonly headers?: Readonly<Record<string, string>>;
-	/** Maximum wait for the response to this request, in milliseconds. */
+	/** Maximum wait for the response to this request, in milliseconds; one that is still arriving then is waited for until it stalls. */
 	readonly timeoutMs?: number;
 };
 
-export type PlatformResponse = {readonly status: number; readonly body: Uint8Array};
+export type PlatformResponse = {
+	readonly status: number;
+	readonly body: Uint8Array;
+	/** Time until the head of the response, in milliseconds. */
+	readonly headMs: number;
+};
 
 const defaultTimeoutMs = 2000;
 const defaultConnectionLimit = 16;
@@ -94,7 +99,7 @@
 				path,
 				headers: {...this.#headers, ...type, ...headers},
 				body: isJson ? JSON.stringify(json) : bytes,
-				// The collector limits the whole request; the library's own timers are coarse and fire early.
+				// The collector limits the request; the library's own timers are coarse and fire early.
 				headersTimeout: 0,
 				bodyTimeout: 0,
 			}, collector);
--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -233,17 +233,17 @@
 		const waitMs = this.#computeWaitMs();
 		const startedAt = clock.readMonotonic();
 		const outcome = await this.#waitForChange(after, waitMs);
-		const elapsedMs = clock.readMonotonic() - startedAt;
-		if (elapsedMs >= waitMs) {
-			this.#answerMs = elapsedMs - waitMs;
-		}
-
 		if (outcome.status === 'expired') {
 			this.#version = undefined;
 			await this.#load();
 			return;
 		}
 
+		const elapsedMs = clock.readMonotonic() - startedAt;
+		if (outcome.changes.length === 0 && elapsedMs >= waitMs) {
+			this.#answerMs = elapsedMs - waitMs;
+		}
+
 		this.#applyChanges(outcome);
 	}
 
