Read large configurations as compressed copies over narrow links

With timeouts by progress a configuration arrives, but 10,000 queues take 3.5 s over a link of 7 Mbit/s, beyond the bound of 3 s, and each change of one queue sends all of them again. Until then the entry answers 503. The class: cost by size instead of by what a link carries. Change: an entry that has read a large configuration at 4 MB/s or more writes its compressed JSON into rows of the store, and an entry whose answer takes more than 100 ms looks for that copy beside it. Whichever arrives first is used. Only a watch of the operator's row confirms. It takes effect from answers of 64 KiB on, which no deployment meets before its configuration grows (docs/design/large-configurations.md). Ruled out: differences between versions, copies from entry to entry, objects of the store (the design note says why).

--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -26,6 +26,10 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	/** Maximum wait for the response to this request, in milliseconds; one that is still arriving then is waited for until it stalls. */
 	readonly timeoutMs?: number;
+	/** Ends the request early. */
+	readonly signal?: AbortSignal;
+	/** Called with the size of the body, in bytes, before it arrives. */
+	readonly onResponseSize?: (bytes: number) => void;
 };
 
 export type PlatformResponse = {
@@ -89,10 +93,10 @@
 	 *
 	 * @throws {VerdictError} when no response arrived in time.
 	 */
-	async request({method, path, json, bytes, headers, timeoutMs = this.#timeoutMs}: PlatformRequest): Promise<PlatformResponse> {
+	async request({method, path, json, bytes, headers, timeoutMs = this.#timeoutMs, signal, onResponseSize}: PlatformRequest): Promise<PlatformResponse> {
 		const isJson = json !== undefined;
 		const type = isJson ? {'content-type': 'application/json'} : {};
-		const collector = ResponseCollector.create(this.#clock, timeoutMs);
+		const collector = ResponseCollector.create(this.#clock, {timeoutMs, signal, onResponseSize});
 		try {
 			this.#pool.dispatch({
 				method,
--- a/packages/clients/src/response-collectors.ts
+++ b/packages/clients/src/response-collectors.ts
@@ -11,6 +11,15 @@
 	readonly headMs: number;
 };
 
+export type ResponseCollectorOptions = {
+	/** Maximum time until the head of the response, in milliseconds. */
+	readonly timeoutMs: number;
+	/** Ends the request early. */
+	readonly signal?: AbortSignal;
+	/** Called with the size of the body, in bytes, before it arrives. */
+	readonly onResponseSize?: (bytes: number) => void;
+};
+
 /** Time without a byte after which a response that has begun counts as stalled, in milliseconds. */
 const stallTimeoutMs = 700;
 /** Maximum time of a request, however steadily its response arrives, in milliseconds. */
@@ -23,38 +32,43 @@
  */
 export class ResponseCollector implements Dispatcher.DispatchHandler {
 	/** Creates a handler; the timeout starts now. */
-	static create(clock: Clock, timeoutMs: number): ResponseCollector {
-		return new ResponseCollector(clock, timeoutMs);
+	static create(clock: Clock, options: ResponseCollectorOptions): ResponseCollector {
+		return new ResponseCollector(clock, options);
 	}
 
 	/** Resolves to the response; rejects when it fails or does not arrive in time. */
 	readonly response: Promise<CollectedResponse>;
 	readonly #clock: Clock;
-	readonly #timeoutMs: number;
+	readonly #options: ResponseCollectorOptions;
 	readonly #startedAt: number;
 	/** Time of the last byte, on the monotonic clock. */
 	#receivedAt = Number.NEGATIVE_INFINITY;
 	#headMs = 0;
 	#cancelTimer = (): void => {};
+	readonly #abort = (): void => {
+		this.#end('request was aborted');
+	};
+
 	readonly #chunks: Uint8Array[] = [];
 	#resolve!: (response: CollectedResponse) => void;
 	#reject!: (error: Error) => void;
 	#controller: Dispatcher.DispatchController | undefined;
-	#timeoutError: Error | undefined;
+	#endError: Error | undefined;
 	#status = 0;
 	/** Number of bytes of the body, and how many of them have arrived; `undefined` until the head of the response states it. */
 	#expectedBytes: number | undefined;
 	#receivedBytes = 0;
 
-	private constructor(clock: Clock, timeoutMs: number) {
+	private constructor(clock: Clock, options: ResponseCollectorOptions) {
 		this.response = new Promise((resolve, reject) => {
 			this.#resolve = resolve;
 			this.#reject = reject;
 		});
 		this.#clock = clock;
-		this.#timeoutMs = timeoutMs;
+		this.#options = options;
 		this.#startedAt = clock.readMonotonic();
-		this.#startTimer(timeoutMs);
+		this.#startTimer(options.timeoutMs);
+		options.signal?.addEventListener('abort', this.#abort, {once: true});
 	}
 
 	/** Whether the bytes of the request may have left this process. */
@@ -62,17 +76,18 @@
 		return this.#controller !== undefined;
 	}
 
-	/** Ends the time limit. */
+	/** Ends the time limits. */
 	close(): void {
 		this.#cancelTimer();
+		this.#options.signal?.removeEventListener('abort', this.#abort);
 	}
 
-	/** Called immediately before the request is written to a connection; one that has timed out by then is not written. */
+	/** Called immediately before the request is written to a connection; one that has ended by then is not written. */
 	onRequestStart(controller: Dispatcher.DispatchController): void {
-		if (this.#timeoutError === undefined) {
+		if (this.#endError === undefined) {
 			this.#controller = controller;
 		} else {
-			controller.abort(this.#timeoutError);
+			controller.abort(this.#endError);
 		}
 	}
 
@@ -81,6 +96,9 @@
 		this.#headMs = this.#elapsedMs;
 		this.#receivedAt = this.#clock.readMonotonic();
 		this.#expectedBytes = Number(headers['content-length'] ?? Number.NaN);
+		if (!Number.isNaN(this.#expectedBytes)) {
+			this.#options.onResponseSize?.(this.#expectedBytes);
+		}
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
@@ -108,21 +126,21 @@
 	}
 
 	#checkProgress(): void {
-		const deadline = Math.min(this.#startedAt + maxRequestMs, Math.max(this.#startedAt + this.#timeoutMs, this.#receivedAt + stallTimeoutMs));
+		const deadline = Math.min(this.#startedAt + maxRequestMs, Math.max(this.#startedAt + this.#options.timeoutMs, this.#receivedAt + stallTimeoutMs));
 		const remainingMs = deadline - this.#clock.readMonotonic();
 		if (remainingMs > 0) {
 			this.#startTimer(remainingMs);
 		} else {
-			this.#end();
+			this.#end(this.#expectedBytes === undefined
+				? `no response within ${this.#options.timeoutMs} ms`
+				: `response is incomplete after ${Math.round(this.#elapsedMs)} ms: ${this.#receivedBytes} of ${this.#expectedBytes} bytes received`);
 		}
 	}
 
-	#end(): void {
-		this.#timeoutError = new Error(this.#expectedBytes === undefined
-			? `no response within ${this.#timeoutMs} ms`
-			: `response is incomplete after ${Math.round(this.#elapsedMs)} ms: ${this.#receivedBytes} of ${this.#expectedBytes} bytes received`);
-		this.#controller?.abort(this.#timeoutError);
+	#end(message: string): void {
+		this.#endError = new Error(message);
+		this.#controller?.abort(this.#endError);
 		// A request that is still queued for a connection has no controller yet.
-		this.#reject(this.#timeoutError);
+		this.#reject(this.#endError);
 	}
 }
--- a/packages/clients/src/tables.ts
+++ b/packages/clients/src/tables.ts
@@ -144,6 +144,10 @@
 	readonly after: number;
 	/** Maximum wait for the first change, in milliseconds. */
 	readonly waitMs: number;
+	/** Ends the watch early; it then rejects. */
+	readonly signal?: AbortSignal;
+	/** Called with the size of a response, in bytes, before its body arrives; not by every service. */
+	readonly onResponseSize?: (bytes: number) => void;
 };
 
 /** Outcome of a watch: the changes in version order, or `expired` when the service no longer keeps them. */
--- a/packages/clients/tests/response-collectors.test.ts
+++ b/packages/clients/tests/response-collectors.test.ts
@@ -41,7 +41,7 @@
 	// Guards against transfers that are cut while bytes arrive and begin again at the first byte, and against stalled connections.
 	test(`response: ${name}`, async t => {
 		const clock = ManualClock.create();
-		const collector = ResponseCollector.create(clock, timeoutMs);
+		const collector = ResponseCollector.create(clock, {timeoutMs});
 		const controller = {abort() {}} as unknown as Dispatcher.DispatchController;
 		let settled: {readonly outcome: string; readonly atMs: number} | undefined;
 		const settle = (text: string): void => {
--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -126,6 +126,7 @@
 
 class EmulatedCodec extends DeclarationCodec {
 	override readonly table = 'op';
+	override readonly configurationKey = 'config';
 
 	override decode(key: string, value: unknown): Declaration {
 		return key === 'config' ? {kind: 'configuration', configuration: value as Configuration} : {kind: 'wave', wave: value as WaveRequest};
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -32,6 +32,8 @@
 export * from './account-histories.js';
 export * from './account-standing-checks.js';
 export * from './cap-checks.js';
+export * from './configuration-histories.js';
+export * from './linked-tables.js';
 export * from './emulated-workers.js';
 export * from './system-histories.js';
 export * from './standing-checks.js';
--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -2,9 +2,10 @@
  * Watches the operator's declarations: the waves and the newest configuration. An older configuration never replaces a newer one.
  */
 import {readErrorMessage, waitAtMost, type Clock} from '@tamarackwind/core';
-import {type WatchableTableService, type WatchOutcome} from '@tamarackwind/clients';
+import {type Row, type WatchableTableService, type WatchOutcome} from '@tamarackwind/clients';
 import {AccountDirectory} from './account-directories.js';
 import {type Configuration, type WaveRequest} from './configurations.js';
+import {DeclarationReader, type DeclarationOutcome} from './declaration-readers.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {declarationRetryMs, minDeclarationWatchMs, type Timings} from './timings.js';
 
@@ -27,12 +28,17 @@
 export abstract class DeclarationCodec {
 	/** Table of the operator's rows. */
 	abstract readonly table: string;
+	/** Key of the configuration in that table. */
+	abstract readonly configurationKey: string;
 	/** Decodes a row; throws when it is invalid. */
 	abstract decode(key: string, value: unknown): Declaration;
 	/** Encodes the row that reports the state of a wave. */
 	abstract encodeWaveStatus(wave: WaveRequest, state: 'running' | 'succeeded'): {readonly table: string; readonly key: string; readonly value: unknown};
 }
 
+/** Whether a configuration was read as the operator's row or as a copy of it. */
+type ConfigurationSource = 'row' | 'copy';
+
 type WatchedChanges = Extract<WatchOutcome, {readonly status: 'changes'}>;
 
 export type DeclarationWatcherOptions = {
@@ -41,6 +47,8 @@
 	readonly codec: DeclarationCodec;
 	readonly log: RateLimitedLog;
 	readonly timings: Timings;
+	/** Share from 0 to 1 of the longest delay before this entry copies a large configuration for others; 0 by default. */
+	readonly copyDelayShare?: number;
 };
 
 /** Watches the operator's rows. */
@@ -53,6 +61,7 @@
 
 	readonly waves = new Map<string, WaveRequest>();
 	readonly #options: DeclarationWatcherOptions;
+	readonly #reader: DeclarationReader;
 	#configuration: Configuration | undefined;
 	#accounts: AccountDirectory | undefined;
 	#confirmedAt = Number.NEGATIVE_INFINITY;
@@ -72,6 +81,10 @@
 
 	private constructor(options: DeclarationWatcherOptions) {
 		this.#options = options;
+		const {codec, copyDelayShare = 0} = options;
+		this.#reader = DeclarationReader.create({
+			...options, table: codec.table, configurationKey: codec.configurationKey, copyDelayShare,
+		});
 	}
 
 	/** Newest configuration read so far; `undefined` before the first. */
@@ -134,6 +147,7 @@
 
 	close(): void {
 		this.#isClosed = true;
+		this.#reader.close();
 		this.#endWaits(false);
 	}
 
@@ -153,8 +167,11 @@
 		while (!this.#isClosed) {
 			const startedAt = clock.readBootTime();
 			try {
-				await (this.#version === undefined ? this.#load() : this.#watch(this.#version));
-				this.#recordConfirmation(startedAt);
+				const isConfirmed = await (this.#version === undefined ? this.#load() : this.#watch(this.#version));
+				if (isConfirmed) {
+					this.#recordConfirmation(startedAt);
+				}
+
 				this.#failedAttempts = 0;
 				if (isLost) {
 					isLost = false;
@@ -218,25 +235,39 @@
 		this.#version = version;
 	}
 
-	async #load(): Promise<void> {
+	/** Reads all rows, which confirms the configuration. */
+	async #load(): Promise<boolean> {
 		const {tables, codec} = this.#options;
 		const {rows, version} = await tables.listRange(codec.table);
+		this.#applyRows(rows);
+		this.#version = version;
+		return true;
+	}
+
+	#applyRows(rows: readonly Row[]): void {
 		for (const {key, value} of rows) {
 			this.#apply(key, value);
 		}
-
-		this.#version = version;
 	}
 
-	async #watch(after: number): Promise<void> {
+	/** Waits for changes; returns whether the configuration is confirmed. */
+	async #watch(after: number): Promise<boolean> {
 		const {clock} = this.#options;
 		const waitMs = this.#computeWaitMs();
 		const startedAt = clock.readMonotonic();
 		const outcome = await this.#waitForChange(after, waitMs);
 		if (outcome.status === 'expired') {
 			this.#version = undefined;
-			await this.#load();
-			return;
+			return this.#load();
+		}
+
+		if (outcome.status === 'copied') {
+			// The next watch continues from the copied row, and confirms that it is the newest or reads a newer one.
+			const {copy, others} = outcome;
+			this.#apply(copy.key, copy.value, 'copy');
+			this.#applyRows(others);
+			this.#version = copy.version;
+			return false;
 		}
 
 		const elapsedMs = clock.readMonotonic() - startedAt;
@@ -245,13 +276,13 @@
 		}
 
 		this.#applyChanges(outcome);
+		return true;
 	}
 
-	async #waitForChange(after: number, waitMs: number): Promise<WatchOutcome> {
-		const {tables, codec} = this.#options;
+	async #waitForChange(after: number, waitMs: number): Promise<DeclarationOutcome> {
 		this.#isWaiting = waitMs > immediateWatchMs;
 		try {
-			return await tables.watchRows(codec.table, {after, waitMs});
+			return await this.#reader.watch({after, waitMs});
 		} finally {
 			this.#isWaiting = false;
 		}
@@ -271,7 +302,7 @@
 			: Math.floor(Math.max(minDeclarationWatchMs, Math.min(declarationWatchMs, (staleKeysMs / 2) - spareMs, remainingMs)));
 	}
 
-	#apply(key: string, value: unknown): void {
+	#apply(key: string, value: unknown, source: ConfigurationSource = 'row'): void {
 		const {codec, log} = this.#options;
 		if (value === undefined) {
 			return;
@@ -280,7 +311,7 @@
 		try {
 			const declaration = codec.decode(key, value);
 			if (declaration.kind === 'configuration' && declaration.configuration.version > (this.#configuration?.version ?? -1)) {
-				this.#replaceConfiguration(declaration.configuration);
+				this.#replaceConfiguration(declaration.configuration, source);
 			} else if (declaration.kind === 'wave') {
 				this.waves.set(declaration.wave.id, declaration.wave);
 			}
@@ -289,12 +320,12 @@
 		}
 	}
 
-	#replaceConfiguration(configuration: Configuration): void {
+	#replaceConfiguration(configuration: Configuration, source: ConfigurationSource): void {
 		const {log} = this.#options;
 		const {version, queues, accounts} = configuration;
 		const directory = accounts === undefined ? undefined : AccountDirectory.create(accounts);
 		log.info('configuration in force', {
-			version, before: this.#configuration?.version, queues: queues.length, accounts: accounts?.length,
+			version, before: this.#configuration?.version, queues: queues.length, accounts: accounts?.length, source,
 		});
 		if (directory !== undefined && directory.conflicts.length > 0) {
 			log.warn('keys of several accounts count for none', {version, accounts: directory.conflicts});
--- a/packages/workflows/tests/declaration-watchers.test.ts
+++ b/packages/workflows/tests/declaration-watchers.test.ts
@@ -10,6 +10,7 @@
 
 class TestCodec extends DeclarationCodec {
 	override readonly table = 'op';
+	override readonly configurationKey = 'config';
 
 	override decode(_key: string, value: unknown): Declaration {
 		return {kind: 'configuration', configuration: value as Configuration};
