--- a/packages/clients/src/connections.ts
+++ b/packages/clients/src/connections.ts
@@ -28,7 +28,7 @@
 	readonly timeoutMs?: number;
 	/** Ends the request early. */
 	readonly signal?: AbortSignal;
-	/** Called with the size of the body, in bytes, before it arrives. */
+	/** Called with the size of the body, in bytes, before it arrives; without a known size, with what has arrived so far, at each chunk. */
 	readonly onResponseSize?: (bytes: number) => void;
 };
 
--- a/packages/clients/src/response-collectors.ts
+++ b/packages/clients/src/response-collectors.ts
@@ -16,7 +16,7 @@
 	readonly timeoutMs: number;
 	/** Ends the request early. */
 	readonly signal?: AbortSignal;
-	/** Called with the size of the body, in bytes, before it arrives. */
+	/** Called with the size of the body, in bytes, before it arrives; without a known size, with what has arrived so far, at each chunk. */
 	readonly onResponseSize?: (bytes: number) => void;
 };
 
@@ -55,7 +55,8 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#endError: Error | undefined;
 	#status = 0;
-	/** Number of bytes of the body, and how many of them have arrived; `undefined` until the head of the response states it. */
+	#hasBegun = false;
+	/** Number of bytes of the body, if the head of the response states it, and how many of them have arrived. */
 	#expectedBytes: number | undefined;
 	#receivedBytes = 0;
 
@@ -95,8 +96,9 @@
 		this.#status = status;
 		this.#headMs = this.#elapsedMs;
 		this.#receivedAt = this.#clock.readMonotonic();
-		this.#expectedBytes = Number(headers['content-length'] ?? Number.NaN);
-		if (!Number.isNaN(this.#expectedBytes)) {
+		this.#hasBegun = true;
+		this.#expectedBytes = headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
+		if (this.#expectedBytes !== undefined) {
 			this.#options.onResponseSize?.(this.#expectedBytes);
 		}
 	}
@@ -104,6 +106,10 @@
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		this.#receivedAt = this.#clock.readMonotonic();
 		this.#receivedBytes += chunk.length;
+		if (this.#expectedBytes === undefined) {
+			this.#options.onResponseSize?.(this.#receivedBytes);
+		}
+
 		this.#chunks.push(chunk);
 	}
 
@@ -131,9 +137,9 @@
 		if (remainingMs > 0) {
 			this.#startTimer(remainingMs);
 		} else {
-			this.#end(this.#expectedBytes === undefined
-				? `no response within ${this.#options.timeoutMs} ms`
-				: `response is incomplete after ${Math.round(this.#elapsedMs)} ms: ${this.#receivedBytes} of ${this.#expectedBytes} bytes received`);
+			this.#end(this.#hasBegun
+				? `response is incomplete after ${Math.round(this.#elapsedMs)} ms: ${this.#receivedBytes} of ${this.#expectedBytes ?? 'an unknown number of'} bytes received`
+				: `no response within ${this.#options.timeoutMs} ms`);
 		}
 	}
 
--- a/packages/clients/src/tables.ts
+++ b/packages/clients/src/tables.ts
@@ -146,7 +146,7 @@
 	readonly waitMs: number;
 	/** Ends the watch early; it then rejects. */
 	readonly signal?: AbortSignal;
-	/** Called with the size of a response, in bytes, before its body arrives; not by every service. */
+	/** Called with the size of a response, in bytes, before its body arrives, or with what has arrived so far; not by every service. */
 	readonly onResponseSize?: (bytes: number) => void;
 };
 
--- a/packages/workflows/src/declaration-readers.ts
+++ b/packages/workflows/src/declaration-readers.ts
@@ -62,8 +62,12 @@
 				const readRow = async (): Promise<void> => {
 					const outcome = await tables.watchRows(table, {
 						...options, signal, onResponseSize(bytes) {
+							const isFirst = transfer === undefined;
 							if (bytes >= minCopiedBytes) {
-								transfer = {bytes, startedAt: clock.readMonotonic()};
+								transfer = {bytes, startedAt: transfer?.startedAt ?? clock.readMonotonic()};
+							}
+
+							if (isFirst && transfer !== undefined) {
 								void readCopy();
 							}
 						},
