--- a/packages/workflows/src/configurations.ts
+++ b/packages/workflows/src/configurations.ts
@@ -55,15 +55,3 @@
 	/** Maximum number of VMs that the wave may take down at once. */
 	readonly cap: number;
 };
-
-/** Finds the queue of a request: the one with the longest matching path prefix among the queues of its host. */
-export function matchQueue(configuration: Configuration, host: string, path: string): Queue | undefined {
-	let best: Queue | undefined;
-	for (const queue of configuration.queues) {
-		if (queue.host === host && path.startsWith(queue.pathPrefix) && queue.pathPrefix.length > (best?.pathPrefix.length ?? -1)) {
-			best = queue;
-		}
-	}
-
-	return best;
-}
--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -4,8 +4,9 @@
 import {readErrorMessage, waitAtMost, type Clock} from '@tamarackwind/core';
 import {type Row, type WatchableTableService, type WatchOutcome} from '@tamarackwind/clients';
 import {AccountDirectory} from './account-directories.js';
-import {type Configuration, type WaveRequest} from './configurations.js';
+import {type Configuration, type Queue, type WaveRequest} from './configurations.js';
 import {DeclarationReader, type DeclarationOutcome} from './declaration-readers.js';
+import {QueueIndex} from './queue-indexes.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {declarationRetryMs, minDeclarationWatchMs, type Timings} from './timings.js';
 
@@ -63,6 +64,7 @@
 	readonly #options: DeclarationWatcherOptions;
 	readonly #reader: DeclarationReader;
 	#configuration: Configuration | undefined;
+	#queues = QueueIndex.create([]);
 	#accounts: AccountDirectory | undefined;
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#version: number | undefined;
@@ -92,6 +94,11 @@
 		return this.#configuration;
 	}
 
+	/** Finds the queue of a request in that configuration. */
+	findQueue(host: string, path: string): Queue | undefined {
+		return this.#queues.findQueue(host, path);
+	}
+
 	/** Accounts of that configuration by key; `undefined` where requests are not authenticated. */
 	get accounts(): AccountDirectory | undefined {
 		return this.#accounts;
@@ -332,6 +339,7 @@
 		}
 
 		this.#configuration = configuration;
+		this.#queues = QueueIndex.create(queues);
 		this.#accounts = directory;
 	}
 }
