Request no second transfer of a configuration beside one that arrives

A request that meets an outdated configuration asks the store for a confirmation beside the watch that waits. The watch counts as waiting only until its response begins; a large response to the request is given up.

--- a/packages/testing/src/configuration-histories.ts
+++ b/packages/testing/src/configuration-histories.ts
@@ -20,6 +20,8 @@
 const settlingMs = 8000;
 /** Limits of the store for entries; the operator's row may be larger. */
 const limits: TableLimits = {valueBytes: 49_152, transactionBytes: 697_500, transactionEntries: 100};
+/** Time for which a request waits for a confirmation, in milliseconds. */
+const requestWaitMs = 750;
 const millisecondsPerSecond = 1000;
 
 type SizedConfiguration = Configuration & {readonly queueCount: number; readonly filler: readonly string[]};
@@ -42,6 +44,8 @@
 	readonly violations: readonly string[];
 	/** Number of versions that the operator wrote. */
 	readonly versions: number;
+	/** Bytes of responses to the entries over those of one transfer of each version to each entry. */
+	readonly transferRatio: number;
 	/** Longest time from the writing of a version until an entry without a fault had it or a later one, in milliseconds. */
 	readonly longestApplyMs: number;
 };
@@ -98,7 +102,7 @@
 	readonly #entries: HistoryEntry[];
 	readonly #violations = new Set<string>();
 	/** Versions of the operator with the times at which they were written. */
-	readonly #versions: Array<{readonly version: number; readonly writtenAt: number}> = [];
+	readonly #versions: Array<{readonly version: number; readonly queues: number; readonly writtenAt: number}> = [];
 	readonly #waves: string[] = [];
 	#queueCount = 50;
 	#longestApplyMs = 0;
@@ -143,7 +147,14 @@
 			watcher.close();
 		}
 
-		return {violations: [...this.#violations], versions: this.#versions.length, longestApplyMs: this.#longestApplyMs};
+		return {
+			violations: [...this.#violations], versions: this.#versions.length, transferRatio: this.#computeTransferRatio(), longestApplyMs: this.#longestApplyMs,
+		};
+	}
+
+	#computeTransferRatio(): number {
+		const needed = this.#entries.length * this.#versions.reduce((sum, {queues}) => sum + (queues * bytesPerQueue), 0);
+		return this.#entries.reduce((sum, {tables}) => sum + tables.deliveredBytes, 0) / needed;
 	}
 
 	#drawGap(meanMs: number): number {
@@ -162,7 +173,7 @@
 		await this.#tables.commit({checks: [], writes: [{table: 'op', key: wave, value: {}}]});
 		await this.#tables.commit({checks: [], writes: [{table: 'op', key: 'config', value: configuration}]});
 		this.#waves.push(wave);
-		this.#versions.push({version, writtenAt: this.#clock.readMonotonic()});
+		this.#versions.push({version, queues: this.#queueCount, writtenAt: this.#clock.readMonotonic()});
 	}
 
 	#applyFault(): void {
@@ -205,6 +216,11 @@
 			this.#violations.add(`entry ${entry.index} takes version ${version} for current, and ${due} is due`);
 		}
 
+		if (!entry.watcher.isFresh) {
+			// As a request would that meets the outdated configuration.
+			void entry.watcher.waitForConfirmation(requestWaitMs);
+		}
+
 		if (version < entry.largestVersion) {
 			this.#violations.add(`entry ${entry.index} goes back from version ${entry.largestVersion} to ${version}`);
 		}
--- a/packages/testing/src/linked-tables.ts
+++ b/packages/testing/src/linked-tables.ts
@@ -31,6 +31,8 @@
 	state: 'up' | 'down' | 'silent' = 'up';
 	/** Time that each call takes beside its transfer, in milliseconds. */
 	delayMs = 0;
+	/** Number of bytes that the link has carried. */
+	deliveredBytes = 0;
 	#isFreeAt = 0;
 
 	private constructor(private readonly options: LinkedTablesOptions) {
@@ -117,6 +119,7 @@
 			const sliceMs = Math.min(sliceBytes, bytes - sent) * millisecondsPerSecond / bytesPerS;
 			this.#isFreeAt = Math.max(this.#isFreeAt, clock.readMonotonic()) + sliceMs;
 			await clock.sleep(this.#isFreeAt - clock.readMonotonic(), signal);
+			this.deliveredBytes += Math.min(sliceBytes, bytes - sent);
 			if (signal?.aborted) {
 				throw new VerdictError('request was aborted', {verdict: 'may-have-run', code: 'platform_unavailable'});
 			}
--- a/packages/workflows/src/declaration-readers.ts
+++ b/packages/workflows/src/declaration-readers.ts
@@ -9,6 +9,8 @@
 import {ConfigurationCopies, type CopiedRow} from './configuration-copies.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 
+/** Wait of a watch that is answered as soon as the store can, in milliseconds. */
+export const immediateWatchMs = 1;
 /** Size of a response with changes from which they are copied, in bytes: below it a link of 5 Mbit/s carries them in 0.1 s. */
 const minCopiedBytes = 65_536;
 /** Time after the head of a response before its copy is looked for, in milliseconds: fast links have carried the response by then. */
@@ -51,8 +53,11 @@
 		this.#copies = ConfigurationCopies.create(options.tables);
 	}
 
-	/** Waits for changes. A copy is newer than `after`, and does not confirm that no later version exists. */
-	async watch(options: Pick<WatchOptions, 'after' | 'waitMs'>): Promise<DeclarationOutcome> {
+	/**
+	 * Waits for changes. A copy is newer than `after`, and does not confirm that no later version exists. Calls `onResponse` once the response
+	 * begins to arrive.
+	 */
+	async watch(options: Pick<WatchOptions, 'after' | 'waitMs'>, onResponse: () => void): Promise<DeclarationOutcome> {
 		const {clock, tables, table} = this.#options;
 		const ending = new AbortController();
 		const signal = AbortSignal.any([ending.signal, this.#closing.signal]);
@@ -62,6 +67,7 @@
 				const readRow = async (): Promise<void> => {
 					const outcome = await tables.watchRows(table, {
 						...options, signal, onResponseSize(bytes) {
+							onResponse();
 							const isFirst = transfer === undefined;
 							if (bytes >= minCopiedBytes) {
 								transfer = {bytes, startedAt: transfer?.startedAt ?? clock.readMonotonic()};
@@ -96,6 +102,18 @@
 		}
 	}
 
+	/** Asks for changes beside a watch that waits for them. A large response is given up: that watch receives it too. */
+	async requestChanges(after: number): Promise<WatchOutcome> {
+		const ending = new AbortController();
+		return this.#options.tables.watchRows(this.#options.table, {
+			after, waitMs: immediateWatchMs, signal: AbortSignal.any([ending.signal, this.#closing.signal]), onResponseSize(bytes) {
+				if (bytes >= minCopiedBytes) {
+					ending.abort();
+				}
+			},
+		});
+	}
+
 	close(): void {
 		this.#closing.abort();
 	}
--- a/packages/workflows/src/declaration-watchers.ts
+++ b/packages/workflows/src/declaration-watchers.ts
@@ -5,15 +5,13 @@
 import {type Row, type WatchableTableService, type WatchOutcome} from '@tamarackwind/clients';
 import {AccountDirectory} from './account-directories.js';
 import {type Configuration, type Queue, type WaveRequest} from './configurations.js';
-import {DeclarationReader, type DeclarationOutcome} from './declaration-readers.js';
+import {DeclarationReader, immediateWatchMs, type DeclarationOutcome} from './declaration-readers.js';
 import {QueueIndex} from './queue-indexes.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {declarationRetryMs, minDeclarationWatchMs, type Timings} from './timings.js';
 
 /** Time by which two watches together end before the configuration counts as stale, in milliseconds. */
 const watchMarginMs = 50;
-/** Wait of a watch that confirms the configuration as soon as the store answers, in milliseconds. */
-const immediateWatchMs = 1;
 /** Failed attempts in a row from which the store counts as out of reach. A single one may be a lost answer, or a time-out that ended while the process was paused. */
 const unreachableAttempts = 2;
 /** Maximum number of requests that wait for a confirmation. */
@@ -70,7 +68,7 @@
 	#version: number | undefined;
 	/** Time beyond its wait that the last watch without a change took, in milliseconds. */
 	#answerMs = 0;
-	/** Whether the watch that is under way waits for a change. */
+	/** Whether the watch that is under way waits for a change, and no response to it has begun to arrive. */
 	#isWaiting = false;
 	/** Time at which the last confirmation beside a watch was requested, on the monotonic clock, and whether it is under way. */
 	#requestedAt = Number.NEGATIVE_INFINITY;
@@ -207,7 +205,7 @@
 
 	/** Requests a confirmation beside a watch that waits for a change, whose answer may be lost. At most one is under way, and one is requested each `declarationRetryMs`. */
 	async #requestConfirmation(): Promise<void> {
-		const {tables, codec, clock} = this.#options;
+		const {clock} = this.#options;
 		const now = clock.readMonotonic();
 		if (!this.#isWaiting || this.#isRequesting || now - this.#requestedAt < declarationRetryMs) {
 			return;
@@ -217,7 +215,7 @@
 		this.#requestedAt = now;
 		const startedAt = clock.readBootTime();
 		try {
-			const outcome = await tables.watchRows(codec.table, {after: this.#version!, waitMs: immediateWatchMs});
+			const outcome = await this.#reader.requestChanges(this.#version!);
 			if (outcome.status === 'changes') {
 				this.#applyChanges(outcome);
 				this.#recordConfirmation(startedAt);
@@ -289,7 +287,9 @@
 	async #waitForChange(after: number, waitMs: number): Promise<DeclarationOutcome> {
 		this.#isWaiting = waitMs > immediateWatchMs;
 		try {
-			return await this.#reader.watch({after, waitMs});
+			return await this.#reader.watch({after, waitMs}, () => {
+				this.#isWaiting = false;
+			});
 		} finally {
 			this.#isWaiting = false;
 		}
