Count the configuration as outdated by its bound alone

It counted as outdated after 1.6 s also where it may take 3 s, so that an entry refused for 0.8 s longer than it had to whenever a transfer or a slow answer took over 1.6 s. A request that is judged was sent over configApplyMs after the acknowledgement; the configuration it meets was confirmed 0.2 of that or more after it.

--- a/packages/workflows/src/timings.ts
+++ b/packages/workflows/src/timings.ts
@@ -76,7 +76,7 @@
 	schedulerTermMs: 2400,
 	watchSlackMs: 700,
 	declarationWatchMs: 700,
-	staleConfigurationMs: 1600,
+	staleConfigurationMs: 2400,
 	submissionWatchMs: 400,
 	maxCountAgeMs: 1800,
 	maxReadyStoreAgeMs: 2500,
