--- a/packages/cli/src/settings.ts
+++ b/packages/cli/src/settings.ts
@@ -5,7 +5,7 @@
 import {readFile, stat} from 'node:fs/promises';
 import process from 'node:process';
 import {createIssuesError, VerdictError} from '@tamarackwind/core';
-import {checkConfigurationText, isConfigurationText} from '@tamarackwind/platform/configuration-files';
+import {checkConfigurationSize, checkConfigurationText, isConfigurationText} from '@tamarackwind/platform/configuration-files';
 import {
 	diffTrees, formatTreePath, safeLoadTree, type LocatedTree, type TreeChange,
 } from '@tamarackwind/settings';
@@ -23,11 +23,13 @@
 type HistoryRow = {readonly version: number; readonly at: number; readonly operator: string; readonly changeId: string; readonly paths: readonly string[]; readonly why?: string};
 type ChangeOptions = OperatorOptions & {readonly base: number; readonly change?: string; readonly why?: string; readonly dryRun?: boolean};
 
-type CheckOptions = {readonly target: string; readonly against?: string; readonly json?: boolean};
+type CheckOptions = {readonly target: string; readonly against?: string; readonly linkMbps?: number; readonly boundMs: number; readonly json?: boolean};
 type ApplyOptions = ChangeOptions & {readonly directory: string; readonly rebase?: boolean};
 type ShowOptions = OperatorOptions & {readonly atVersion?: number; readonly change?: string};
 type ExplainedValue = {readonly path: string; readonly value: unknown; readonly from: string; readonly file?: string; readonly line?: number; readonly operator?: string; readonly version?: number};
 
+/** The shortest of the users' bounds, in milliseconds. */
+const defaultBoundMs = 2000;
 const severities = ['error', 'warning', 'notice'] as const;
 /** Width of the output of findings, in columns. */
 const outputColumns = 100;
@@ -143,15 +145,18 @@
 	builder: yargs => yargs
 		.positional('target', {type: 'string', demandOption: true, describe: 'Directory of settings files, one such file, or a file with a configuration in the platform\'s format'})
 		.option('against', {type: 'string', describe: 'File with another version of the configuration, such as the one in force, to list the differences to'})
+		.option('link-mbps', {type: 'number', describe: 'Rate of the slowest link of an entry in megabits per second, to warn of a configuration that it doesn\'t carry in time'})
+		.option('bound-ms', {type: 'number', default: defaultBoundMs, describe: 'Time within which a configuration must be in force, in milliseconds'})
 		.option('json', {type: 'boolean', describe: 'Print the output as JSON'})
 		.example('$0 settings check settings', 'Check the schema, references, budgets and shares')
 		.example('$0 settings check new.json --against current.json', 'Check a configuration and list its differences to the one in force') as unknown as Argv<CheckOptions>,
-	async handler({target, against, json}) {
+	async handler({target, against, linkMbps, boundMs, json}) {
 		await runCommand(async () => {
 			const configurationText = await readConfigurationText(target, against);
 			if (configurationText !== undefined) {
 				const findings = checkConfigurationText(configurationText, against === undefined ? undefined : await readFile(against, 'utf8'));
-				printFindings(findings, {json});
+				const sizeFindings = linkMbps === undefined ? [] : checkConfigurationSize(configurationText, {linkMbps, boundMs});
+				printFindings([...findings, ...sizeFindings], {json});
 				return;
 			}
 
--- a/packages/testing/tests/configuration-commands.test.ts
+++ b/packages/testing/tests/configuration-commands.test.ts
@@ -66,6 +66,12 @@
 	{
 		name: 'a warning', args: ['small.json'], code: 0, stdout: /^warning tenants\.0\.cap\.cpu: .*warnings: 1, notices: 0$/sv, stderr: nothing,
 	},
+	{
+		name: 'a configuration that a link carries in time', args: ['current.json', '--link-mbps', '7'], code: 0, stdout: /^errors: 0, warnings: 0, notices: 0$/v, stderr: nothing,
+	},
+	{
+		name: 'a configuration that a link does not carry in time', args: ['current.json', '--link-mbps', '0.001', '--bound-ms', '2000'], code: 0, stdout: /^warning routes: the configuration takes \d+ bytes .*warnings: 1, notices: 0$/sv, stderr: nothing,
+	},
 	{
 		name: 'a name longer than a line', args: ['long.json', '--against', 'current.json'], code: 0, stdout: /nnn\n {8}nnn/v, stderr: nothing,
 	},
--- a/packages/workflows/src/configuration-checks.ts
+++ b/packages/workflows/src/configuration-checks.ts
@@ -22,7 +22,7 @@
  */
 export type ConfigurationFinding
 	= | (FindingLocation & {readonly kind: 'form' | 'version'; readonly severity: 'error'})
-		| (FindingLocation & {readonly kind: 'unmatched' | 'contradiction' | 'adjustment'; readonly severity: 'warning'})
+		| (FindingLocation & {readonly kind: 'unmatched' | 'contradiction' | 'adjustment' | 'size'; readonly severity: 'warning'})
 		| (FindingLocation & {readonly kind: 'difference'; readonly severity: 'notice'; readonly change: DifferenceChange});
 
 /** `moved` is said of a queue whose pool, host or path prefix differs. */
