Wait for the reports of entries that a home entry has been cut off from

A home entry that reached less than half of the others lent its own share, and all slots from the moment at which it heard one of them again. Its broker counted nobody as unreported, since it was older than the time for reports. It is now replaced as after a change of the home entry, and lends once the others have reported what they hold.

--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -55,6 +55,8 @@
 	broker: Broker | undefined;
 	/** Whether the broker lends this entry its own share while the home entry is unresponsive. */
 	hasFallbackBroker: boolean;
+	/** Whether this entry was the home entry and reached less than half of the others at the last update. */
+	isInMinority: boolean;
 };
 
 /** Provides brokers with the workers that are neither leaving nor set aside. */
@@ -250,7 +252,7 @@
 			},
 		});
 		const state: PoolState = {
-			pool, borrower, retryBudgets: PoolRetryBudgets.create(), broker: undefined, hasFallbackBroker: false,
+			pool, borrower, retryBudgets: PoolRetryBudgets.create(), broker: undefined, hasFallbackBroker: false, isInMinority: false,
 		};
 		this.#pools.set(pool.name, state);
 		this.#updateWorkers(pool);
@@ -305,7 +307,10 @@
 		const self = bus.self.entryId;
 		const home = chooseHomeEntry(state.pool.name, this.#listEntries())!;
 		if (home === self) {
-			if (state.broker === undefined || state.hasFallbackBroker) {
+			// Entries that were out of reach may hold slots of another home entry; a new broker waits for their reports.
+			const hasRejoined = state.isInMinority && !this.#isInMinority();
+			state.isInMinority = this.#isInMinority();
+			if (state.broker === undefined || state.hasFallbackBroker || hasRejoined) {
 				state.broker = this.#createBroker(bus.listPeers().length === 0 ? 0 : brokerRecoveryMs, (total, unreported) => this.#computeHomeShare(total) - (unreported * this.#computeEntryShare(total)));
 				state.borrower.scheduleSync();
 			}
@@ -342,8 +347,12 @@
 	/** Computes the slots that a home entry lends: all, or the share of the reachable entries while they are a minority of those listed. */
 	#computeHomeShare(total: number): number {
 		const reachable = 1 + this.#options.bus.listPeers().length;
-		const listed = this.#countEntries();
-		return reachable * 2 < listed ? Math.ceil(total * reachable / listed) : total;
+		return this.#isInMinority() ? Math.ceil(total * reachable / this.#countEntries()) : total;
+	}
+
+	/** Whether this entry reaches less than half of the listed entries, itself included. */
+	#isInMinority(): boolean {
+		return (1 + this.#options.bus.listPeers().length) * 2 < this.#countEntries();
 	}
 
 	#createBroker(recoveryMs: number, limitSlots: (total: number, unreported: number) => number): Broker {
