End the calls of the declaration reader without a shared signal

AbortSignal.any keeps an entry in its lasting source for every signal made from it, so that a process would have grown with each watch, one every 0.7 s. Found by reading. The reader now keeps the controllers of its calls that are under way. A request whose signal has aborted before it begins ends at once, and a timeout above 30 s is not shortened to that.

--- a/packages/clients/src/response-collectors.ts
+++ b/packages/clients/src/response-collectors.ts
@@ -22,7 +22,7 @@
 
 /** Time without a byte after which a response that has begun counts as stalled, in milliseconds. */
 const stallTimeoutMs = 700;
-/** Maximum time of a request, however steadily its response arrives, in milliseconds. */
+/** Maximum time of a request whose response arrives steadily, in milliseconds; a longer timeout goes before it. */
 const maxRequestMs = 30_000;
 
 /**
@@ -70,6 +70,9 @@
 		this.#startedAt = clock.readMonotonic();
 		this.#startTimer(options.timeoutMs);
 		options.signal?.addEventListener('abort', this.#abort, {once: true});
+		if (options.signal?.aborted) {
+			this.#abort();
+		}
 	}
 
 	/** Whether the bytes of the request may have left this process. */
@@ -132,7 +135,7 @@
 	}
 
 	#checkProgress(): void {
-		const deadline = Math.min(this.#startedAt + maxRequestMs, Math.max(this.#startedAt + this.#options.timeoutMs, this.#receivedAt + stallTimeoutMs));
+		const deadline = this.#startedAt + Math.max(this.#options.timeoutMs, Math.min(maxRequestMs, this.#receivedAt + stallTimeoutMs - this.#startedAt));
 		const remainingMs = deadline - this.#clock.readMonotonic();
 		if (remainingMs > 0) {
 			this.#startTimer(remainingMs);
--- a/packages/clients/tests/response-collectors.test.ts
+++ b/packages/clients/tests/response-collectors.test.ts
@@ -84,3 +84,19 @@
 		t.deepEqual(settled && {...settled, atMs: settled.atMs - startedAt}, {outcome, atMs: settledMs});
 	});
 }
+
+// Guards against calls that go on after their caller has given them up.
+for (const isAbortedBefore of [true, false]) {
+	test(`response: a request whose signal aborts ${isAbortedBefore ? 'before' : 'after'} it begins is ended`, async t => {
+		const clock = ManualClock.create();
+		const ending = new AbortController();
+		if (isAbortedBefore) {
+			ending.abort();
+		}
+
+		const collector = ResponseCollector.create(clock, {timeoutMs, signal: ending.signal});
+		ending.abort();
+		await t.throwsAsync(collector.response, {message: 'request was aborted'});
+		collector.close();
+	});
+}
--- a/packages/workflows/src/declaration-readers.ts
+++ b/packages/workflows/src/declaration-readers.ts
@@ -46,7 +46,9 @@
 
 	readonly #options: DeclarationReaderOptions;
 	readonly #copies: ConfigurationCopies;
-	readonly #closing = new AbortController();
+	/** Ends each call that is under way. */
+	readonly #endings = new Set<AbortController>();
+	#isClosed = false;
 
 	private constructor(options: DeclarationReaderOptions) {
 		this.#options = options;
@@ -59,8 +61,8 @@
 	 */
 	async watch(options: Pick<WatchOptions, 'after' | 'waitMs'>, onResponse: () => void): Promise<DeclarationOutcome> {
 		const {clock, tables, table} = this.#options;
-		const ending = new AbortController();
-		const signal = AbortSignal.any([ending.signal, this.#closing.signal]);
+		const ending = this.#beginCall();
+		const {signal} = ending;
 		let transfer: Transfer | undefined;
 		try {
 			return await new Promise<DeclarationOutcome>((resolve, reject) => {
@@ -98,24 +100,42 @@
 				readRow().catch(reject);
 			});
 		} finally {
-			ending.abort();
+			this.#endCall(ending);
 		}
 	}
 
 	/** Asks for changes beside a watch that waits for them. A large response is given up: that watch receives it too. */
 	async requestChanges(after: number): Promise<WatchOutcome> {
-		const ending = new AbortController();
-		return this.#options.tables.watchRows(this.#options.table, {
-			after, waitMs: immediateWatchMs, signal: AbortSignal.any([ending.signal, this.#closing.signal]), onResponseSize(bytes) {
-				if (bytes >= minCopiedBytes) {
-					ending.abort();
-				}
-			},
-		});
+		const ending = this.#beginCall();
+		try {
+			return await this.#options.tables.watchRows(this.#options.table, {
+				after, waitMs: immediateWatchMs, signal: ending.signal, onResponseSize(bytes) {
+					if (bytes >= minCopiedBytes) {
+						ending.abort();
+					}
+				},
+			});
+		} finally {
+			this.#endCall(ending);
+		}
 	}
 
 	close(): void {
-		this.#closing.abort();
+		this.#isClosed = true;
+		for (const ending of this.#endings) {
+			ending.abort();
+		}
+	}
+
+	#beginCall(): AbortController {
+		const ending = new AbortController();
+		this.#endings.add(ending);
+		return ending;
+	}
+
+	#endCall(ending: AbortController): void {
+		this.#endings.delete(ending);
+		ending.abort();
 	}
 
 	async #readCopy(after: number, signal: AbortSignal): Promise<DeclarationOutcome | undefined> {
@@ -151,8 +171,8 @@
 
 	async #writeCopy({key, value, version}: RowChange, bytes: number): Promise<void> {
 		const {clock, log, copyDelayShare} = this.#options;
-		await clock.sleep(copyDelayShare * maxWriteDelayMs, this.#closing.signal);
-		if (this.#closing.signal.aborted) {
+		await clock.sleep(copyDelayShare * maxWriteDelayMs);
+		if (this.#isClosed) {
 			return;
 		}
 
