--- a/packages/admission/src/fair-schedulers.ts
+++ b/packages/admission/src/fair-schedulers.ts
@@ -55,7 +55,7 @@
 	broker: Broker | undefined;
 	/** Whether the broker lends this entry its own share while the home entry is unresponsive. */
 	hasFallbackBroker: boolean;
-	/** Whether this entry was the home entry and reached less than half of the others at the last update. */
+	/** Whether this entry, as the home entry, reached less than half of the listed entries at the last update. */
 	isInMinority: boolean;
 };
 
--- a/packages/workflows/tests/explanations.test.ts
+++ b/packages/workflows/tests/explanations.test.ts
@@ -25,10 +25,10 @@
 	{
 		name: 'a job refused during a store outage',
 		lines: [write(9, 'store lost'), write(10, 'request not served', {
-			method: 'POST', path: `/redraw/${id}`, status: 503, reason: 'store is away',
+			method: 'POST', path: `/redraw/${id}`, status: 503, reason: 'configuration is outdated',
 		}), write(20, 'store regained')],
 		messages: ['store lost', 'request not served'],
-		summary: 'refused with 503: store is away',
+		summary: 'refused with 503: configuration is outdated',
 	},
 	{
 		name: 'a late job with unordered lines',
