--- a/packages/testing/src/configuration-histories.ts
+++ b/packages/testing/src/configuration-histories.ts
@@ -46,7 +46,7 @@
 	readonly versions: number;
 	/** Bytes of responses to the entries over those of one transfer of each version to each entry. */
 	readonly transferRatio: number;
-	/** Longest time from the writing of a version until an entry without a fault had it or a later one, in milliseconds. */
+	/** Longest time from the writing of a version until every entry had it or a later one, faults included, in milliseconds. */
 	readonly longestApplyMs: number;
 };
 
