--- a/review/stand-ins-2/plays.js
+++ b/review/stand-ins-2/plays.js
@@ -12,6 +12,10 @@
 export async function runCase(folder, options, play) {
 	let deployment;
 	let code = 2;
+	process.on('SIGTERM', async () => {
+		await deployment?.close();
+		process.exit(2);
+	});
 	try {
 		deployment = await Deployment.create(options);
 		const violations = await play(deployment);
