--- a/review/6/case.js
+++ b/review/6/case.js
@@ -2,8 +2,8 @@
  * A client leaves while its submission is on its way, and cancels the job. The cancellation is acknowledged with 410, and the job runs.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createJobId, formatJob} from '../stand-ins-2/deployments.js';
-import {hasTrouble, runCase} from '../stand-ins-2/plays.js';
+import {createJobId, formatJob} from '../stand-in-2-deployments.js';
+import {hasTrouble, runCase} from '../stand-in-2-plays.js';
 
 const slowness = 80;
 const slowMs = 2000;
--- a/review/8/case.js
+++ b/review/8/case.js
@@ -3,10 +3,10 @@
  * and orders the upkeep of the machines of these workers as if nothing ran on them.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createJobId, formatJob} from '../stand-ins-2/deployments.js';
-import {BudgetCheck} from '../stand-ins-2/checks.js';
-import {hasTrouble, runCase} from '../stand-ins-2/plays.js';
-import {waitUntil} from '../stand-ins-2/servers.js';
+import {createJobId, formatJob} from '../stand-in-2-deployments.js';
+import {BudgetCheck} from '../stand-in-2-checks.js';
+import {hasTrouble, runCase} from '../stand-in-2-plays.js';
+import {waitUntil} from '../stand-in-2-servers.js';
 
 const tasks = 6;
 const outageMs = 4500;
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -eu
 cd "$(dirname "$0")"
 for module in records servers stores workers clouds deployments checks plays; do
-	node --check "stand-ins-2/$module.js"
+	node --check "stand-in-2-$module.js"
 done
--- a/review/stand-ins-2/checks.js
+++ b/review/stand-in-2-checks.js
@@ -1,8 +1,8 @@
 /**
  * Checks of rules on what workers and the control of machines see.
  */
-import {bounds} from './deployments.js';
-import {computePercent} from './workers.js';
+import {bounds} from './stand-in-2-deployments.js';
+import {computePercent} from './stand-in-2-workers.js';
 
 const atWork = 100;
 
--- a/review/stand-ins-2/clouds.js
+++ b/review/stand-in-2-clouds.js
@@ -1,7 +1,7 @@
 /**
  * Stand-in of the platform's control of machines: lists them, moves them between pools and takes them down for upkeep.
  */
-import {JsonServer} from './servers.js';
+import {JsonServer} from './stand-in-2-servers.js';
 
 const answerMs = 5;
 const moveMs = 1500;
--- a/review/stand-ins-2/plays.js
+++ b/review/stand-in-2-plays.js
@@ -3,7 +3,7 @@
  */
 import path from 'node:path';
 import process from 'node:process';
-import {Deployment} from './deployments.js';
+import {Deployment} from './stand-in-2-deployments.js';
 
 /** Whether the play has its disruption. */
 export const hasTrouble = process.env.TROUBLE !== '0';
--- a/review/stand-ins-2/stores.js
+++ b/review/stand-in-2-stores.js
@@ -2,7 +2,7 @@
  * Stand-in of the platform's store: rows with versions, transactions under conditions, and a feed of changes.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {JsonServer} from './servers.js';
+import {JsonServer} from './stand-in-2-servers.js';
 
 const usualAnswerMs = 4;
 const usualTransactionMs = 8;
--- a/review/stand-ins-2/workers.js
+++ b/review/stand-in-2-workers.js
@@ -3,7 +3,7 @@
  */
 import {randomBytes} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {JsonServer} from './servers.js';
+import {JsonServer} from './stand-in-2-servers.js';
 
 const heartbeatMs = 1500;
 const silentHeartbeats = 3;
