Cancel jobs whose submission is on its way

What callers saw: a client left while its submission was on its way, and cancelled the job at another entry.

Cause: JobSubmitter.cancel answered `absent` from a read of the job's row alone. Nothing kept the row from being written afterwards: by the queue of an entry, a transaction that is sent or carried out seconds later, a retry after a busy partition, a settled outcome, or a repeat of the client. After a conflict between its read and its write a cancellation answered `absent` too. The class: an answer "there is none" from a read, while a write may be on its way.

Change: JobCanceller stores the cancellation in advance, in another partition of the submissions, so that it does not wait behind the submission that it overtakes and costs a new holder no further listing. The feed applies it to the job whenever that is stored, before or after, and a new holder finds both. It holds for the jobs that its sender may cancel, so no account cancels those of another by their ids; several accounts may cancel one id.

--- a/packages/workflows/src/explanations.ts
+++ b/packages/workflows/src/explanations.ts
@@ -41,6 +41,8 @@
 const waitMessages = new Set(['tasks wait', 'tasks wait although the pool has room']);
 /** Message that names jobs which go behind all others that can be in time. */
 const deferralMessage = 'jobs deferred';
+/** Message of a cancellation that found no job, and keeps one that is on its way from being stored. */
+const preventionMessage = 'job cancelled before it was stored';
 /** Time between two lines on the same wait, in milliseconds: they are written each second. */
 const maxWaitGapMs = 2500;
 /** Status of a submission that was refused by the limits of its account or the capacity of its pool. */
@@ -169,6 +171,10 @@
 	}
 
 	if (!isAccepted) {
+		if (jobLines.some(({message}) => message === preventionMessage)) {
+			return 'cancelled before it was stored, and never run';
+		}
+
 		return refusal === undefined ? 'it was asked for, but never submitted' : `refused with ${String(refusal.status)}: ${String(refusal.reason)}`;
 	}
 
--- a/packages/workflows/src/job-feeds.ts
+++ b/packages/workflows/src/job-feeds.ts
@@ -12,8 +12,11 @@
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {JobRemover} from './job-removers.js';
 import {type Job} from './jobs.js';
-import {jobTable, listSubmissionPartitions, parseCancelKey} from './table-keys.js';
-import {decodeJob} from './records.js';
+import {
+	getAdvanceCancelKey, jobTable, listSubmissionPartitions, parseCancelKey,
+} from './table-keys.js';
+import {hasCancelled} from './advance-cancellations.js';
+import {decodeAdvanceCancellation, decodeJob, type AdvanceCancellation} from './records.js';
 import {type Timings} from './timings.js';
 
 /** A decoded change of the submitted jobs. */
@@ -47,6 +50,8 @@
 	readonly #options: JobFeedOptions;
 	readonly #remover: JobRemover;
 	readonly #submissions = new Map<JobId, Submission>();
+	/** Cancellations of jobs that were not stored. */
+	readonly #advanceCancellations = new Map<JobId, AdvanceCancellation>();
 	readonly #subscribers = new Map<ServiceName, JobSubscriber>();
 	#loaded: Promise<void> | undefined;
 	#version = 0;
@@ -57,9 +62,11 @@
 	private constructor(options: JobFeedOptions) {
 		this.#options = options;
 		this.#remover = JobRemover.create({
-			...options, onRemoved: id => {
+			...options,
+			onRemoved: id => {
 				this.#submissions.delete(id);
 			},
+			hasSubmission: id => this.#submissions.has(id),
 		});
 	}
 
@@ -148,6 +155,7 @@
 			log.info('submission history expired; listing all submissions again', {version: this.#version});
 			const rows = await this.#readSubmissions();
 			const listed = new Set(rows.map(({key}) => key));
+			this.#advanceCancellations.clear();
 			this.#update([...rows, ...[...this.#submissions.keys()].filter(id => !listed.has(id)).map(key => ({table: jobTable, key, version: this.#version}))]);
 		}
 	}
@@ -159,7 +167,7 @@
 			const changed = this.#applyRow(row);
 			if (changed !== undefined) {
 				const {service} = changed.job;
-				changes.set(service, [...changes.get(service) ?? [], changed.change]);
+				changes.set(service, [...changes.get(service) ?? [], ...changed.changes]);
 			}
 		}
 
@@ -168,10 +176,11 @@
 		}
 	}
 
-	#applyRow({key, value, version}: Row | RowChange): {readonly job: Job; readonly change: JobChange} | undefined {
+	/** Applies a row to the known submissions; returns what changed for the subscribers, if anything. */
+	#applyRow({key, partition, value, version}: Row | RowChange): {readonly job: Job; readonly changes: readonly JobChange[]} | undefined {
 		const cancelled = parseCancelKey(key);
 		if (cancelled !== undefined) {
-			return value === undefined ? undefined : this.#applyCancellation(cancelled);
+			return partition === getAdvanceCancelKey(cancelled).partition ? this.#applyAdvanceCancellation(cancelled, value, version) : (value === undefined ? undefined : this.#applyCancellation(cancelled));
 		}
 
 		const id = key as JobId;
@@ -185,26 +194,50 @@
 			return undefined;
 		}
 
-		this.#submissions.set(id, {job, version, isCancelled: false});
+		const isCancelled = this.#isCancelledInAdvance(id, job);
+		this.#submissions.set(id, {job, version, isCancelled});
 		if (this.#remover.holdRepeated(id)) {
 			return undefined;
 		}
 
-		return {
-			job, change: {
-				kind: 'submitted', id, job, version,
-			},
+		const submitted: JobChange = {
+			kind: 'submitted', id, job, version,
 		};
+		return {job, changes: isCancelled ? [submitted, {kind: 'cancelled', id}] : [submitted]};
 	}
 
-	#applyCancellation(id: JobId): {readonly job: Job; readonly change: JobChange} | undefined {
+	#applyCancellation(id: JobId): {readonly job: Job; readonly changes: readonly JobChange[]} | undefined {
 		const submission = this.#submissions.get(id);
 		if (submission === undefined || submission.isCancelled) {
 			return undefined;
 		}
 
 		submission.isCancelled = true;
-		return {job: submission.job, change: {kind: 'cancelled', id}};
+		return {job: submission.job, changes: [{kind: 'cancelled', id}]};
+	}
+
+	/** Applies the cancellation of a job that was not stored when it was cancelled, and may be by now or later. */
+	#applyAdvanceCancellation(id: JobId, value: unknown, version: number): {readonly job: Job; readonly changes: readonly JobChange[]} | undefined {
+		if (value === undefined) {
+			this.#advanceCancellations.delete(id);
+			return undefined;
+		}
+
+		try {
+			this.#advanceCancellations.set(id, decodeAdvanceCancellation(value));
+		} catch (error) {
+			this.#options.log.warn('advance cancellation is invalid', {job: id, version, error: readErrorMessage(error)});
+			return undefined;
+		}
+
+		this.#remover.scheduleAdvanceCancellation(id, version);
+		const submission = this.#submissions.get(id);
+		return submission !== undefined && this.#isCancelledInAdvance(id, submission.job) ? this.#applyCancellation(id) : undefined;
+	}
+
+	#isCancelledInAdvance(id: JobId, {account}: Job): boolean {
+		const cancellation = this.#advanceCancellations.get(id);
+		return cancellation !== undefined && hasCancelled(cancellation, account);
 	}
 
 	/** Decodes the row of a job; `undefined` for a tombstone and for an invalid row. */
--- a/packages/workflows/src/job-removers.ts
+++ b/packages/workflows/src/job-removers.ts
@@ -1,5 +1,5 @@
 /**
- * Deletes the rows of ended jobs after their retention.
+ * Deletes the rows of ended jobs and of advance cancellations after their retention.
  */
 import {
 	readErrorMessage, type Clock, type JobId,
@@ -8,7 +8,7 @@
 import {type ActiveJob} from './active-jobs.js';
 import {type RateLimitedLog} from './rate-limited-logs.js';
 import {
-	getCancelKey, getJobKey, getSubmissionPartition,
+	getAdvanceCancelKey, getCancelKey, getJobKey, getSubmissionPartition,
 } from './table-keys.js';
 
 export type JobRemoverOptions = {
@@ -19,6 +19,8 @@
 	readonly retentionMs: number;
 	/** Called when the submission of a job has been deleted. */
 	readonly onRemoved: (id: JobId) => void;
+	/** Reports whether a job is stored. */
+	readonly hasSubmission: (id: JobId) => boolean;
 };
 
 /** Interval at which rows are deleted, in milliseconds. */
@@ -33,6 +35,11 @@
  */
 const progressDelayMs = 60_000;
 
+/** Maximum number of advance cancellations that are deleted in one transaction, each with a check. */
+const maxCancellationDeletions = 45;
+/** Maximum number of such transactions in one interval. */
+const maxCancellationTransactions = 64;
+
 type EndedJob = {readonly at: number; readonly progress: readonly RowKey[]};
 
 /** Deletes the submissions of ended jobs, and later their progress. */
@@ -48,6 +55,8 @@
 	readonly #ended = new Map<JobId, EndedJob>();
 	/** Jobs without a submission, with the time at which their progress may be deleted. */
 	readonly #removed = new Map<JobId, EndedJob>();
+	/** Advance cancellations, with the versions of their rows and the time at which they may be deleted. */
+	readonly #cancellations = new Map<JobId, {readonly at: number; readonly version: number}>();
 	#isClosed = false;
 
 	private constructor(options: JobRemoverOptions) {
@@ -66,6 +75,15 @@
 		this.#removed.set(id, {at: this.#options.clock.readMonotonic() + progressDelayMs, progress});
 	}
 
+	/**
+	 * Schedules an advance cancellation for deletion at the end of its retention, by which no submission of its job is on its way any more. While
+	 * the job is stored it is kept longer.
+	 */
+	scheduleAdvanceCancellation(id: JobId, version: number): void {
+		const {clock, retentionMs} = this.#options;
+		this.#cancellations.set(id, {at: clock.readMonotonic() + retentionMs, version});
+	}
+
 	/** Keeps a job whose submission was deleted and has been repeated; returns `false` for a job that has not ended. */
 	holdRepeated(id: JobId): boolean {
 		const ended = this.#removed.get(id);
@@ -89,13 +107,16 @@
 			try {
 				await this.#removeSubmissions(this.#listDue(this.#ended).slice(0, maxRemovals));
 				await this.#removeProgress(this.#listDue(this.#removed));
+				await this.#removeCancellations(this.#listDue(this.#cancellations).filter(id => !this.#options.hasSubmission(id)));
 			} catch (error) {
-				log.warn('removing ended jobs failed', {ended: this.#ended.size, removed: this.#removed.size, error: readErrorMessage(error)});
+				log.warn('removing ended jobs failed', {
+					ended: this.#ended.size, removed: this.#removed.size, cancellations: this.#cancellations.size, error: readErrorMessage(error),
+				});
 			}
 		}
 	}
 
-	#listDue(jobs: ReadonlyMap<JobId, EndedJob>): JobId[] {
+	#listDue(jobs: ReadonlyMap<JobId, {readonly at: number}>): JobId[] {
 		const now = this.#options.clock.readMonotonic();
 		return [...jobs].filter(([, {at}]) => at <= now).map(([id]) => id);
 	}
@@ -131,4 +152,31 @@
 			this.#removed.delete(id);
 		}
 	}
+
+	async #removeCancellations(ids: readonly JobId[]): Promise<void> {
+		const partitions = new Set(ids.map(id => getAdvanceCancelKey(id).partition));
+		const batches = [...partitions].flatMap(partition => {
+			const part = ids.filter(id => getAdvanceCancelKey(id).partition === partition);
+			return Array.from({length: Math.ceil(part.length / maxCancellationDeletions)}, (_, index) => part.slice(index * maxCancellationDeletions, (index + 1) * maxCancellationDeletions));
+		});
+		for (const batch of batches.slice(0, maxCancellationTransactions)) {
+			if (this.#isClosed) {
+				return;
+			}
+
+			await this.#removeCancellationBatch(batch);
+		}
+	}
+
+	/** Deletes advance cancellations. One that has changed is left to its later version, which the feed shows. */
+	async #removeCancellationBatch(ids: readonly JobId[]): Promise<void> {
+		const outcome = await this.#options.tables.commit({
+			checks: ids.map(id => ({...getAdvanceCancelKey(id), version: this.#cancellations.get(id)!.version})),
+			writes: ids.map(id => getAdvanceCancelKey(id)),
+		});
+		const done = outcome.status === 'committed' ? new Set(ids.map(id => getAdvanceCancelKey(id).key)) : new Set(outcome.conflicts.map(({key}) => key));
+		for (const id of ids.filter(other => done.has(getAdvanceCancelKey(other).key))) {
+			this.#cancellations.delete(id);
+		}
+	}
 }
--- a/packages/workflows/src/job-submitters.ts
+++ b/packages/workflows/src/job-submitters.ts
@@ -11,8 +11,11 @@
 import {type Job} from './jobs.js';
 import {type Principal} from './principals.js';
 import {computeMinRowBytes} from './progress-layouts.js';
-import {getCancelKey, getJobKey, getSubmissionPartition} from './table-keys.js';
-import {encodeJob, tombstone, type SubmissionRow} from './records.js';
+import {JobCanceller, type CancelOutcome} from './job-cancellers.js';
+import {getJobKey, getSubmissionPartition} from './table-keys.js';
+import {
+	encodeJob, isTombstone, tombstone, type SubmissionRow,
+} from './records.js';
 
 /**
  * - `accepted`: the job is durable, written by this or an earlier attempt.
@@ -22,13 +25,6 @@
  */
 export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'foreign';
 
-/**
- * - `cancelled`: the job will start no further tasks.
- * - `absent`: there is no such job.
- * - `foreign`: the job belongs to another account; nothing was changed.
- */
-export type CancelOutcome = 'cancelled' | 'absent' | 'foreign';
-
 /** Outcome of a submission regardless of who made it, with the owner of an accepted job. */
 type Settlement = {readonly outcome: 'accepted'; readonly account: AccountName | undefined} | {readonly outcome: 'unknown'} | {readonly outcome: 'refused'};
 
@@ -75,6 +71,7 @@
 	}
 
 	readonly #options: JobSubmitterOptions;
+	readonly #canceller: JobCanceller;
 	/** Unsent submissions, by partition. */
 	readonly #queues = new Map<string, PendingSubmission[]>();
 	/** Outcomes of the jobs that are being submitted; a transaction must not write a row twice. */
@@ -93,6 +90,7 @@
 
 	private constructor(options: JobSubmitterOptions) {
 		this.#options = options;
+		this.#canceller = JobCanceller.create(options);
 		this.#suspicionTimeout = AdaptiveTimeout.create({clock: options.clock, ...suspicion});
 	}
 
@@ -190,28 +188,12 @@
 	}
 
 	/**
-	 * Cancels a job.
+	 * Cancels a job, also one that is on its way at some entry.
 	 *
 	 * @throws {VerdictError} when the outcome is unknown.
 	 */
 	async cancel(id: JobId, principal: Principal): Promise<CancelOutcome> {
-		const {tables} = this.#options;
-		const key = getJobKey(id);
-		const row = await tables.getRow(key);
-		if (row === undefined || isTombstone(row)) {
-			return 'absent';
-		}
-
-		if (!principal.hasAccess(getOwner(row))) {
-			return 'foreign';
-		}
-
-		const outcome = await tables.commit({
-			checks: [{...key, version: row.version}],
-			writes: [{...getCancelKey(id), value: {}}],
-			isRepeatable: true,
-		});
-		return outcome.status === 'committed' || await tables.getRow(getCancelKey(id)) !== undefined ? 'cancelled' : 'absent';
+		return this.#canceller.cancel(id, principal);
 	}
 
 	/** Reports whether an earlier outcome of the service is open, or the store has not responded since its oldest transaction was sent and that is long ago. */
@@ -320,7 +302,7 @@
 			}
 
 			const row = await this.#options.tables.getRow(getJobKey(pending.job.id));
-			if (row !== undefined && !isTombstone(row)) {
+			if (row !== undefined && !isTombstone(row.value)) {
 				this.#options.log.info('job accepted before', {job: pending.job.id, queue: pending.job.queue, version: row.version});
 				pending.resolve({outcome: 'accepted', account: getOwner(row)});
 			} else {
@@ -376,7 +358,7 @@
 		};
 
 		await waitAtMost(clock, read(), maxLookupMs);
-		if (row === undefined || isTombstone(row)) {
+		if (row === undefined || isTombstone(row.value)) {
 			return {outcome: 'refused'};
 		}
 
@@ -407,7 +389,7 @@
 				}
 
 				const row = await tables.getRow(key);
-				if (row !== undefined && !isTombstone(row)) {
+				if (row !== undefined && !isTombstone(row.value)) {
 					log.info('job accepted', {job: job.id, queue: job.queue, version: row.version});
 					return {outcome: 'accepted', account: getOwner(row)};
 				}
@@ -430,10 +412,6 @@
 	return Buffer.byteLength(JSON.stringify(row));
 }
 
-function isTombstone(row: Row): boolean {
-	return 'isRefused' in (row.value as SubmissionRow);
-}
-
 /** Returns the account of a submitted job's row. */
 function getOwner(row: Row): AccountName | undefined {
 	return (row.value as Partial<Job>).account;
--- a/packages/workflows/src/principals.ts
+++ b/packages/workflows/src/principals.ts
@@ -8,6 +8,8 @@
 export abstract class Principal {
 	/** Account to which submitted jobs belong; `undefined` for jobs without an owner. */
 	abstract readonly account: ClientAccount | undefined;
+	/** Whether the jobs of every owner may be used. */
+	abstract readonly isUnrestricted: boolean;
 	/** Reports whether the jobs of an owner may be submitted again, queried and cancelled. */
 	abstract hasAccess(owner: AccountName | undefined): boolean;
 }
@@ -19,6 +21,7 @@
 	}
 
 	override readonly account = undefined;
+	override readonly isUnrestricted = true;
 
 	override hasAccess(): boolean {
 		return true;
@@ -32,6 +35,7 @@
 	}
 
 	override readonly account = undefined;
+	override readonly isUnrestricted = false;
 
 	override hasAccess(owner: AccountName | undefined): boolean {
 		return owner === undefined;
@@ -44,6 +48,8 @@
 		return new AccountPrincipal(account);
 	}
 
+	override readonly isUnrestricted = false;
+
 	private constructor(override readonly account: ClientAccount) {
 		super();
 	}
--- a/packages/workflows/src/records.ts
+++ b/packages/workflows/src/records.ts
@@ -64,6 +64,11 @@
 /** Row that marks a job as permanently refused. */
 export const tombstone: SubmissionRow = {isRefused: true};
 
+/** Reports whether the row of a submitted job holds a tombstone in place of the job. */
+export function isTombstone(value: unknown): boolean {
+	return 'isRefused' in (value as SubmissionRow);
+}
+
 /** Encodes a job for its row. */
 export function encodeJob({id: _id, steps, ...row}: Job): SubmissionRow {
 	return {...row, steps: steps.map(step => encodeStep(step))};
@@ -82,6 +87,19 @@
 	return 'isRefused' in row ? undefined : {...row, id};
 }
 
+/** Row of the cancellation of a job that was not stored, with the accounts whose jobs it cancels besides those without an owner. */
+const advanceCancellationSchema = z.object({isForAll: flagSchema, accounts: z.array(accountSchema).default([])});
+
+/** Value of the row of an advance cancellation. */
+export type AdvanceCancellationRow = z.input<typeof advanceCancellationSchema>;
+/** A decoded advance cancellation. */
+export type AdvanceCancellation = z.output<typeof advanceCancellationSchema>;
+
+/** Decodes the row of an advance cancellation. */
+export function decodeAdvanceCancellation(value: unknown): AdvanceCancellation {
+	return advanceCancellationSchema.parse(value);
+}
+
 /** A task that was started and is not done. */
 const openTaskSchema = z.tuple([z.int(), z.int(), z.int(), z.string(), z.number(), z.string(), z.int().optional(), z.number().optional()])
 	.transform(([index, run, failures, worker, startedAt, checkpoint, crashes = 0, guilt = 0]) => ({
--- a/packages/workflows/src/table-keys.ts
+++ b/packages/workflows/src/table-keys.ts
@@ -12,6 +12,8 @@
 export const jobTable = 'jobs';
 /** Number of partitions of the submitted jobs: a partition commits transactions one at a time, so entries would wait for each other at a slow store. */
 const submissionPartitionCount = 128;
+/** Distance between the partitions of a job and of its advance cancellation. */
+const advanceCancelOffset = submissionPartitionCount / 2;
 
 /** Role of the scheduler lease, and partition of its rows. */
 export const schedulerRole = 'scheduler';
@@ -30,14 +32,18 @@
 	return hash;
 }
 
+function formatSubmissionPartition(index: number): string {
+	return `submitted/${index}`;
+}
+
 /** Lists the partitions in which entries submit and cancel jobs; they are separate from the holder's own writes. */
 export function listSubmissionPartitions(): string[] {
-	return Array.from({length: submissionPartitionCount}, (_, index) => `submitted/${index}`);
+	return Array.from({length: submissionPartitionCount}, (_, index) => formatSubmissionPartition(index));
 }
 
 /** Returns the partition of a submitted job. It depends on the id alone, so that a job has one row even if its queue moves to another service. */
 export function getSubmissionPartition(job: JobId): string {
-	return `submitted/${hashText(job, submissionPartitionCount)}`;
+	return formatSubmissionPartition(hashText(job, submissionPartitionCount));
 }
 
 /** Returns the partition of the rows that the holder writes. */
@@ -58,6 +64,15 @@
 	return {...getJobKey(job), key: `${job}${cancelSuffix}`};
 }
 
+/**
+ * Returns the key of the row that cancels a job which is not stored. It lies in another partition than the job: it must not wait behind the
+ * submission that it overtakes.
+ */
+export function getAdvanceCancelKey(job: JobId): RowKey {
+	const index = (hashText(job, submissionPartitionCount) + advanceCancelOffset) % submissionPartitionCount;
+	return {table: jobTable, partition: formatSubmissionPartition(index), key: `${job}${cancelSuffix}`};
+}
+
 /** Returns the job id in a cancellation's key; `undefined` for the key of a job. */
 export function parseCancelKey(key: string): JobId | undefined {
 	return key.endsWith(cancelSuffix) ? key.slice(0, -cancelSuffix.length) as JobId : undefined;
--- a/packages/workflows/tests/explanations.test.ts
+++ b/packages/workflows/tests/explanations.test.ts
@@ -30,6 +30,18 @@
 		messages: ['store lost', 'request not served'],
 		summary: 'refused with 503: configuration is outdated',
 	},
+	{
+		name: 'a job whose cancellation overtook its submission',
+		lines: [
+			write(10, 'job cancelled before it was stored', {job: id}),
+			write(11, 'submission of a cancelled job refused', {job: id}),
+			write(11, 'request not served', {
+				method: 'POST', path: `/redraw/${id}`, status: 503, reason: 'cancelled before',
+			}),
+		],
+		messages: ['job cancelled before it was stored', 'submission of a cancelled job refused', 'request not served'],
+		summary: 'cancelled before it was stored, and never run',
+	},
 	{
 		name: 'a late job with unordered lines',
 		lines: [
