Count the VM of an order without an answer as down for the next one

Cause: #advanceWave computed the workers that are safe once, before the loop that sends the orders. A VM whose order got no answer stayed in that set, and the tasks of a worker without power go on counting as at work until its calls have timed out. The same after an accepted order, if the listing that follows it fails.

Ruled out: the pending orders of FleetOrders. They did have the VM; nothing asked them again within the loop.

Change: safety is checked at each decision: the worker answers, its VM was listed as up, and no order for the VM is pending or was sent since the list was asked for.

--- a/packages/testing/src/emulated-workers.ts
+++ b/packages/testing/src/emulated-workers.ts
@@ -156,6 +156,8 @@
 	isVmListDown = false;
 	/** Whether readings of the registry fail. */
 	isRegistryDown = false;
+	/** Whether calls of workers on VMs that are down get no answer at all, as from a VM without power, instead of being refused. */
+	isSilentWhenDown = false;
 	readonly #options: EmulatedFleetOptions;
 	readonly #bounds: Bounds;
 	#vms: EmulatedVm[] = [];
@@ -423,6 +425,10 @@
 		}
 
 		if (vm === undefined) {
+			if (this.isSilentWhenDown) {
+				await clock.sleep(timeoutMs);
+			}
+
 			throw new VerdictError('connection refused', {verdict: 'not-run', code: 'worker_unavailable'});
 		}
 
@@ -918,6 +924,10 @@
 		}
 
 		if (renewal.incarnation.isEnded) {
+			if (this.fleet.isSilentWhenDown) {
+				await this.clock.sleep(timeoutMs);
+			}
+
 			throw new VerdictError('connection reset', {verdict: 'may-have-run', code: 'worker_unavailable'});
 		}
 
--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -60,8 +60,8 @@
 
 type WaveRow = {readonly begun: readonly VmId[]; readonly state: 'running' | 'succeeded'};
 
-/** Workers that answer, whose VMs are listed as up, and that no order which was given before may still take down. */
-type SafeWorkers = ReadonlySet<VmId>;
+/** Reports whether a worker answers, its VM was listed as up, and no order that was sent since then, or before, may still take it down. */
+type SafetyCheck = (worker: VmId) => boolean;
 
 type WaveProgress = {
 	readonly wave: WaveRequest;
@@ -185,15 +185,16 @@
 			return;
 		}
 
+		const askedAt = this.#options.clock.readMonotonic();
 		const listed = await this.#options.fleet.listVms();
 		this.#occupancies.update(listed);
 		const vms = new Map(listed.map(vm => [vm.id, vm]));
-		const safeWorkers = new Set(listed.flatMap(vm => vm.worker !== undefined && vm.state === 'up' && !this.#orders.isPending(vm.id) && (this.#findSession(vm)?.isReachable ?? false) ? [vm.worker] : []));
+		const isSafe = this.#createSafetyCheck(listed, askedAt);
 		this.#observeVms(progress, vms);
 		this.#startDraining(progress, vms);
 		for (const id of progress.draining.keys()) {
-			const isOrdered = progress.down.size >= wave.cap || await this.#tryMaintainVm(progress, vms.get(id)!, safeWorkers);
-			this.#releaseStuck(progress, vms.get(id)!, {isOrdered, safeWorkers});
+			const isOrdered = progress.down.size >= wave.cap || await this.#tryMaintainVm(progress, vms.get(id)!, isSafe);
+			this.#releaseStuck(progress, vms.get(id)!, {isOrdered, isSafe});
 		}
 
 		if (wave.vms.every(id => progress.begun.has(id))) {
@@ -201,6 +202,15 @@
 		}
 	}
 
+	/** Creates the check of the workers on VMs whose list was asked for at `askedAt`. It takes account of each order that is sent from then on, which may have been carried out. */
+	#createSafetyCheck(listed: readonly FleetVm[], askedAt: number): SafetyCheck {
+		const vms = new Map(listed.flatMap(vm => vm.worker !== undefined && vm.state === 'up' ? [[vm.worker, vm]] : []));
+		return worker => {
+			const vm = vms.get(worker);
+			return vm !== undefined && !this.#orders.isPending(vm.id) && !this.#orders.hasSentSince(vm.id, askedAt) && (this.#findSession(vm)?.isReachable ?? false);
+		};
+	}
+
 	async #loadWave(wave: WaveRequest): Promise<WaveProgress> {
 		const row = await this.#options.tables.getRow({table: waveTable, key: wave.id});
 		const saved = row?.value as WaveRow | undefined;
@@ -280,11 +290,11 @@
 	 * Gives the room of a VM back that cannot be drained because of a disruption budget, or whose order is not carried out, if tasks of its pool wait that
 	 * it may be able to run. They may be the ones that the budget waits for.
 	 */
-	#releaseStuck({wave, draining, stuckSince, postponed}: WaveProgress, vm: FleetVm, {isOrdered, safeWorkers}: {readonly isOrdered: boolean; readonly safeWorkers: SafeWorkers}): void {
+	#releaseStuck({wave, draining, stuckSince, postponed}: WaveProgress, vm: FleetVm, {isOrdered, isSafe}: {readonly isOrdered: boolean; readonly isSafe: SafetyCheck}): void {
 		const {clock, log, timings} = this.#options;
 		const session = this.#findSession(vm);
 		const now = clock.readMonotonic();
-		const isStuck = session !== undefined && draining.has(vm.id) && (!isOrdered || isBlocked(session, safeWorkers));
+		const isStuck = session !== undefined && draining.has(vm.id) && (!isOrdered || isBlocked(session, isSafe));
 		if (!isStuck) {
 			stuckSince.delete(vm.id);
 			return;
@@ -317,16 +327,16 @@
 	}
 
 	/** Orders the maintenance of a VM if it is drained; resolves to whether that has not failed. */
-	async #tryMaintainVm(progress: WaveProgress, vm: FleetVm, safeWorkers: SafeWorkers): Promise<boolean> {
+	async #tryMaintainVm(progress: WaveProgress, vm: FleetVm, isSafe: SafetyCheck): Promise<boolean> {
 		try {
-			return await this.#maintainVm(progress, vm, safeWorkers);
+			return await this.#maintainVm(progress, vm, isSafe);
 		} catch (error) {
 			this.#options.log.warn('upkeep not answered', {wave: progress.wave.id, vm: vm.id, error: readErrorMessage(error)});
 			return false;
 		}
 	}
 
-	async #maintainVm(progress: WaveProgress, vm: FleetVm, safeWorkers: SafeWorkers): Promise<boolean> {
+	async #maintainVm(progress: WaveProgress, vm: FleetVm, isSafe: SafetyCheck): Promise<boolean> {
 		const {clock, fleet, log, holder, epoch, timings} = this.#options;
 		const {wave, begun, down, draining} = progress;
 		const known = this.#findSession(vm);
@@ -336,7 +346,7 @@
 
 		const waitedMs = clock.readMonotonic() - (draining.get(vm.id) ?? 0);
 		// The worker may return to the registry while the order is being recorded.
-		const isDrained = () => this.#isDrained(this.#occupancies.describe(vm), {waitedMs, safeWorkers});
+		const isDrained = () => this.#isDrained(this.#occupancies.describe(vm), {waitedMs, isSafe});
 		if (vm.state !== 'up' || !isDrained()) {
 			return true;
 		}
@@ -392,12 +402,12 @@
 	}
 
 	/** Reports whether a VM may be taken down: no work is lost, or the drain timeout has passed and every disruption budget allows it. */
-	#isDrained({status, session, tasks}: VmOccupancy, {waitedMs, safeWorkers}: {readonly waitedMs: number; readonly safeWorkers: SafeWorkers}): boolean {
+	#isDrained({status, session, tasks}: VmOccupancy, {waitedMs, isSafe}: {readonly waitedMs: number; readonly isSafe: SafetyCheck}): boolean {
 		if (status === 'unknown' || (session !== undefined && session.isReachable && !session.isListed)) {
 			return false;
 		}
 
-		const plans = [...tasks].map(task => ({task, plan: planTaskEviction(tasks, task, safeWorkers)}));
+		const plans = [...tasks].map(task => ({task, plan: planTaskEviction(tasks, task, isSafe)}));
 		const evictable = plans.find(({task, plan}) => plan === 'one-by-one' && isTaskReady(task));
 		if (evictable !== undefined && session !== undefined) {
 			this.#options.log.info('task evicted', {
@@ -436,14 +446,14 @@
 }
 
 /** Reports whether the disruption budget of some step keeps a VM from being drained: none of its tasks there may be evicted now. */
-function isBlocked(session: WorkerSession, safeWorkers: SafeWorkers): boolean {
-	const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session.tasks, task, safeWorkers)}));
+function isBlocked(session: WorkerSession, isSafe: SafetyCheck): boolean {
+	const plans = [...session.tasks].map(task => ({task, plan: planTaskEviction(session.tasks, task, isSafe)}));
 	return plans.some(({plan}) => plan === 'blocked') && !plans.some(({task, plan}) => plan === 'one-by-one' && isTaskReady(task)) && plans.every(({task}) => task.phase !== 'stopping');
 }
 
 /** Plans the eviction of a task and the other tasks of its step from the VM that they share. */
-function planTaskEviction(onVm: ReadonlySet<Task>, {stepState, spec, job}: Task, safeWorkers: SafeWorkers): EvictionPlan {
-	const unready = stepState.tasks.filter(other => !isTaskReady(other) || (!onVm.has(other) && !safeWorkers.has(other.incarnation!.id)));
+function planTaskEviction(onVm: ReadonlySet<Task>, {stepState, spec, job}: Task, isSafe: SafetyCheck): EvictionPlan {
+	const unready = stepState.tasks.filter(other => !isTaskReady(other) || (!onVm.has(other) && !isSafe(other.incarnation!.id)));
 	return planEviction({
 		onVm: stepState.tasks.filter(other => onVm.has(other)).length,
 		unreadyOnVm: unready.filter(other => onVm.has(other)).length,
--- a/packages/workflows/src/fleet-orders.ts
+++ b/packages/workflows/src/fleet-orders.ts
@@ -37,6 +37,8 @@
 	readonly #options: FleetOrdersOptions;
 	/** VMs whose last order has no answer yet, with the time until which it may be carried out, on the monotonic clock. */
 	readonly #unanswered = new Map<VmId, number>();
+	/** Time at which this holder last sent an order for each VM, on the monotonic clock. */
+	readonly #sentAt = new Map<VmId, number>();
 	/** Time of this holder's last order for each VM, on the monotonic clock. */
 	readonly #orderedAt = new Map<VmId, number>();
 	/** VMs for which an earlier holder may have sent orders until this one acquired the scheduler lease; `undefined` before they are loaded. */
@@ -71,7 +73,14 @@
 
 	/** Notes that an order for a VM is being sent, which may be carried out for `termMs` milliseconds if it gets no answer. */
 	noteSent(vm: VmId, termMs: number): void {
-		this.#unanswered.set(vm, this.#options.clock.readMonotonic() + termMs);
+		const now = this.#options.clock.readMonotonic();
+		this.#sentAt.set(vm, now);
+		this.#unanswered.set(vm, now + termMs);
+	}
+
+	/** Reports whether an order for a VM was sent at a time on the monotonic clock or later. */
+	hasSentSince(vm: VmId, time: number): boolean {
+		return (this.#sentAt.get(vm) ?? Number.NEGATIVE_INFINITY) >= time;
 	}
 
 	/** Notes that the last order for a VM was answered. */
