Play abandoned jobs, expired registry entries and silent VMs in random histories

Change: callers leave at once or while their jobs are written, cancel at any entry until that is acknowledged, and the request is repeated later; outages of the store in which the entries of some workers expire and return within a heartbeat; waves with a cap of 3; VMs without power.

--- a/packages/testing/src/emulated-systems.ts
+++ b/packages/testing/src/emulated-systems.ts
@@ -41,6 +41,12 @@
 /** Principal of all requests, since the emulated configuration has no accounts. */
 const unchecked = UncheckedPrincipal.create();
 const timeoutMs = 1000;
+/** Time for which a client waits for an answer, in milliseconds. */
+const clientTimeoutMs = 3000;
+const maxCancelAttempts = 12;
+const cancelRetryMs = 300;
+/** Longest time after which a network repeats a request, in milliseconds. */
+const maxRepeatDelayMs = 6000;
 
 /** Injects faults into one entry's calls of the tables. */
 class FaultyTables extends WatchableTableService {
@@ -190,6 +196,8 @@
 	readonly tables: MemoryTableService;
 	readonly accepted = new Map<JobId, Job>();
 	readonly cancelled = new Set<JobId>();
+	/** Jobs whose callers have left and cancelled them, whether or not they were accepted. */
+	readonly abandoned = new Set<JobId>();
 	/** Number of submissions that entries refused, by reason. */
 	readonly refusals = new Map<RefusalReason, number>();
 	/** Actual ends of jobs less their estimates. */
@@ -283,25 +291,9 @@
 	}
 
 	/** Submits a job to random entries as a client does, in at most 5 attempts; marks it as refused if every attempt was refused. */
-	async submit(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set(), schedule, account, pool}: SubmitOptions = {}): Promise<JobId> {
-		const id = this.random.createToken().slice(0, 16) as JobId;
-		const service = (pool ?? this.random.pickItem(this.#pools.filter(([name]) => name !== sparePool))![0]) as ServiceName;
-		const job: Job = {
-			id,
-			service,
-			queue: service,
-			payload: '',
-			steps,
-			...(schedule === undefined ? {} : {schedule: {...schedule, firstAt: this.clock.readWall() + schedule.firstAt}}),
-			submittedAt: this.clock.readWall(),
-			...(account === undefined ? {} : {account}),
-			policy: {
-				priority: 0, maxAttempts: 3, slackFactor: 2, targetLatencyMs: 600,
-			},
-		};
-		this.fleet.jobs.set(id, {
-			job, durationMs, failingTasks, crashingTasks,
-		});
+	async submit(steps: readonly StepSpec[], durationMs: number, options: SubmitOptions = {}): Promise<JobId> {
+		const job = this.#createJob(steps, durationMs, options);
+		const {id} = job;
 		let hasOnlyRefusals = true;
 		for (let attempt = 0; attempt < 5; attempt++) {
 			const outcome = await this.#trySubmit(job);
@@ -321,6 +313,31 @@
 		return id;
 	}
 
+	/**
+	 * Submits a job as a client does that leaves before it has an answer, and cancels the job until that is acknowledged; resolves then. The job is
+	 * submitted once more afterwards, as a network does that repeats a request.
+	 */
+	async submitAndLeave(steps: readonly StepSpec[], durationMs: number, leaveMs: number): Promise<JobId> {
+		const job = this.#createJob(steps, durationMs, {});
+		this.abandoned.add(job.id);
+		void this.#trySubmit(job);
+		await this.clock.sleep(leaveMs);
+		this.fleet.cancelRequested.add(job.id);
+		for (let attempt = 0; attempt < maxCancelAttempts && !this.fleet.cancelledAt.has(job.id); attempt++) {
+			const entry = this.random.pickItem(this.#entries);
+			const outcome = entry === undefined ? 'unknown' : await this.#tryCancel(entry, job.id);
+			if (outcome === 'cancelled' || outcome === 'absent') {
+				this.fleet.cancelledAt.set(job.id, this.clock.readMonotonic());
+			} else {
+				await this.clock.sleep(cancelRetryMs);
+			}
+		}
+
+		await this.clock.sleep(this.random.readFraction() * maxRepeatDelayMs);
+		void this.#trySubmit(job);
+		return job.id;
+	}
+
 	/** Repeats the submission of a job at an entry whose configuration sends the queue to the given service; resolves to the outcome. */
 	async repeatSubmission(id: JobId, service: string, entry: EmulatedEntry): Promise<string> {
 		const {job} = this.fleet.jobs.get(id)!;
@@ -358,6 +375,49 @@
 		return status?.state;
 	}
 
+	/** Creates a job and registers it with the workers. */
+	#createJob(steps: readonly StepSpec[], durationMs: number, {failingTasks = new Set(), crashingTasks = new Set(), schedule, account, pool}: SubmitOptions): Job {
+		// The id is drawn before the service, so that known seeds go on playing the same histories.
+		const id = this.random.createToken().slice(0, 16) as JobId;
+		const service = (pool ?? this.random.pickItem(this.#pools.filter(([name]) => name !== sparePool))![0]) as ServiceName;
+		const job: Job = {
+			id,
+			service,
+			queue: service,
+			payload: '',
+			steps,
+			...(schedule === undefined ? {} : {schedule: {...schedule, firstAt: this.clock.readWall() + schedule.firstAt}}),
+			submittedAt: this.clock.readWall(),
+			...(account === undefined ? {} : {account}),
+			policy: {
+				priority: 0, maxAttempts: 3, slackFactor: 2, targetLatencyMs: 600,
+			},
+		};
+		this.fleet.jobs.set(job.id, {
+			job, durationMs, failingTasks, crashingTasks,
+		});
+		return job;
+	}
+
+	/** Sends one cancellation as a client does, which waits 3 s for the answer. */
+	async #tryCancel(entry: EmulatedEntry, id: JobId): Promise<string> {
+		const cancel = async (): Promise<string> => {
+			try {
+				return await entry.submitter.cancel(id, unchecked);
+			} catch {
+				// The outcome is unknown to the client.
+				return 'unknown';
+			}
+		};
+
+		const expire = async (): Promise<string> => {
+			await this.clock.sleep(clientTimeoutMs);
+			return 'unknown';
+		};
+
+		return Promise.race([cancel(), expire()]);
+	}
+
 	async #trySubmit(job: Job): Promise<string> {
 		const entry = this.random.pickItem(this.#entries);
 		if (entry !== undefined && this.#canRefuse && await this.#isRefused(entry, job)) {
@@ -367,7 +427,7 @@
 		return entry === undefined
 			? 'unknown'
 			: Promise.race([entry.submitter.submit(job, unchecked), (async () => {
-				await this.clock.sleep(3000);
+				await this.clock.sleep(clientTimeoutMs);
 				return 'unknown';
 			})()]);
 	}
--- a/packages/testing/src/system-histories.ts
+++ b/packages/testing/src/system-histories.ts
@@ -25,6 +25,10 @@
 	readonly faultCount?: number;
 	/** Kinds of faults to inject; all kinds by default. */
 	readonly kinds?: readonly FaultKind[];
+	/** Share of the jobs whose callers leave before they have an answer, and cancel them; 0 by default. */
+	readonly abandonedShare?: number;
+	/** Whether calls of workers on VMs that are down get no answer, instead of being refused; `false` by default. */
+	readonly isSilentWhenDown?: boolean;
 	/** Whether the configuration has accounts, to which the jobs belong; `false` by default. */
 	readonly hasAccounts?: boolean;
 	/** Bounds of the deployment. */
@@ -75,7 +79,13 @@
 	'workers shed calls',
 ] as const;
 
-export type FaultKind = (typeof faultKinds)[number] | (typeof furtherFaultKinds)[number] | (typeof accountFaultKinds)[number] | (typeof pathFaultKinds)[number];
+/** Outages in which the registry loses the entries of workers that go on, and waves over several VMs of a step at once; listed apart for the same reason. */
+export const registryFaultKinds = [
+	'registry entries expire',
+	'wide wave',
+] as const;
+
+export type FaultKind = (typeof registryFaultKinds)[number] | (typeof faultKinds)[number] | (typeof furtherFaultKinds)[number] | (typeof accountFaultKinds)[number] | (typeof pathFaultKinds)[number];
 
 const restartMs = {min: 20, range: 900};
 /** Faults of the VM control, by kind. */
@@ -87,6 +97,11 @@
 };
 
 const warmUpMs = 4000;
+/** Longest time after which a caller leaves, in milliseconds. */
+const maxLeaveMs = 900;
+const heartbeatMs = 1500;
+/** Cap of a wave that takes several VMs of a step at once. */
+const wideCap = 3;
 const faultPhaseMs = 24_000;
 const recoveryPhaseMs = 45_000;
 
@@ -108,17 +123,18 @@
 }
 
 /** Runs one history and checks it. */
-export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, hasAccounts = false, bounds, overload, write}: HistoryOptions): Promise<HistoryOutcome> {
+export async function playHistory({seed, jobs = 24, faultCount = 4, kinds = faultKinds, hasAccounts = false, abandonedShare = 0, isSilentWhenDown = false, bounds, overload, write}: HistoryOptions): Promise<HistoryOutcome> {
 	const system = await EmulatedSystem.create({
 		seed, bounds, overload, write, ...(hasAccounts ? {accounts: createAccounts(1)} : {}),
 	});
 	const {clock, random} = system;
+	system.fleet.isSilentWhenDown = isSilentWhenDown;
 	const faults: Record<string, number> = {};
 	await clock.run(warmUpMs);
 	const check = StandingCheck.create({system});
 	for (let index = 0; index < jobs; index++) {
 		clock.schedule(random.readFraction() * faultPhaseMs, () => {
-			void submitRandomJob(system, hasAccounts);
+			void (abandonedShare > 0 && random.readFraction() < abandonedShare ? abandonRandomJob(system) : submitRandomJob(system, hasAccounts));
 		});
 	}
 
@@ -135,9 +151,10 @@
 	await clock.run(recoveryPhaseMs);
 	check.close();
 	const unfinished = await listUnfinished(system);
+	const abandoned = [...system.abandoned].filter(id => system.fleet.cancelledAt.has(id) && system.fleet.countRunning(id) > 0).map(id => `abandoned job ${id} still has running tasks`);
 	const overdue = system.fleet.overdueRuns.filter(({startedAt, until}) => check.isCalm(startedAt, until)).map(({name, until}) => `${Math.round(until)}: ${name}, begun late, is not stopped after its job was cancelled`);
 	return {
-		violations: [...system.fleet.violations, ...overdue, ...check.violations, ...unfinished], counts: system.fleet.counts, faults, accepted: system.accepted.size,
+		violations: [...system.fleet.violations, ...overdue, ...abandoned, ...check.violations, ...unfinished], counts: system.fleet.counts, faults, accepted: system.accepted.size,
 	};
 }
 
@@ -174,6 +191,13 @@
 	}
 }
 
+/** Submits a lasting or a short job of a caller that leaves at once, or while a slow store writes the job. */
+async function abandonRandomJob(system: EmulatedSystem): Promise<void> {
+	const {random} = system;
+	const isLongRunning = random.readFraction() < 0.5;
+	await system.submitAndLeave([createStep({count: 2, isLongRunning})], 300 + random.pickIndex(1500), random.readFraction() * maxLeaveMs);
+}
+
 /** Applies a fault; returns the time for which its effects last, in milliseconds. */
 export function applyFault(system: EmulatedSystem, kind: FaultKind, index: number): number {
 	const {random, clock, fleet} = system;
@@ -340,6 +364,19 @@
 				void system.configureAccounts(createAccounts(1));
 			});
 		},
+		'registry entries expire'() {
+			setFaults({isDown: true});
+			fleet.isRegistryDown = true;
+			scheduleRestore(() => {
+				fleet.isRegistryDown = false;
+			});
+			for (const {id} of pickVms()) {
+				fleet.expireEntry(id, durationMs + (random.readFraction() * heartbeatMs));
+			}
+		},
+		'wide wave'() {
+			void system.startWave(`wave-${index}`, fleet.vms.map(({id}) => id), wideCap);
+		},
 		wave() {
 			void system.startWave(`wave-${index}`, fleet.vms.map(({id}) => id), 2);
 		},
