--- a/packages/workflows/src/fleet-maintainers.ts
+++ b/packages/workflows/src/fleet-maintainers.ts
@@ -43,6 +43,7 @@
 	/** Returns the commit condition that the scheduler lease is still held; `undefined` when it is not. */
 	readonly getCheck: () => Check | undefined;
 	readonly listPools: () => readonly PoolScheduler[];
+	readonly findPool: (pool: PoolName) => PoolScheduler | undefined;
 	/** Returns the time at which the registry of workers was last read, on the monotonic clock. */
 	readonly getRegistryReadAt: () => number;
 };
@@ -202,12 +203,22 @@
 		}
 	}
 
-	/** Creates the check of the workers on VMs whose list was asked for at `askedAt`. It takes account of each order that is sent from then on, which may have been carried out. */
+	/**
+	 * Creates the check of the workers on VMs whose list was asked for at `askedAt`. It takes account of each order that is sent from then on, which may have
+	 * been carried out.
+	 */
 	#createSafetyCheck(listed: readonly FleetVm[], askedAt: number): SafetyCheck {
-		const vms = new Map(listed.flatMap(vm => vm.worker !== undefined && vm.state === 'up' ? [[vm.worker, vm]] : []));
+		const candidates = new Map<VmId, {readonly vm: VmId; readonly session: WorkerSession}>();
+		for (const vm of listed) {
+			const session = vm.state === 'up' && !this.#orders.isPending(vm.id) ? this.#findSession(vm) : undefined;
+			if (session !== undefined) {
+				candidates.set(session.record.id, {vm: vm.id, session});
+			}
+		}
+
 		return worker => {
-			const vm = vms.get(worker);
-			return vm !== undefined && !this.#orders.isPending(vm.id) && !this.#orders.hasSentSince(vm.id, askedAt) && (this.#findSession(vm)?.isReachable ?? false);
+			const candidate = candidates.get(worker);
+			return candidate !== undefined && candidate.session.isReachable && !this.#orders.hasSentSince(candidate.vm, askedAt);
 		};
 	}
 
--- a/packages/workflows/src/job-feeds.ts
+++ b/packages/workflows/src/job-feeds.ts
@@ -36,6 +36,9 @@
 	readonly timings: Timings;
 };
 
+/** A job and what has changed of it. */
+type ChangedJob = {readonly job: Job; readonly changes: readonly JobChange[]};
+
 type Submission = {readonly job: Job; readonly version: number; isCancelled: boolean};
 
 /** Delay after a failed watch, in milliseconds. */
@@ -177,10 +180,14 @@
 	}
 
 	/** Applies a row to the known submissions; returns what changed for the subscribers, if anything. */
-	#applyRow({key, partition, value, version}: Row | RowChange): {readonly job: Job; readonly changes: readonly JobChange[]} | undefined {
+	#applyRow({key, partition, value, version}: Row | RowChange): ChangedJob | undefined {
 		const cancelled = parseCancelKey(key);
 		if (cancelled !== undefined) {
-			return partition === getAdvanceCancelKey(cancelled).partition ? this.#applyAdvanceCancellation(cancelled, value, version) : (value === undefined ? undefined : this.#applyCancellation(cancelled));
+			if (partition === getAdvanceCancelKey(cancelled).partition) {
+				return this.#applyAdvanceCancellation(cancelled, value, version);
+			}
+
+			return value === undefined ? undefined : this.#applyCancellation(cancelled);
 		}
 
 		const id = key as JobId;
@@ -206,7 +213,7 @@
 		return {job, changes: isCancelled ? [submitted, {kind: 'cancelled', id}] : [submitted]};
 	}
 
-	#applyCancellation(id: JobId): {readonly job: Job; readonly changes: readonly JobChange[]} | undefined {
+	#applyCancellation(id: JobId): ChangedJob | undefined {
 		const submission = this.#submissions.get(id);
 		if (submission === undefined || submission.isCancelled) {
 			return undefined;
@@ -217,7 +224,7 @@
 	}
 
 	/** Applies the cancellation of a job that was not stored when it was cancelled, and may be by now or later. */
-	#applyAdvanceCancellation(id: JobId, value: unknown, version: number): {readonly job: Job; readonly changes: readonly JobChange[]} | undefined {
+	#applyAdvanceCancellation(id: JobId, value: unknown, version: number): ChangedJob | undefined {
 		if (value === undefined) {
 			this.#advanceCancellations.delete(id);
 			return undefined;
--- a/packages/workflows/src/schedulers.ts
+++ b/packages/workflows/src/schedulers.ts
@@ -222,6 +222,7 @@
 				isPoolKnown: pool => this.#isPoolKnown(pool),
 				getCheck: () => this.#canOrder ? this.#lease.check : undefined,
 				listPools: () => [...this.#pools.values()],
+				findPool: pool => this.#pools.get(pool as string as ServiceName),
 				getRegistryReadAt: () => this.#registryReadAt,
 			});
 		}
--- a/packages/workflows/src/vm-occupancies.ts
+++ b/packages/workflows/src/vm-occupancies.ts
@@ -2,7 +2,7 @@
  * Determines what may run on a VM. A worker without a session is not known to run nothing: its registry entry may have expired while the store was
  * unavailable, and a new holder has then never seen it.
  */
-import {type Clock, type VmId} from '@tamarackwind/core';
+import {type Clock, type PoolName, type VmId} from '@tamarackwind/core';
 import {type PoolScheduler} from './pool-schedulers.js';
 import {type Task} from './tasks.js';
 import {type FleetVm} from './workers.js';
@@ -25,6 +25,7 @@
 	/** Returns the time at which the registry was last read, on the monotonic clock. */
 	readonly getRegistryReadAt: () => number;
 	readonly listPools: () => readonly PoolScheduler[];
+	readonly findPool: (pool: PoolName) => PoolScheduler | undefined;
 };
 
 /** Age from which a reading of the registry does not count as a current one, in milliseconds: several of its watches. */
@@ -77,13 +78,13 @@
 			return undefined;
 		}
 
-		const pools = this.#options.listPools();
-		const own = pools.find(pool => pool.service as string === name as string)?.findWorkerSession(worker);
+		const {findPool, listPools} = this.#options;
+		const own = findPool(name)?.findWorkerSession(worker);
 		if (own !== undefined) {
 			return own;
 		}
 
-		for (const pool of pools) {
+		for (const pool of listPools()) {
 			const session = pool.findWorkerSession(worker);
 			if (session !== undefined) {
 				return session;
--- a/packages/workflows/tests/pool-sizers.test.ts
+++ b/packages/workflows/tests/pool-sizers.test.ts
@@ -42,7 +42,7 @@
 
 function createOccupancies(clock: ManualClock, pools: readonly PoolScheduler[]): VmOccupancies {
 	return VmOccupancies.create({
-		clock, entryReturnMs: 2500, getRegistryReadAt: () => clock.readMonotonic(), listPools: () => pools,
+		clock, entryReturnMs: 2500, getRegistryReadAt: () => clock.readMonotonic(), listPools: () => pools, findPool: name => pools.find(({service}) => service as string === name as string),
 	});
 }
 
--- a/packages/workflows/tests/vm-occupancies.test.ts
+++ b/packages/workflows/tests/vm-occupancies.test.ts
@@ -54,7 +54,7 @@
 			listDoubtfulTasks: () => Array.from({length: doubtfulTasks}, () => ({} as unknown as Task)),
 		} as unknown as PoolScheduler;
 		const occupancies = VmOccupancies.create({
-			clock, entryReturnMs, getRegistryReadAt: () => clock.readMonotonic() - readingAgeMs, listPools: () => [pool],
+			clock, entryReturnMs, getRegistryReadAt: () => clock.readMonotonic() - readingAgeMs, listPools: () => [pool], findPool: () => undefined,
 		});
 		const vm: FleetVm = {
 			id: 'vm-1' as VmId, pool: 'north' as PoolName, state: 'up', zone: 'z' as ZoneName, labels: [], capacity: noResources, worker: listed,
@@ -77,7 +77,7 @@
 		service: 'north' as ServiceName, findWorkerSession: () => isKnown ? {tasks: new Set()} as unknown as WorkerSession : undefined, listDoubtfulTasks: () => [],
 	} as unknown as PoolScheduler;
 	const occupancies = VmOccupancies.create({
-		clock, entryReturnMs, getRegistryReadAt: () => clock.readMonotonic(), listPools: () => [pool],
+		clock, entryReturnMs, getRegistryReadAt: () => clock.readMonotonic(), listPools: () => [pool], findPool: () => undefined,
 	});
 	const vm: FleetVm = {
 		id: 'vm-1' as VmId, pool: 'north' as PoolName, state: 'up', zone: 'z' as ZoneName, labels: [], capacity: noResources, worker,
